--- /dev/null
+++ b/packages/chivelb-cli/chivelb_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The chivelb command: everything for people."""
--- /dev/null
+++ b/packages/chivelb-cli/chivelb_cli/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, scenarios and measurements."""
--- /dev/null
+++ b/packages/chivelb-cli/chivelb_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of chivelb."""
--- /dev/null
+++ b/packages/chivelb-cli/chivelb_cli/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for runners, stores, the weight store and plain services."""
--- /dev/null
+++ b/packages/chivelb-cli/chivelb_cli/lab/options.py
@@ -0,0 +1,73 @@
+"""Command-line options of the stand-ins."""
+
+import argparse
+
+from chivelb_cli.lab import runner
+from chivelb_cli.lab import service
+from chivelb_cli.lab import store
+from chivelb_cli.lab import weights
+
+
+def add_parsers(parent: argparse.ArgumentParser) -> None:
+    """Adds ``chivelb lab runner|store|weights|service``."""
+    kinds = parent.add_subparsers(dest="kind", required=True)
+    runner_parser = kinds.add_parser("runner", help="a model runner")
+    _add_common(runner_parser)
+    _add_target(runner_parser)
+    _add_runner(runner_parser)
+    runner_parser.set_defaults(run=runner.run)
+    store_parser = kinds.add_parser("store", help="a store of kept KV cache")
+    _add_common(store_parser)
+    _add_target(store_parser)
+    store_parser.add_argument("--capacity", type=int, default=2**30)
+    store_parser.add_argument("--link-rate", type=float, default=100e6)
+    store_parser.add_argument("--event-lag", type=float, default=0.05)
+    store_parser.set_defaults(run=store.run)
+    service_parser = kinds.add_parser("service", help="a plain service")
+    _add_common(service_parser)
+    _add_target(service_parser)
+    service_parser.add_argument("--work-s", type=float, default=0.005)
+    service_parser.add_argument("--slots", type=int, default=64)
+    service_parser.set_defaults(run=service.run)
+    weights_parser = kinds.add_parser("weights", help="the weight store")
+    _add_common(weights_parser)
+    weights_parser.add_argument("--at-once", type=int, default=3)
+    weights_parser.add_argument("--load-s", type=float, default=1.0)
+    weights_parser.add_argument("--missing", action="append", default=[])
+    weights_parser.set_defaults(run=weights.run)
+
+
+def _add_common(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+
+
+def _add_target(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--identity", required=True)
+    parser.add_argument("--zone", required=True)
+    parser.add_argument("--service", default="kept")
+    parser.add_argument("--announce", action="append", default=[])
+    parser.add_argument("--announce-period", type=float, default=0.25)
+    parser.add_argument("--lease", type=float, default=2.0)
+    parser.add_argument("--target-key", default="")
+
+
+def _add_runner(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--model", default="lm")
+    parser.add_argument("--version", default="v1")
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--max-waiting", type=int, default=16)
+    parser.add_argument("--room-tokens", type=int, default=65_536)
+    parser.add_argument("--prefill-rate", type=float, default=8_000.0)
+    parser.add_argument("--decode-rate", type=float, default=50.0)
+    parser.add_argument("--cache-blocks", type=int, default=256)
+    parser.add_argument("--event-lag", type=float, default=0.1)
+    parser.add_argument("--load-lag", type=float, default=0.2)
+    parser.add_argument("--load-s", type=float, default=1.0)
+    parser.add_argument("--link-rate", type=float, default=100e6)
+    parser.add_argument("--bytes-per-token", type=int, default=1_024)
+    parser.add_argument("--weights", default="")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--ignore-fencing", dest="checks_fencing", action="store_false"
+    )
--- /dev/null
+++ b/packages/chivelb-cli/chivelb_cli/lab/service.py
@@ -0,0 +1,132 @@
+"""Stand-in for a plain service that counts what it ran."""
+
+import argparse
+import asyncio
+import time
+
+from aiohttp import web
+from chivelb_core import targets
+import msgspec
+
+from chivelb_cli.lab import announcer
+from chivelb_cli.lab import faults as faults_lib
+from chivelb_cli.lab import serving
+
+
+class PlainService:
+    """A plain service process.
+
+    Attributes:
+        executions: Body of each request that ran, in order.
+    """
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        """Creates a service that ran nothing."""
+        self.arguments = arguments
+        self.executions: list[str] = []
+        self.fault_handlers = faults_lib.FaultHandlers()
+        self.faults = self.fault_handlers.faults
+        self.ready = "ready"
+        self._incarnation = time.time_ns() // 1_000_000
+        self._port = 0
+        self._running = 0
+
+    def app(self) -> web.Application:
+        """Returns the routes."""
+        app = web.Application(client_max_size=64 << 20)
+        app.router.add_get("/admin/executions", self.list_executions)
+        app.router.add_post("/admin/leave", self.leave)
+        self.fault_handlers.add_routes(app)
+        app.router.add_route("*", "/{path:.*}", self.execute)
+        return app
+
+    async def execute(self, request: web.Request) -> web.StreamResponse:
+        """Runs a request and answers with its body and workspace."""
+        attempt_id = request.headers.get("X-Attempt-Id", "")
+        body = (await request.read()).decode("utf-8", "replace")
+        if self.faults.refuse or self.ready != "ready":
+            return web.Response(
+                status=503, headers={"X-Not-Run": attempt_id}, text="no\n"
+            )
+        self._running += 1
+        try:
+            await asyncio.sleep(self.arguments.work_s)
+            self.executions.append(body)
+            if self.faults.hang:
+                await asyncio.sleep(3600)
+            if self.faults.late_s:
+                await asyncio.sleep(self.faults.late_s)
+        finally:
+            self._running -= 1
+        if self.faults.lose_answer:
+            request.transport.close()
+            return web.Response()
+        if self.faults.cross:
+            attempt_id = "x" + attempt_id
+        return web.Response(
+            body=msgspec.json.encode(
+                {
+                    "path": request.path,
+                    "workspace": request.headers.get("X-Workspace", ""),
+                    "body": body,
+                    "executed": len(self.executions),
+                }
+            ),
+            headers={"X-Attempt-Id": attempt_id},
+            content_type="application/json",
+        )
+
+    async def list_executions(self, request: web.Request) -> web.Response:
+        """Tells tests what ran."""
+        return web.Response(
+            body=msgspec.json.encode(self.executions),
+            content_type="application/json",
+        )
+
+    async def leave(self, request: web.Request) -> web.Response:
+        """Starts a planned leave."""
+        self.ready = "leaving"
+        return web.Response(text="leaving\n")
+
+    def describe(self) -> targets.TargetRecord:
+        """Returns the record to announce."""
+        arguments = self.arguments
+        return targets.TargetRecord(
+            identity=arguments.identity,
+            incarnation=self._incarnation,
+            address=f"{arguments.host}:{self._port}",
+            zone=arguments.zone,
+            role="plain",
+            service=arguments.service,
+            state=self.ready,
+            slots=arguments.slots,
+            running=self._running,
+            lease_s=arguments.lease,
+        )
+
+    def start(self, port: int) -> list:
+        """Returns what runs beside the server."""
+        self._port = port
+        return [
+            announcer.Announcer(
+                self.arguments.announce,
+                self.describe,
+                list,
+                lambda: None,
+                period_s=self.arguments.announce_period,
+                target_key=self.arguments.target_key,
+            ).run()
+        ]
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Runs ``chivelb lab service``."""
+
+    async def main() -> None:
+        service = PlainService(arguments)
+        await serving.serve(
+            service.app(), arguments.host, arguments.port, service.start
+        )
+
+    asyncio.run(main())
+    return 0
--- /dev/null
+++ b/packages/chivelb-cli/chivelb_cli/samples.py
@@ -0,0 +1,94 @@
+"""Documents and workloads for demonstrations, tests and measurements."""
+
+import hashlib
+import random
+
+from chivelb_core import kept
+
+WORDS = (
+    "worktop oak hinge drawer larder plinth cornice sink tap oven hob shelf "
+    "panel door edge miter carcass laminate granite quartz diary channel "
+    "evening household mood viewer minutes programme news football film"
+).split()
+
+
+def workspace_key(name: str) -> str:
+    """Returns the bearer key of a sample workspace."""
+    return f"key-of-{name}"
+
+
+def workspace_secret(name: str) -> str:
+    """Returns the cache secret of a sample workspace in hex."""
+    return hashlib.sha256(f"secret-of-{name}".encode()).hexdigest()
+
+
+def workspace_salt(name: str, service: str) -> str:
+    """Returns the cache salt of a sample workspace and a service."""
+    return kept.cache_salt(workspace_secret(name), service)
+
+
+def sample_document(
+    *,
+    workspaces: list[str],
+    model_service: str = "estimator-lm",
+    plain_service: str = "fitter-portal",
+    goal: str = "latency",
+    policy: str = "expected_cost",
+    keeping: str = "value",
+    versions: tuple[str, ...] = ("v1",),
+    limits: dict | None = None,
+) -> dict:
+    """Returns a document as plain data.
+
+    Args:
+        workspaces: Names of the workspaces.
+        model_service: Name of the model service.
+        plain_service: Name of the plain service.
+        goal: Goal of the model service.
+        policy: Routing policy of the model service.
+        keeping: What stores keep.
+        versions: Weight versions; the first one is current.
+        limits: More limits.
+    """
+    return {
+        "services": {
+            model_service: {
+                "kind": "model",
+                "model": "lm",
+                "goal": goal,
+                "policy": policy,
+            },
+            plain_service: {"kind": "plain", "timeout_s": 5.0},
+        },
+        "workspaces": {
+            name: {
+                "key_hashes": [
+                    hashlib.sha256(workspace_key(name).encode()).hexdigest()
+                ],
+                "cache_secret": workspace_secret(name),
+                "services": [model_service, plain_service],
+            }
+            for name in workspaces
+        },
+        "models": {"lm": {"versions": list(versions), "current": versions[0]}},
+        "rules": {
+            "check-in": {
+                "service": plain_service,
+                "path": "/checkin",
+                "methods": ["POST"],
+                "repeatable": False,
+            }
+        },
+        "limits": {"keeping": keeping, **(limits or {})},
+    }
+
+
+def make_prompt(rng: random.Random, tokens: int) -> str:
+    """Returns a prompt of about a number of tokens."""
+    words: list[str] = []
+    size = 0
+    while size < tokens * 4:
+        word = rng.choice(WORDS)
+        words.append(word)
+        size += len(word) + 1
+    return " ".join(words)[: tokens * 4]
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of chivelb, free of sockets, clocks, files and randomness."""
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/calls/__init__.py
@@ -0,0 +1,15 @@
+"""One call: its attempts, their outcomes and what may be tried again."""
+
+from chivelb_core.calls.attempt import Outcome
+from chivelb_core.calls.attempt import OutcomeKind
+from chivelb_core.calls.budget import RetryBudget
+from chivelb_core.calls.suspects import fingerprint
+from chivelb_core.calls.suspects import SuspectTable
+
+__all__ = [
+    "Outcome",
+    "OutcomeKind",
+    "RetryBudget",
+    "SuspectTable",
+    "fingerprint",
+]
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/claims/round.py
@@ -0,0 +1,87 @@
+"""Aggregate of one attempt to claim a key, at the entry instance."""
+
+import dataclasses
+import enum
+
+from chivelb_core.claims import messages
+
+
+class Verdict(enum.Enum):
+    """What a round of claiming came to."""
+
+    PENDING = "pending"
+    GRANTED = "granted"
+    SETTLED = "settled"
+    HELD = "held"
+    KEY_REUSED = "key reused"
+    NO_MAJORITY = "no majority"
+
+
+@dataclasses.dataclass(slots=True)
+class ClaimRound:
+    """Replies to one claim request.
+
+    Rule: the claim is granted only with a majority of all keepers, each of
+    which never grants the key to another claim.
+
+    Attributes:
+        request: The request.
+        keepers: Names of all keepers.
+        replies: Replies by keeper.
+        missing: Keepers that can't or did not answer.
+    """
+
+    request: messages.ClaimRequest
+    keepers: frozenset[str]
+    replies: dict[str, messages.ClaimReply] = dataclasses.field(
+        default_factory=dict
+    )
+    missing: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def majority(self) -> int:
+        """Number of keepers that make a majority."""
+        return len(self.keepers) // 2 + 1
+
+    def take(self, reply: messages.ClaimReply) -> None:
+        """Takes a keeper's reply; strangers are ignored."""
+        if reply.keeper not in self.keepers:
+            return
+        if reply.refused:
+            self.missing.add(reply.keeper)
+        else:
+            self.replies[reply.keeper] = reply
+
+    def miss(self, keeper: str) -> None:
+        """Notes that a keeper did not answer in time."""
+        self.missing.add(keeper)
+
+    def settled(self) -> messages.ClaimReply | None:
+        """Returns a reply that knows the outcome, or None."""
+        for reply in self.replies.values():
+            if reply.settled:
+                return reply
+        return None
+
+    def verdict(self) -> Verdict:
+        """Returns what is known so far."""
+        for reply in self.replies.values():
+            if reply.digest and reply.digest != self.request.digest:
+                return Verdict.KEY_REUSED
+        if self.settled() is not None:
+            return Verdict.SETTLED
+        granted = sum(reply.granted for reply in self.replies.values())
+        if granted >= self.majority:
+            return Verdict.GRANTED
+        held: dict[str, int] = {}
+        for reply in self.replies.values():
+            if not reply.granted:
+                held[reply.holder] = held.get(reply.holder, 0) + 1
+        if any(count >= self.majority for count in held.values()):
+            return Verdict.HELD
+        open_keepers = self.keepers - self.replies.keys() - self.missing
+        if granted + len(open_keepers) >= self.majority or (
+            held and open_keepers
+        ):
+            return Verdict.PENDING
+        return Verdict.HELD if held else Verdict.NO_MAJORITY
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/codes.py
@@ -0,0 +1,261 @@
+"""Numbered result codes: whether a request ran, and when to come again."""
+
+import enum
+
+import msgspec
+
+
+class Ran(enum.Enum):
+    """What is known about the execution of a request."""
+
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class Retry(enum.Enum):
+    """Whether a caller may send the same request again."""
+
+    NO = "no"
+    FIX = "after correcting the request"
+    LATER = "after Retry-After"
+    WITH_KEY = "only with the same request key"
+
+
+class ResultCode(msgspec.Struct, frozen=True):
+    """One row of the result code table.
+
+    Attributes:
+        number: Stable number, never reused.
+        name: Stable identifier in snake case.
+        status: HTTP status that carries the code.
+        ran: What the code says about execution.
+        retry: Whether and when the caller may come again.
+        summary: One sentence for people.
+    """
+
+    number: int
+    name: str
+    status: int
+    ran: Ran
+    retry: Retry
+    summary: str
+
+
+def _code(
+    number: int, name: str, status: int, ran: Ran, retry: Retry, summary: str
+) -> ResultCode:
+    return ResultCode(number, name, status, ran, retry, summary)
+
+
+_NOT, _MAYBE, _DID = Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN
+
+DONE = _code(0, "done", 200, _DID, Retry.NO, "The answer is complete.")
+
+BAD_JSON = _code(
+    1001, "bad_json", 400, _NOT, Retry.FIX, "The body is not valid JSON."
+)
+BAD_ENCODING = _code(
+    1002, "bad_encoding", 400, _NOT, Retry.FIX, "The body is not UTF-8."
+)
+BODY_TOO_LARGE = _code(
+    1003, "body_too_large", 413, _NOT, Retry.FIX, "The body is too large."
+)
+BODY_TOO_SLOW = _code(
+    1004, "body_too_slow", 408, _NOT, Retry.LATER, "The body came too slowly."
+)
+BAD_HEADERS = _code(
+    1005, "bad_headers", 431, _NOT, Retry.FIX, "Too many or too large headers."
+)
+BAD_FIELD = _code(
+    1006, "bad_field", 400, _NOT, Retry.FIX, "A field has a wrong value."
+)
+UNAUTHORIZED = _code(
+    1007, "unauthorized", 401, _NOT, Retry.FIX, "The key is missing or unknown."
+)
+FORBIDDEN = _code(
+    1008, "forbidden", 403, _NOT, Retry.FIX, "The key may not do this."
+)
+NOT_FOUND = _code(
+    1009, "not_found", 404, _NOT, Retry.FIX, "No such service or path."
+)
+KEY_REUSED = _code(
+    1010,
+    "key_reused",
+    422,
+    _NOT,
+    Retry.FIX,
+    "The request key was used before with another body.",
+)
+
+OVERLOADED = _code(
+    2001, "overloaded", 429, _NOT, Retry.LATER, "The queue is full."
+)
+QUEUE_DEADLINE = _code(
+    2002,
+    "queue_deadline",
+    503,
+    _NOT,
+    Retry.LATER,
+    "No target could start the request before its deadline.",
+)
+NO_TARGET = _code(
+    2003, "no_target", 503, _NOT, Retry.LATER, "No target serves this now."
+)
+STOPPING = _code(
+    2004, "stopping", 503, _NOT, Retry.LATER, "This instance is stopping."
+)
+NOT_READY = _code(
+    2005, "not_ready", 503, _NOT, Retry.LATER, "No document is in force yet."
+)
+CLAIM_UNAVAILABLE = _code(
+    2006,
+    "claim_unavailable",
+    503,
+    _NOT,
+    Retry.LATER,
+    "No majority of claim keepers could be reached.",
+)
+TARGET_REFUSED = _code(
+    2007,
+    "target_refused",
+    503,
+    _NOT,
+    Retry.LATER,
+    "Targets refused the request before running it.",
+)
+SUSPECT = _code(
+    2008,
+    "suspect",
+    503,
+    _NOT,
+    Retry.LATER,
+    "This prompt was in flight on targets that crashed; it is refused.",
+)
+
+OUTCOME_UNKNOWN = _code(
+    3001,
+    "outcome_unknown",
+    502,
+    _MAYBE,
+    Retry.WITH_KEY,
+    "The target may have run the request; its answer is lost.",
+)
+TARGET_TIMEOUT = _code(
+    3002,
+    "target_timeout",
+    504,
+    _MAYBE,
+    Retry.WITH_KEY,
+    "The target did not answer before the deadline.",
+)
+CLAIM_IN_PROGRESS = _code(
+    3003,
+    "claim_in_progress",
+    409,
+    _MAYBE,
+    Retry.WITH_KEY,
+    "The same request key is held and has no recorded outcome.",
+)
+
+TARGET_FAILED = _code(
+    4001, "target_failed", 502, _DID, Retry.NO, "The target ran and failed."
+)
+ANSWER_NOT_KEPT = _code(
+    4002,
+    "answer_not_kept",
+    409,
+    _DID,
+    Retry.NO,
+    "The request ran; its answer is too large or too old to repeat.",
+)
+
+CHANGE_CONFLICT = _code(
+    5001,
+    "change_conflict",
+    409,
+    _NOT,
+    Retry.FIX,
+    "The document changed since the base version.",
+)
+CHANGE_INVALID = _code(
+    5002, "change_invalid", 422, _NOT, Retry.FIX, "The change has faults."
+)
+NO_QUORUM = _code(
+    5003,
+    "no_quorum",
+    503,
+    _NOT,
+    Retry.LATER,
+    "No majority of voters is in reach; the change was not accepted.",
+)
+CHANGE_UNKNOWN = _code(
+    5004,
+    "change_unknown",
+    504,
+    _MAYBE,
+    Retry.WITH_KEY,
+    "The change may be accepted; resend it with the same change id.",
+)
+CHANGE_ID_REUSED = _code(
+    5005,
+    "change_id_reused",
+    422,
+    _NOT,
+    Retry.FIX,
+    "The change id was used before with other operations.",
+)
+STALE_TOKEN = _code(
+    5006, "stale_token", 409, _NOT, Retry.NO, "The fencing token is old."
+)
+
+ALL: tuple[ResultCode, ...] = tuple(
+    sorted(
+        (value for value in globals().values() if type(value) is ResultCode),
+        key=lambda code: code.number,
+    )
+)
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """A result code with the detail of one occurrence.
+
+    Attributes:
+        code: The table row.
+        detail: What was wrong, naming the value and the valid choices.
+        retry_after_s: Seconds until the caller should come again, or None.
+    """
+
+    code: ResultCode
+    detail: str = ""
+    retry_after_s: float | None = None
+
+
+def render_table(codes: tuple[ResultCode, ...] = ALL) -> str:
+    """Renders the table as the Markdown page ``docs/result-codes.md``.
+
+    Args:
+        codes: The rows, in order of their numbers.
+
+    Returns:
+        The whole page, with a closing newline.
+
+    Example:
+        >>> render_table().splitlines()[0]
+        '# Result codes'
+    """
+    lines = [
+        "# Result codes",
+        "",
+        "Generated by `chivelb codes`; a test keeps this page and",
+        "`chivelb_core.codes` equal. Numbers are stable and never reused.",
+        "",
+        "| code | name | HTTP | ran | come again | meaning |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    lines += [
+        f"| {c.number} | `{c.name}` | {c.status} | {c.ran.value} "
+        f"| {c.retry.value} | {c.summary} |"
+        for c in codes
+    ]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/kept/keys.py
@@ -0,0 +1,67 @@
+"""Block keys: a keyed hash chain over workspace, weight version and prompt.
+
+Two workspaces, or two weight versions, never share a key, so isolation does
+not rest on a filter; see docs/design/kept-cache.md.
+"""
+
+from collections.abc import Iterator
+import hashlib
+
+BYTES_PER_TOKEN = 4
+BLOCK_TOKENS = 64
+BLOCK_BYTES = BYTES_PER_TOKEN * BLOCK_TOKENS
+KEY_BYTES = 16
+
+
+def count_tokens(text: bytes) -> int:
+    """Returns the predicted number of tokens of a UTF-8 text."""
+    return -(-len(text) // BYTES_PER_TOKEN)
+
+
+def cache_salt(workspace_secret: str, service: str) -> str:
+    """Returns the hex salt that binds a service's keys to a workspace.
+
+    Args:
+        workspace_secret: The workspace's secret in hex.
+        service: Name of the service.
+
+    Returns:
+        32 hex digits; the secret can't be found from it.
+    """
+    digest = hashlib.blake2b(
+        service.encode(),
+        key=bytes.fromhex(workspace_secret),
+        digest_size=KEY_BYTES,
+    )
+    return digest.hexdigest()
+
+
+def iterate_keys(salt: str, version: str, prompt: bytes) -> Iterator[str]:
+    """Yields the key of each full block of the prompt, in order."""
+    seed = f"{salt}/{version}".encode()
+    previous = hashlib.blake2b(seed, digest_size=KEY_BYTES).digest()
+    for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        block = prompt[start : start + BLOCK_BYTES]
+        previous = hashlib.blake2b(
+            block, key=previous, digest_size=KEY_BYTES
+        ).digest()
+        yield previous.hex()
+
+
+def block_keys(salt: str, version: str, prompt: bytes) -> list[str]:
+    """Returns the keys of the prompt's full blocks.
+
+    Args:
+        salt: Result of ``cache_salt``.
+        version: Weight version that computes the blocks.
+        prompt: UTF-8 prompt.
+
+    Returns:
+        One key of 32 hex digits for each full block of ``BLOCK_TOKENS``.
+
+    Example:
+        >>> salt = cache_salt("00" * 16, "lm")
+        >>> len(block_keys(salt, "v1", b"x" * 600))
+        2
+    """
+    return list(iterate_keys(salt, version, prompt))
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/routing/__init__.py
@@ -0,0 +1,8 @@
+"""Choice of a target under lagging load."""
+
+from chivelb_core.routing.cost import Candidate
+from chivelb_core.routing.cost import Choice
+from chivelb_core.routing.load import LoadView
+from chivelb_core.routing.policies import choose
+
+__all__ = ["Candidate", "Choice", "LoadView", "choose"]
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/routing/load.py
@@ -0,0 +1,154 @@
+"""Aggregate of the targets' load: late reports corrected by known sends."""
+
+import collections
+import dataclasses
+
+PEER_FRESH_S = 2.0
+SENDS_KEPT_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class TargetLoad:
+    """Load of one target.
+
+    Attributes:
+        running: Requests in progress by the last report.
+        pending_tokens: Prompt tokens not prefilled by the last report.
+        measured_at: Monotonic time the report speaks of, in seconds.
+        own_running: Requests of this instance in progress.
+        own_pending: Prompt tokens of this instance awaiting a first token.
+        own_tokens: KV tokens that requests of this instance may fill.
+        sends: Time and prompt tokens of this instance's recent sends.
+        peers: By peer: time heard, running, pending tokens, KV tokens.
+    """
+
+    running: int = 0
+    pending_tokens: int = 0
+    measured_at: float = float("-inf")
+    own_running: int = 0
+    own_pending: int = 0
+    own_tokens: int = 0
+    sends: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
+    peers: dict[str, tuple[float, int, int, int]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class LoadView:
+    """Load of all targets as one entry instance sees it.
+
+    The estimate is the larger of two: what all known senders have in
+    progress, and the late report plus what this instance sent since.
+
+    Attributes:
+        loads: Load by target identity.
+    """
+
+    __slots__ = ("loads",)
+
+    def __init__(self) -> None:
+        """Creates a view without targets."""
+        self.loads: dict[str, TargetLoad] = {}
+
+    def load(self, identity: str) -> TargetLoad:
+        """Returns a target's load, created when it is new."""
+        load = self.loads.get(identity)
+        if load is None:
+            load = self.loads[identity] = TargetLoad()
+        return load
+
+    def take_report(
+        self, identity: str, running: int, pending: int, measured_at: float
+    ) -> None:
+        """Takes a target's report of load measured at a past time."""
+        load = self.load(identity)
+        if measured_at < load.measured_at:
+            return
+        load.running = running
+        load.pending_tokens = pending
+        load.measured_at = measured_at
+
+    def take_peer(
+        self,
+        peer: str,
+        identity: str,
+        now: float,
+        running: int,
+        pending: int,
+        tokens: int,
+    ) -> None:
+        """Takes a peer's word on what it has in progress at a target."""
+        self.load(identity).peers[peer] = (now, running, pending, tokens)
+
+    def note_send(
+        self, identity: str, now: float, prompt: int, total: int
+    ) -> None:
+        """Counts a dispatch of this instance.
+
+        Args:
+            identity: The target.
+            now: Monotonic time in seconds.
+            prompt: Prompt tokens that the target must prefill.
+            total: KV tokens that the request may fill.
+        """
+        load = self.load(identity)
+        load.own_running += 1
+        load.own_pending += prompt
+        load.own_tokens += total
+        load.sends.append((now, prompt))
+        while load.sends and now - load.sends[0][0] > SENDS_KEPT_S:
+            load.sends.popleft()
+
+    def note_first_token(self, identity: str, prompt: int) -> None:
+        """Counts the prefill of a request of this instance as over."""
+        self.load(identity).own_pending -= prompt
+
+    def note_end(self, identity: str, total: int) -> None:
+        """Counts a request of this instance as ended."""
+        load = self.load(identity)
+        load.own_running -= 1
+        load.own_tokens -= total
+        assert load.own_running >= 0, "more ends than sends"
+
+    def running(self, identity: str, now: float) -> int:
+        """Returns the estimated number of requests in progress."""
+        load = self.load(identity)
+        known = load.own_running + sum(
+            peer[1] for peer in self._fresh(load, now)
+        )
+        since = sum(
+            1 for sent_at, _ in load.sends if sent_at > load.measured_at
+        )
+        return max(known, load.running + since)
+
+    def pending(self, identity: str, now: float) -> int:
+        """Returns the estimated prompt tokens not yet prefilled."""
+        load = self.load(identity)
+        known = load.own_pending + sum(
+            peer[2] for peer in self._fresh(load, now)
+        )
+        since = sum(
+            tokens
+            for sent_at, tokens in load.sends
+            if sent_at > load.measured_at
+        )
+        if now - load.measured_at > PEER_FRESH_S:
+            return known
+        return max(known, min(load.pending_tokens + since, 4 * known + since))
+
+    def filled(self, identity: str, now: float) -> int:
+        """Returns the KV tokens that requests in progress may fill."""
+        load = self.load(identity)
+        return load.own_tokens + sum(peer[3] for peer in self._fresh(load, now))
+
+    def own_share(self, identity: str) -> tuple[int, int, int]:
+        """Returns what peers are told: running, pending and KV tokens."""
+        load = self.load(identity)
+        return (load.own_running, load.own_pending, load.own_tokens)
+
+    def _fresh(self, load: TargetLoad, now: float) -> list[tuple]:
+        return [
+            peer for peer in load.peers.values() if now - peer[0] < PEER_FRESH_S
+        ]
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/routing/policies.py
@@ -0,0 +1,191 @@
+"""Routing policies as plain functions: the product's and its baselines."""
+
+from collections.abc import Callable
+import hashlib
+import random
+
+from chivelb_core.routing import cost as cost_lib
+
+SAMPLE_SIZE = 12
+
+Policy = Callable[
+    [list[cost_lib.Candidate], int, str, cost_lib.Weights, random.Random],
+    cost_lib.Choice,
+]
+
+
+def expected_cost(
+    candidates: list[cost_lib.Candidate],
+    prompt_tokens: int,
+    root: str,
+    weights: cost_lib.Weights,
+    rng: random.Random,
+) -> cost_lib.Choice:
+    """Takes the cheapest of the cache holders and a random sample."""
+    pool = candidates
+    if len(pool) > SAMPLE_SIZE:
+        holders = [c for c in candidates if c.held_tokens]
+        holders.sort(key=lambda c: -c.held_tokens)
+        pool = holders[:SAMPLE_SIZE] + rng.sample(candidates, SAMPLE_SIZE)
+    best = None
+    ties = 0
+    for candidate in pool:
+        choice = cost_lib.price(candidate, prompt_tokens, weights)
+        if best is None or choice.cost < best.cost - 1e-9:
+            best = choice
+            ties = 1
+        elif choice.cost <= best.cost + 1e-9:
+            ties += 1
+            if rng.random() * ties < 1.0:
+                best = choice
+    return best
+
+
+def _local(
+    candidate: cost_lib.Candidate, prompt_tokens: int
+) -> cost_lib.Choice:
+    rest = prompt_tokens - candidate.held_tokens
+    expected = cost_lib.wait_s(candidate) + rest / candidate.prefill_rate
+    return cost_lib.Choice(
+        candidate.identity, candidate.held_tokens, 0, expected, expected
+    )
+
+
+def random_choice(
+    candidates: list[cost_lib.Candidate],
+    prompt_tokens: int,
+    root: str,
+    weights: cost_lib.Weights,
+    rng: random.Random,
+) -> cost_lib.Choice:
+    """Takes any target; the baseline without knowledge."""
+    return _local(rng.choice(candidates), prompt_tokens)
+
+
+def make_round_robin() -> Policy:
+    """Returns a policy that takes the targets in turn."""
+    turn = 0
+
+    def round_robin(
+        candidates: list[cost_lib.Candidate],
+        prompt_tokens: int,
+        root: str,
+        weights: cost_lib.Weights,
+        rng: random.Random,
+    ) -> cost_lib.Choice:
+        nonlocal turn
+        turn += 1
+        ordered = sorted(candidates, key=lambda c: c.identity)
+        return _local(ordered[turn % len(ordered)], prompt_tokens)
+
+    return round_robin
+
+
+def least_loaded(
+    candidates: list[cost_lib.Candidate],
+    prompt_tokens: int,
+    root: str,
+    weights: cost_lib.Weights,
+    rng: random.Random,
+) -> cost_lib.Choice:
+    """Takes the target with the least work; ignores the cache."""
+    least = min(
+        candidates,
+        key=lambda c: (cost_lib.wait_s(c), c.running, rng.random()),
+    )
+    return _local(least, prompt_tokens)
+
+
+def prefix_affinity(
+    candidates: list[cost_lib.Candidate],
+    prompt_tokens: int,
+    root: str,
+    weights: cost_lib.Weights,
+    rng: random.Random,
+) -> cost_lib.Choice:
+    """Takes the target that the first block's key hashes to."""
+    chosen = max(candidates, key=lambda c: hash_weight(root, c.identity))
+    return _local(chosen, prompt_tokens)
+
+
+def recompute_always(
+    candidates: list[cost_lib.Candidate],
+    prompt_tokens: int,
+    root: str,
+    weights: cost_lib.Weights,
+    rng: random.Random,
+) -> cost_lib.Choice:
+    """Takes the least expected time without any load from a store."""
+    return min(
+        (_local(candidate, prompt_tokens) for candidate in candidates),
+        key=lambda choice: choice.cost,
+    )
+
+
+def load_always(
+    candidates: list[cost_lib.Candidate],
+    prompt_tokens: int,
+    root: str,
+    weights: cost_lib.Weights,
+    rng: random.Random,
+) -> cost_lib.Choice:
+    """Takes the least loaded target and loads all that a store holds."""
+    choice = least_loaded(candidates, prompt_tokens, root, weights, rng)
+    chosen = next(c for c in candidates if c.identity == choice.identity)
+    extra = chosen.stored_tokens - chosen.held_tokens
+    if extra > 0:
+        choice.import_tokens = extra
+        choice.reused_tokens = chosen.stored_tokens
+    return choice
+
+
+def hash_weight(key: str, member: str) -> int:
+    """Returns a member's rendezvous weight for a key.
+
+    Example:
+        >>> hash_weight("a", "x") == hash_weight("a", "x")
+        True
+    """
+    digest = hashlib.blake2b(f"{key}/{member}".encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def make_policies() -> dict[str, Policy]:
+    """Returns the policies by the names that the document uses."""
+    return {
+        "expected_cost": expected_cost,
+        "random": random_choice,
+        "round_robin": make_round_robin(),
+        "least_loaded": least_loaded,
+        "prefix_affinity": prefix_affinity,
+        "recompute_always": recompute_always,
+        "load_always": load_always,
+    }
+
+
+def choose(
+    policy: Policy,
+    candidates: list[cost_lib.Candidate],
+    *,
+    prompt_tokens: int,
+    root: str,
+    goal: str,
+    rng: random.Random,
+) -> cost_lib.Choice | None:
+    """Chooses a target for one request.
+
+    Args:
+        policy: One of ``make_policies``.
+        candidates: Eligible targets with room; may be empty.
+        prompt_tokens: Length of the prompt.
+        root: Key of the prompt's first block; empty when it has none.
+        goal: Name of the goal whose prices apply.
+        rng: Source of randomness.
+
+    Returns:
+        The choice, or None when there is no candidate.
+    """
+    if not candidates:
+        return None
+    weights = cost_lib.GOALS[goal]
+    return policy(candidates, prompt_tokens, root, weights, rng)
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -0,0 +1,129 @@
+"""Aggregate of targets, each under the lease of its announcement."""
+
+from collections.abc import Iterator
+import dataclasses
+
+from chivelb_core.targets import record as record_lib
+
+FORGET_AFTER_S = 300.0
+
+
+@dataclasses.dataclass(slots=True)
+class TargetEntry:
+    """A target as this instance knows it.
+
+    Attributes:
+        record: Its newest announcement.
+        heard_at: Monotonic time of the announcement, in seconds.
+        expires_at: Monotonic time when the lease lapses, in seconds.
+        left: Whether its incarnation has announced that it is leaving.
+        failed_at: When this instance saw it fail, or None.
+    """
+
+    record: record_lib.TargetRecord
+    heard_at: float
+    expires_at: float
+    left: bool = False
+    failed_at: float | None = None
+
+
+class TargetTable:
+    """Targets by identity.
+
+    Rules: an announcement replaces only an older one; leaving is final for
+    an incarnation; a lapsed lease takes no new work.
+
+    Attributes:
+        entries: Known targets by identity.
+    """
+
+    __slots__ = ("entries", "max_entries")
+
+    def __init__(self, max_entries: int = 20_000) -> None:
+        """Creates an empty table with a bound on its size."""
+        self.entries: dict[str, TargetEntry] = {}
+        self.max_entries = max_entries
+
+    def announce(self, record: record_lib.TargetRecord, now: float) -> bool:
+        """Takes an announcement.
+
+        Args:
+            record: The announcement.
+            now: Monotonic time in seconds.
+
+        Returns:
+            True when it was news, and must be spread further.
+        """
+        known = self.entries.get(record.identity)
+        if known is None and len(self.entries) >= self.max_entries:
+            return False
+        if known is not None and record.order <= known.record.order:
+            return False
+        left = record.state == "leaving"
+        if known and known.record.incarnation == record.incarnation:
+            left = left or known.left
+        failed_at = None
+        if known and known.record.incarnation == record.incarnation:
+            failed_at = known.failed_at
+        self.entries[record.identity] = TargetEntry(
+            record, now, now + record.lease_s, left, failed_at
+        )
+        return True
+
+    def take_leaving(self, identity: str, incarnation: int) -> bool:
+        """Notes that a target's incarnation is leaving; True when news."""
+        known = self.entries.get(identity)
+        if known is None or known.record.incarnation != incarnation:
+            return False
+        news = not known.left
+        known.left = True
+        return news
+
+    def is_eligible(self, identity: str, now: float) -> bool:
+        """Tells whether a target may receive new work at this moment."""
+        known = self.entries.get(identity)
+        return (
+            known is not None
+            and not known.left
+            and known.record.state == "ready"
+            and now < known.expires_at
+        )
+
+    def eligible(
+        self, service: str, now: float, role: str = "runner"
+    ) -> Iterator[record_lib.TargetRecord]:
+        """Yields the records of the targets that may receive new work."""
+        for identity, entry in self.entries.items():
+            record = entry.record
+            if record.service != service or record.role != role:
+                continue
+            if self.is_eligible(identity, now):
+                yield record
+
+    def newest_failures(self, now: float, within_s: float) -> Iterator[str]:
+        """Yields identities that this instance saw fail lately."""
+        for identity, entry in self.entries.items():
+            failed_at = entry.failed_at
+            if failed_at is not None and now - failed_at < within_s:
+                yield identity
+
+    def note_failure(self, identity: str, now: float) -> None:
+        """Records that an exchange with a target failed."""
+        if identity in self.entries:
+            self.entries[identity].failed_at = now
+
+    def note_success(self, identity: str) -> None:
+        """Clears a recorded failure."""
+        if identity in self.entries:
+            self.entries[identity].failed_at = None
+
+    def forget_lapsed(self, now: float) -> list[str]:
+        """Drops targets long past their lease and returns their identities."""
+        gone = [
+            identity
+            for identity, entry in self.entries.items()
+            if now - entry.expires_at > FORGET_AFTER_S
+        ]
+        for identity in gone:
+            del self.entries[identity]
+        return gone
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/__init__.py
@@ -0,0 +1,1 @@
+"""The chivelbd daemon: mode services around the decisions of the core."""
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/control/__init__.py
@@ -0,0 +1,1 @@
+"""Durable state: voters, distribution of the document, and claims."""
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/control/keeping.py
@@ -0,0 +1,239 @@
+"""Drives the claim keeper aggregate on an instance with a disk."""
+
+import asyncio
+import pathlib
+import time
+
+from chivelb_core import claims
+from chivelb_core.claims import keeper as keeper_lib
+from chivelb_core.claims import messages as claim_messages
+import mode
+import msgspec
+
+from chivelb_node import context as context_lib
+from chivelb_node.links import hub as hub_lib
+from chivelb_node.storage import journal as journal_lib
+from chivelb_node.telemetry import logs
+
+HELLO_PERIOD_S = 1.0
+LISTING_TIMEOUT_S = 2.0
+RETRY_PERIOD_S = 0.3
+EXPIRE_PERIOD_S = 30.0
+COMPACT_ABOVE_BYTES = 64_000_000
+_log = logs.get_logger("keeper")
+_stored_decoder = msgspec.msgpack.Decoder(keeper_lib.Stored)
+_records_decoder = msgspec.msgpack.Decoder(list[keeper_lib.ClaimRecord])
+
+
+class KeeperService(mode.Service):
+    """One claim keeper; it answers only what is synced.
+
+    Attributes:
+        context: Aggregates of the instance.
+        hub: Links to peers.
+        keeper: The aggregate.
+        serving: Whether its disk can be vouched for.
+        failed: Why it can't serve, or empty.
+    """
+
+    def __init__(
+        self, context: context_lib.InstanceContext, hub: hub_lib.Hub
+    ) -> None:
+        """Creates the service."""
+        super().__init__()
+        self.context = context
+        self.hub = hub
+        settings = context.settings
+        self.keeper = claims.Keeper(
+            settings.instance.name, settings.control.claim_ttl_s
+        )
+        self.serving = False
+        self.failed = ""
+        folder = pathlib.Path(settings.instance.data_dir) / "claims"
+        self._identity = folder / "identity"
+        self._journal = journal_lib.Journal(folder / "claims.journal")
+        self._others = [
+            name
+            for name in settings.control.keepers
+            if name != settings.instance.name
+        ]
+        self._compacting = asyncio.Lock()
+        hub.handle(claim_messages.ClaimRequest, self._on_claim)
+        hub.handle(claim_messages.ClaimRelease, self._on_release)
+        hub.handle(claim_messages.ClaimSettle, self._on_settle)
+        hub.handle(claim_messages.ListingRequest, self._on_listing)
+        hub.handle(claim_messages.KeeperHello, self._on_hello)
+
+    async def on_start(self) -> None:
+        """Reads the journal."""
+        self._journal.path.parent.mkdir(parents=True, exist_ok=True)
+        for payload in self._journal.open():
+            self.keeper.replay(_stored_decoder.decode(payload))
+        self.serving = self._identity.exists()
+
+    async def on_stop(self) -> None:
+        """Closes the journal."""
+        self.serving = False
+        self._journal.close()
+
+    # Start without a disk.
+
+    @mode.Service.task
+    async def _recover(self) -> None:
+        while not self.should_stop and not self.serving:
+            if await self._copy_from_others():
+                journal_lib.replace_file(self._identity, b"keeper\n")
+                self.serving = True
+                _log.info("keeper serves", claims=len(self.keeper.records))
+                return
+            await self.sleep(RETRY_PERIOD_S)
+
+    async def _copy_from_others(self) -> bool:
+        """Copies the claims of all other keepers; False if any is away.
+
+        Every majority that this keeper was part of has another member, so
+        all of them together know each claim that was granted.
+        """
+        pages = await asyncio.gather(
+            *(self._fetch(name) for name in self._others)
+        )
+        if any(page is None for page in pages):
+            return False
+        witnessed = {name for _, names, _ in pages for name in names}
+        for name, (serving, _, records) in zip(
+            self._others, pages, strict=True
+        ):
+            if not serving and name in witnessed:
+                self.failed = f"keeper {name} lost its disk as well"
+                _log.error("keeper waits", detail=self.failed)
+                return False
+            self.keeper.take_listing(records)
+        self.failed = ""
+        await self._sync()
+        return True
+
+    async def _fetch(
+        self, name: str
+    ) -> tuple[bool, list[str], list[keeper_lib.ClaimRecord]] | None:
+        records: list[keeper_lib.ClaimRecord] = []
+        after = ""
+        while True:
+            reply = await self.hub.request(
+                name,
+                claim_messages.ListingRequest(self.keeper.name, after),
+                LISTING_TIMEOUT_S,
+            )
+            if not isinstance(reply, claim_messages.ListingReply):
+                return None
+            records += _records_decoder.decode(reply.records)
+            if not reply.more:
+                return reply.serving, reply.witnessed, records
+            after = records[-1].key
+
+    def _on_listing(
+        self, peer: str, request: claim_messages.ListingRequest
+    ) -> claim_messages.ListingReply:
+        page, more = self.keeper.page(request.after)
+        return claim_messages.ListingReply(
+            self.keeper.name,
+            self.serving,
+            sorted(self.keeper.witnessed),
+            msgspec.msgpack.encode(page),
+            more,
+        )
+
+    # Claims.
+
+    async def _sync(self) -> None:
+        writes = self.keeper.take_writes()
+        try:
+            async with self._compacting:
+                pass
+            await self._journal.append(
+                [msgspec.msgpack.encode(write) for write in writes]
+            )
+        except OSError as error:
+            self.serving = False
+            self.failed = f"disk: {error}"
+            _log.error("keeper stopped", detail=self.failed)
+            raise
+
+    async def _on_claim(
+        self, peer: str, request: claim_messages.ClaimRequest
+    ) -> claim_messages.ClaimReply:
+        if not self.serving:
+            return claim_messages.ClaimReply(
+                self.keeper.name, refused=self.failed or "recovering"
+            )
+        reply = self.keeper.claim(request, time.time())
+        await self._sync()
+        return reply
+
+    async def _on_release(
+        self, peer: str, request: claim_messages.ClaimRelease
+    ) -> claim_messages.ClaimAck | None:
+        if not self.serving:
+            return None
+        self.keeper.release(request, time.time())
+        await self._sync()
+        return claim_messages.ClaimAck(self.keeper.name)
+
+    async def _on_settle(
+        self, peer: str, request: claim_messages.ClaimSettle
+    ) -> claim_messages.ClaimAck | None:
+        if not self.serving:
+            return None
+        self.keeper.settle(request, time.time())
+        await self._sync()
+        return claim_messages.ClaimAck(self.keeper.name)
+
+    async def _on_hello(
+        self, peer: str, hello: claim_messages.KeeperHello
+    ) -> None:
+        if hello.keeper != peer or peer not in self._others:
+            return
+        if hello.seen > self.keeper.sequence and self.serving:
+            # The other saw more of this keeper's records than its disk has.
+            self.serving = False
+            self.failed = "the disk was rolled back; empty the data folder"
+            _log.error("keeper stopped", detail=self.failed)
+            return
+        self.keeper.witness(peer, hello.sequence)
+        await self._sync()
+
+    # Upkeep.
+
+    @mode.Service.task
+    async def _greet_others(self) -> None:
+        while not self.should_stop:
+            await self.sleep(HELLO_PERIOD_S)
+            if not self.serving:
+                continue
+            for name in self._others:
+                self.hub.send(
+                    name,
+                    claim_messages.KeeperHello(
+                        self.keeper.name,
+                        self.keeper.sequence,
+                        self.keeper.witnessed.get(name, 0),
+                    ),
+                )
+
+    @mode.Service.task
+    async def _expire(self) -> None:
+        while not self.should_stop:
+            await self.sleep(EXPIRE_PERIOD_S)
+            if not self.serving:
+                continue
+            self.keeper.expire(time.time())
+            if self._journal.size > COMPACT_ABOVE_BYTES:
+                await self._compact()
+
+    async def _compact(self) -> None:
+        async with self._compacting:
+            await self._journal.append([])
+            self.keeper.take_writes()
+            stored = self.keeper.stored_form()
+            await self._journal.rewrite(
+                [msgspec.msgpack.encode(record) for record in stored]
+            )
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -0,0 +1,298 @@
+"""Keeps the newest document in force: push, pull and first start."""
+
+import asyncio
+import pathlib
+
+from chivelb_core import codes
+from chivelb_core import document
+from chivelb_core.document import changes as changes_lib
+from chivelb_core.document import model as model_lib
+from chivelb_core.document import register as register_lib
+import mode
+import msgspec
+
+from chivelb_node import context as context_lib
+from chivelb_node.control import commands
+from chivelb_node.links import gossip as gossip_lib
+from chivelb_node.links import hub as hub_lib
+from chivelb_node.telemetry import logs
+from chivelb_node.wire import messages
+
+PULL_PERIOD_S = 0.2
+PULL_TIMEOUT_S = 2.0
+FIRST_PULL_TIMEOUT_S = 1.0
+CHANGE_TIMEOUT_S = 6.0
+ASK_TIMEOUT_S = 3.5
+ASK_PAUSE_S = 0.1
+FIRST_CHANGE_ID = "first-document"
+_log = logs.get_logger("replica")
+_delta_decoder = msgspec.msgpack.Decoder(list[register_lib.Delta])
+_answer_decoder = msgspec.msgpack.Decoder(register_lib.Answer)
+
+
+class ReplicaService(mode.Service):
+    """Follows the version chain and serves it to others.
+
+    Attributes:
+        context: Aggregates of the instance.
+        hub: Links to peers.
+        gossip: Membership.
+        voting: This instance's voter, or None.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        hub: hub_lib.Hub,
+        gossip: gossip_lib.Gossip,
+    ) -> None:
+        """Creates the service."""
+        super().__init__()
+        self.context = context
+        self.hub = hub
+        self.gossip = gossip
+        self.voting = None
+        self._leader = ""
+        hub.handle(messages.VersionNews, self._on_news)
+        hub.handle(messages.Pull, self._on_pull)
+        hub.handle(messages.Deltas, self._on_deltas)
+        hub.handle(messages.FullDocument, self._on_full)
+
+    def voters(self) -> list[str]:
+        """Returns the names of the instances that may vote."""
+        control = self.context.settings.control
+        if control.voters:
+            return control.voters
+        if self.context.settings.instance.data_dir:
+            return [self.context.settings.instance.name]
+        return []
+
+    # First start.
+
+    @mode.Service.task
+    async def _start(self) -> None:
+        await self._take_highest()
+        if self.context.version < 0 and not self.voters():
+            self._load_file()
+        while not self.should_stop and self.context.version < 1:
+            if self.voting is not None and self.voting.is_leader:
+                await self._propose_file()
+            await self._take_highest()
+            await self.sleep(PULL_PERIOD_S)
+        if self.context.version >= 1:
+            self.context.ready = True
+            _log.info("ready", version=self.context.version)
+
+    async def _take_highest(self) -> None:
+        """Asks every known peer and takes the highest version."""
+        peers = list(self.hub.addresses)
+        pull = messages.Pull(max(self.context.version, 0))
+        replies = await asyncio.gather(
+            *(
+                self.hub.request(peer, pull, FIRST_PULL_TIMEOUT_S)
+                for peer in peers
+            )
+        )
+        for peer, reply in zip(peers, replies, strict=True):
+            if reply is not None:
+                self._take(peer, reply)
+
+    def _load_file(self) -> None:
+        loaded = self._read_file()
+        if loaded is not None:
+            register = document.Register(document=loaded, version=1)
+            self.context.put_in_force(register)
+
+    def _read_file(self) -> document.Document | None:
+        path = self.context.settings.document.file
+        if not path:
+            return None
+        loaded = model_lib.decode_document(pathlib.Path(path).read_bytes())
+        problems = document.find_problems(loaded)
+        for problem in problems:
+            _log.error(
+                "document has a fault",
+                path=problem.path,
+                detail=problem.message,
+            )
+        return None if problems else loaded
+
+    async def _propose_file(self) -> None:
+        loaded = self._read_file()
+        if loaded is None:
+            return
+        operations = changes_lib.diff_documents(document.Document(), loaded)
+        # All voters would propose the same change: only one is accepted.
+        await self.change(
+            document.Change(
+                FIRST_CHANGE_ID, 0, operations, whole=True, author="file"
+            )
+        )
+
+    # Changes.
+
+    async def change(
+        self, change: document.Change
+    ) -> register_lib.Answer | codes.Fault:
+        """Asks the voters to accept a change.
+
+        The same change id may be asked for again at any instance: it gets
+        its first answer.
+
+        Args:
+            change: The change.
+
+        Returns:
+            The answer, or a fault that tells whether it may be accepted.
+        """
+        payload = commands.encode(change)
+        if not self.voters():
+            return codes.Fault(
+                codes.NO_QUORUM, "no voter with a disk is configured"
+            )
+        deadline = context_lib.monotonic() + CHANGE_TIMEOUT_S
+        uncertain = False
+        while context_lib.monotonic() < deadline:
+            for name in self._by_hope():
+                sent, reply = await self._ask(
+                    name, messages.ChangeRequest(payload)
+                )
+                if isinstance(reply, messages.ChangeReply):
+                    uncertain = uncertain or reply.appended
+                    self._leader = reply.leader
+                    if reply.payload:
+                        return _answer_decoder.decode(reply.payload)
+                else:
+                    uncertain = uncertain or sent
+            await asyncio.sleep(ASK_PAUSE_S)
+        if uncertain:
+            return codes.Fault(codes.CHANGE_UNKNOWN)
+        return codes.Fault(codes.NO_QUORUM)
+
+    def _by_hope(self) -> list[str]:
+        names = self.voters()
+        return sorted(names, key=lambda name: name != self._leader)
+
+    async def _ask(self, name: str, request) -> tuple[bool, object]:
+        """Returns whether a request was sent, and its reply."""
+        if not await self.hub.connect(name):
+            return False, None
+        return True, await self.hub.request(name, request, ASK_TIMEOUT_S)
+
+    async def acquire_lease(
+        self, lease: str, request_id: str, expected: int
+    ) -> int:
+        """Asks the voters for a named lease.
+
+        Args:
+            lease: Name of the lease.
+            request_id: Id of the request; a resend gets the same token.
+            expected: Token of the lease that was seen to lapse.
+
+        Returns:
+            The fencing token, or 0 when it was not granted.
+        """
+        request = messages.LeaseRequest(
+            lease, self.context.settings.instance.name, expected, request_id
+        )
+        for name in self._by_hope():
+            _, reply = await self._ask(name, request)
+            if isinstance(reply, messages.LeaseReply):
+                self._leader = reply.leader
+                if reply.token:
+                    return reply.token
+        return 0
+
+    async def read_current(self) -> int | None:
+        """Returns the newest version, proved current, or None."""
+        for name in self._by_hope():
+            _, reply = await self._ask(name, messages.ReadRequest())
+            if isinstance(reply, messages.ReadReply):
+                self._leader = reply.leader
+                if reply.current:
+                    return reply.version
+        return None
+
+    # Distribution.
+
+    def push(self) -> None:
+        """Sends the newest links of the chain on to those who need them."""
+        version = self.context.version
+        deltas = self.context.register.deltas_since(version - 1) or []
+        body: object = messages.VersionNews(version)
+        if deltas:
+            body = messages.Deltas(version - 1, msgspec.msgpack.encode(deltas))
+        self.hub.send_all(self._audience(), body)
+
+    def _audience(self) -> list[str]:
+        """Returns the region's instances and other regions' delegates."""
+        swim = self.gossip.swim
+        names = list(self.gossip.peers_in_region())
+        if self.voting is not None or swim.is_delegate:
+            regions = {s.member.region for s in swim.members.values()}
+            for region in sorted(regions - {swim.me.region}):
+                names += swim.delegates(region)
+        return names
+
+    def _on_news(self, peer: str, news: messages.VersionNews) -> None:
+        if news.version > self.context.version:
+            self._pull(peer)
+
+    def _on_pull(self, peer: str, pull: messages.Pull) -> object:
+        version = self.context.version
+        if version <= pull.have:
+            return messages.VersionNews(max(version, 0))
+        deltas = self.context.register.deltas_since(pull.have)
+        if deltas is not None and pull.have > 0:
+            return messages.Deltas(pull.have, msgspec.msgpack.encode(deltas))
+        payload = register_lib.encode_register(self.context.register.replica())
+        return messages.FullDocument(version, payload)
+
+    def _on_deltas(self, peer: str, deltas: messages.Deltas) -> None:
+        self._take(peer, deltas)
+
+    def _on_full(self, peer: str, full: messages.FullDocument) -> None:
+        self._take(peer, full)
+
+    def _take(self, peer: str, body: object) -> None:
+        register = None
+        match body:
+            case messages.FullDocument(version, payload):
+                if version > self.context.version:
+                    register = register_lib.decode_register(payload)
+            case messages.Deltas(payload=payload):
+                links = [
+                    delta
+                    for delta in _delta_decoder.decode(payload)
+                    if delta.version > self.context.version
+                ]
+                if links and links[0].version == self.context.version + 1:
+                    register = self.context.register.apply_deltas(links)
+                elif links:
+                    self._pull(peer)
+        if register is not None and self.context.put_in_force(register):
+            _log.info("document in force", version=register.version)
+            self.push()
+
+    def _pull(self, peer: str) -> None:
+        self.add_future(self._pull_from(peer))
+
+    async def _pull_from(self, peer: str) -> None:
+        reply = await self.hub.request(
+            peer, messages.Pull(max(self.context.version, 0)), PULL_TIMEOUT_S
+        )
+        if reply is not None:
+            self._take(peer, reply)
+
+    @mode.Service.task
+    async def _anti_entropy(self) -> None:
+        while not self.should_stop:
+            await self.sleep(PULL_PERIOD_S)
+            members = self.gossip.swim.members
+            ahead = [
+                name
+                for name, member in members.items()
+                if member.version > max(self.context.version, 0)
+            ]
+            if ahead:
+                await self._pull_from(self.context.rng.choice(ahead))
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/control/voting.py
@@ -0,0 +1,470 @@
+"""Drives the voter aggregate: its disk, its messages and its proposals."""
+
+import asyncio
+import pathlib
+import random
+import secrets
+from typing import Any
+
+from chivelb_core import codes
+from chivelb_core import consensus
+from chivelb_core import document
+from chivelb_core.consensus import group as group_lib
+from chivelb_core.consensus import messages as consensus_messages
+from chivelb_core.consensus import voter as voter_lib
+from chivelb_core.document import register as register_lib
+import mode
+import msgspec
+
+from chivelb_node import context as context_lib
+from chivelb_node.control import commands
+from chivelb_node.links import hub as hub_lib
+from chivelb_node.storage import voter_files
+from chivelb_node.telemetry import logs
+from chivelb_node.wire import messages
+
+TICK_S = 0.03
+SNAPSHOT_EVERY = 4_000
+HELLO_PERIOD_S = 0.3
+HELLO_TIMEOUT_S = 0.5
+APPLY_TIMEOUT_S = 3.0
+READ_TIMEOUT_S = 1.0
+JOIN_PERIOD_S = 0.5
+CATCH_UP_SLACK = 50
+_log = logs.get_logger("voter")
+_KINDS = (
+    consensus_messages.VoteRequest,
+    consensus_messages.VoteReply,
+    consensus_messages.Append,
+    consensus_messages.AppendReply,
+    consensus_messages.SnapshotPart,
+    consensus_messages.SnapshotReply,
+    consensus_messages.Disown,
+)
+
+
+class VotingService(mode.Service):
+    """One member of the control group, on an instance with a disk.
+
+    Attributes:
+        context: Aggregates of the instance.
+        hub: Links to peers.
+        voter: The aggregate, or None before the group is known.
+        machine: The state machine that committed entries are applied to.
+        failed: Why it stopped taking part, or empty.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        hub: hub_lib.Hub,
+        on_applied,
+    ) -> None:
+        """Creates the service.
+
+        Args:
+            context: Aggregates of the instance.
+            hub: Links to peers.
+            on_applied: Called after changes of the document were applied.
+        """
+        super().__init__()
+        self.context = context
+        self.hub = hub
+        self.on_applied = on_applied
+        self.voter: consensus.Voter | None = None
+        self.machine = document.Register()
+        self.failed = ""
+        self._files = voter_files.VoterFiles(
+            pathlib.Path(context.settings.instance.data_dir) / "voter"
+        )
+        self._inbox: asyncio.Queue = asyncio.Queue()
+        self._applied: dict[tuple[int, int], asyncio.Future] = {}
+        self._witnessed: set[str] = set()
+        for kind in _KINDS:
+            hub.handle(kind, self._on_message)
+        hub.handle(messages.VoterHello, self._on_hello)
+        hub.handle(messages.JoinRequest, self._on_join)
+        hub.handle(messages.ChangeRequest, self._on_change)
+        hub.handle(messages.LeaseRequest, self._on_lease)
+        hub.handle(messages.ReadRequest, self._on_read)
+
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self.context.settings.instance.name
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads the group."""
+        return (
+            self.voter is not None and self.voter.role is voter_lib.Role.LEADER
+        )
+
+    def leader_name(self) -> str:
+        """Returns the name of the leading instance, or empty."""
+        if self.voter is None or not self.voter.leader:
+            return ""
+        member = self.voter.group.members.get(self.voter.leader)
+        return member.name if member is not None else ""
+
+    # Start: recover, bootstrap, or come back as a new member.
+
+    @mode.Service.task
+    async def _main(self) -> None:
+        try:
+            await self._find_group()
+            await self._run_voter()
+        except OSError as error:
+            # After a failed sync nothing in the files can be relied on.
+            self.failed = f"disk: {error}"
+            self.voter = None
+            _log.error("voter stopped", detail=self.failed)
+
+    async def _find_group(self) -> None:
+        member_id = self._files.read_identity()
+        if member_id:
+            self._recover()
+            return
+        settings = self.context.settings.control
+        names = settings.voters or [self.name]
+        first = _first_group(names)
+        if names == [self.name]:
+            self._create(f"{self.name}/1", first)
+            return
+        while not self.should_stop:
+            states = await self._ask_others(names)
+            joined = [s for s in states if s.member_id]
+            others = len(names) - 1
+            if any(self.name in s.witnessed for s in joined):
+                # This instance voted before: its disk was lost.
+                await self._come_back(joined)
+                return
+            if len(states) == others:
+                self._create(f"{self.name}/1", first)
+                return
+            await self.sleep(HELLO_PERIOD_S)
+
+    async def _ask_others(self, names: list[str]) -> list[messages.VoterState]:
+        hello = messages.VoterHello(self.name, "")
+        replies = await asyncio.gather(
+            *(
+                self.hub.request(name, hello, HELLO_TIMEOUT_S)
+                for name in names
+                if name != self.name
+            )
+        )
+        return [r for r in replies if isinstance(r, messages.VoterState)]
+
+    def _on_hello(
+        self, peer: str, hello: messages.VoterHello
+    ) -> messages.VoterState:
+        group = b""
+        member_id = ""
+        if self.voter is not None:
+            group = voter_lib.encode_group(self.voter.group)
+            member_id = self.voter.member_id
+        return messages.VoterState(
+            self.name,
+            member_id,
+            sorted(self._witnessed),
+            group,
+            self.leader_name(),
+        )
+
+    async def _come_back(self, joined: list[messages.VoterState]) -> None:
+        member_id = f"{self.name}/{secrets.token_hex(4)}"
+        _log.warning("disk was lost; joining anew", member=member_id)
+        names = [s.name for s in joined]
+        while not self.should_stop:
+            for name in names:
+                reply = await self.hub.request(
+                    name,
+                    messages.JoinRequest(self.name, member_id),
+                    HELLO_TIMEOUT_S,
+                )
+                if isinstance(reply, messages.JoinReply) and reply.accepted:
+                    # What it may vote in comes by the log alone.
+                    self._create(member_id, group_lib.Group())
+                    return
+            await self.sleep(JOIN_PERIOD_S)
+
+    def _create(self, member_id: str, group: group_lib.Group) -> None:
+        self._files.create(member_id)
+        if group.members:
+            data = voter_lib.encode_snapshot(
+                group, register_lib.encode_register(self._first_register())
+            )
+            self._files.write_snapshot(0, 0, data)
+        self._recover()
+
+    def _first_register(self) -> document.Register:
+        return document.Register()
+
+    def _recover(self) -> None:
+        recovered = self._files.recover()
+        self._witnessed = self._files.read_witnessed()
+        group = group_lib.Group()
+        if recovered.snapshot:
+            snapshot = voter_lib.decode_snapshot(recovered.snapshot)
+            group = snapshot.group
+            self.machine = register_lib.decode_register(snapshot.state)
+        control = self.context.settings.control
+        self.voter = consensus.Voter(
+            recovered.member_id,
+            group,
+            timing=voter_lib.Timing(
+                control.election_timeout_s, control.heartbeat_s
+            ),
+            rng=random.Random(self.context.rng.random()),
+            now=context_lib.monotonic(),
+            hard=recovered.hard,
+            log=recovered.log,
+            snapshot_data=recovered.snapshot,
+        )
+        self._publish()
+        _log.info(
+            "voter started",
+            member=recovered.member_id,
+            last_index=recovered.log.last_index,
+            term=recovered.hard.term,
+        )
+
+    # The loop that owns the aggregate.
+
+    async def _run_voter(self) -> None:
+        while not self.should_stop and not self.voter.disowned:
+            await self._wait_for_input()
+            now = context_lib.monotonic()
+            while not self._inbox.empty():
+                self.voter.receive(self._inbox.get_nowait(), now)
+            self.voter.tick(now)
+            await self._carry_out()
+            self._complete_joins(now)
+        if self.voter.disowned:
+            self.failed = "the disk was rolled back; empty the data folder"
+            _log.error("voter stopped", detail=self.failed)
+
+    async def _wait_for_input(self) -> None:
+        try:
+            async with asyncio.timeout(TICK_S):
+                message = await self._inbox.get()
+            self._inbox.put_nowait(message)
+        except TimeoutError:
+            pass
+
+    async def _carry_out(self) -> None:
+        effects = self.voter.take_effects()
+        if effects.snapshot is not None:
+            self._take_snapshot(effects.snapshot[2])
+        if effects.needs_sync:
+            await self._files.store(effects)
+            if effects.entries:
+                self.voter.note_synced(
+                    effects.entries[-1].index, context_lib.monotonic()
+                )
+        for message in effects.outgoing:
+            self._send(message)
+        self._apply(effects.committed)
+        follow_up = self.voter.take_effects()
+        for message in follow_up.outgoing:
+            self._send(message)
+        assert not follow_up.needs_sync or follow_up.hard_state is None
+        self._apply(follow_up.committed)
+        await self._compact()
+
+    def _send(self, message: consensus_messages.Message) -> None:
+        member = self.voter.group.members.get(message.to_member)
+        name = member.name if member else message.to_member.split("/")[0]
+        self.hub.send(name, message)
+
+    def _on_message(self, peer: str, message: Any) -> None:
+        sender = message.from_member.split("/")[0]
+        if self.voter is None or sender != peer:
+            return
+        if peer not in self._witnessed:
+            # Synced before its vote can count: a later start of that peer
+            # without a disk is told from its first start by this.
+            self._witnessed.add(peer)
+            self._files.write_witnessed(self._witnessed)
+        self._inbox.put_nowait(message)
+
+    def _take_snapshot(self, data: bytes) -> None:
+        snapshot = voter_lib.decode_snapshot(data)
+        self.machine = register_lib.decode_register(snapshot.state)
+        self._publish()
+
+    def _apply(self, entries: list) -> None:
+        before = self.machine.version
+        for entry in entries:
+            result: Any = None
+            if entry.kind == "change":
+                change = commands.decode_change(entry.data)
+                result = self.machine.apply_change(change)
+            elif entry.kind == "lease":
+                lease = commands.decode_lease(entry.data)
+                result = self.machine.grant_lease(
+                    lease.lease, lease.holder, lease.expected
+                )
+            future = self._applied.pop((entry.index, entry.term), None)
+            if future is not None and not future.done():
+                future.set_result(result)
+        if self.machine.version != before:
+            self._publish()
+
+    def _publish(self) -> None:
+        if self.machine.version > self.context.version:
+            self.context.put_in_force(self.machine.replica())
+            self.on_applied()
+
+    async def _compact(self) -> None:
+        voter = self.voter
+        if voter.applied_index - voter.log.base_index < SNAPSHOT_EVERY:
+            return
+        data = voter_lib.encode_snapshot(
+            voter.committed_group(),
+            register_lib.encode_register(self.machine),
+        )
+        index = voter.applied_index
+        await self._files.compact(voter, index, data)
+        voter.compact(index, data)
+
+    # Proposals.
+
+    async def _propose(self, kind: str, data: bytes) -> tuple[bool, Any]:
+        """Returns whether the entry may be in the log, and its result."""
+        placed = None
+        if self.voter is not None:
+            placed = self.voter.propose(kind, data, context_lib.monotonic())
+        if placed is None:
+            return False, None
+        future = asyncio.get_running_loop().create_future()
+        self._applied[placed] = future
+        # An empty message wakes the loop.
+        self._inbox.put_nowait(
+            consensus_messages.VoteReply("", "", 0, False, True)
+        )
+        try:
+            async with asyncio.timeout(APPLY_TIMEOUT_S):
+                return True, await future
+        except TimeoutError:
+            return True, None
+        finally:
+            self._applied.pop(placed, None)
+
+    async def _on_change(
+        self, peer: str, request: messages.ChangeRequest
+    ) -> messages.ChangeReply:
+        change = commands.decode_change(request.payload)
+        if not self.is_leader:
+            return self._change_reply(codes.NO_QUORUM, None, appended=False)
+        appended, answer = await self._propose("change", request.payload)
+        if answer is None:
+            code = codes.CHANGE_UNKNOWN if appended else codes.NO_QUORUM
+            return self._change_reply(code, None, appended=appended)
+        assert change.change_id in self.machine.answers
+        return self._change_reply(codes.DONE, answer, appended=True)
+
+    def _change_reply(
+        self,
+        code: codes.ResultCode,
+        answer: register_lib.Answer | None,
+        *,
+        appended: bool,
+    ) -> messages.ChangeReply:
+        number = code.number if answer is None else answer.code
+        payload = b"" if answer is None else msgspec.msgpack.encode(answer)
+        version = answer.version if answer else self.machine.version
+        return messages.ChangeReply(
+            number, version, self.leader_name(), payload, appended
+        )
+
+    async def _on_lease(
+        self, peer: str, request: messages.LeaseRequest
+    ) -> messages.LeaseReply:
+        if not self.is_leader:
+            return messages.LeaseReply(0, self.leader_name())
+        command = commands.LeaseCommand(
+            request.lease,
+            f"{request.holder}/{request.request_id}",
+            request.expected,
+        )
+        _, token = await self._propose("lease", commands.encode(command))
+        return messages.LeaseReply(token or 0, self.leader_name())
+
+    async def _on_read(
+        self, peer: str, request: messages.ReadRequest
+    ) -> messages.ReadReply:
+        stale = messages.ReadReply(False, 0, self.leader_name())
+        if not self.is_leader:
+            return stale
+        round_number = self.voter.start_read(context_lib.monotonic())
+        if round_number is None:
+            return stale
+        index = self.voter.commit_index
+        deadline = context_lib.monotonic() + READ_TIMEOUT_S
+        while context_lib.monotonic() < deadline:
+            await asyncio.sleep(TICK_S / 3)
+            if not self.is_leader:
+                return stale
+            confirmed = self.voter.is_read_confirmed(round_number)
+            if confirmed and self.voter.applied_index >= index:
+                return messages.ReadReply(True, self.machine.version, self.name)
+        return stale
+
+    # Members that come back.
+
+    def _on_join(
+        self, peer: str, request: messages.JoinRequest
+    ) -> messages.JoinReply:
+        refused = messages.JoinReply(False, self.leader_name(), b"")
+        if not self.is_leader or request.name != peer:
+            return refused
+        group = self.voter.group
+        if request.member_id not in group.members:
+            learner = group_lib.Member(request.member_id, request.name, False)
+            stale = [m for m in group.find_by_name(peer) if not m.votes]
+            for member in stale:
+                group = group.without(member.member_id)
+            placed = self.voter.propose_group(
+                group.with_member(learner), context_lib.monotonic()
+            )
+            if isinstance(placed, codes.Fault):
+                return refused
+        return messages.JoinReply(
+            True, self.name, voter_lib.encode_group(self.voter.group)
+        )
+
+    def _complete_joins(self, now: float) -> None:
+        """Lets a caught-up learner replace its instance's old member."""
+        if not self.is_leader:
+            return
+        group = self.voter.group
+        for learner in group.members.values():
+            if learner.votes:
+                continue
+            progress = self.voter.progress.get(learner.member_id)
+            if progress is None or (
+                progress.match_index + CATCH_UP_SLACK
+                < self.voter.log.last_index
+            ):
+                continue
+            if progress.match_index < self.voter.commit_index:
+                continue
+            old = [m for m in group.find_by_name(learner.name) if m.votes]
+            if old:
+                step = group.without(old[0].member_id)
+            else:
+                step = group.with_member(
+                    msgspec.structs.replace(learner, votes=True)
+                )
+            self.voter.propose_group(step, now)
+            return
+
+
+def _first_group(names: list[str]) -> group_lib.Group:
+    return group_lib.Group(
+        {
+            f"{name}/1": group_lib.Member(f"{name}/1", name, True)
+            for name in names
+        }
+    )
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/edge/__init__.py
@@ -0,0 +1,1 @@
+"""What callers, operators and targets reach over HTTP."""
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/edge/announcements.py
@@ -0,0 +1,142 @@
+"""HTTP handlers for targets: announcements with their cache events."""
+
+import hashlib
+import hmac
+
+from aiohttp import web
+from chivelb_core import codes
+from chivelb_core import targets
+from chivelb_core.kept import directory as directory_lib
+import msgspec
+
+from chivelb_node import context as context_lib
+from chivelb_node.edge import bodies
+from chivelb_node.edge import responses
+from chivelb_node.links import cache as cache_lib
+from chivelb_node.links import sharing as sharing_lib
+
+MAX_ANNOUNCEMENT_BYTES = 8_388_608
+RELIST_PERIOD_S = 60.0
+
+
+class Announcement(msgspec.Struct, rename="camel", forbid_unknown_fields=True):
+    """Body of ``POST /targets/announce``.
+
+    Attributes:
+        record: The target.
+        events: Cache events since the last announcement.
+        listing: All that it holds, when it was asked for.
+    """
+
+    record: targets.TargetRecord
+    events: list[directory_lib.CacheEvent] = []
+    listing: directory_lib.Listing | None = None
+
+
+class AnnouncementHandlers:
+    """Handlers of the targets' routes.
+
+    Attributes:
+        context: Aggregates of the instance.
+        sharing: Spreads announcements.
+        cache: Spreads cache events.
+        feeds: Event feed of each target, by identity.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        sharing: sharing_lib.SharingService,
+        cache: cache_lib.CacheService,
+    ) -> None:
+        """Creates the handlers."""
+        self.context = context
+        self.sharing = sharing
+        self.cache = cache
+        self.feeds: dict[str, directory_lib.EventFeed] = {}
+        self._members: list[str] = []
+        self._listed_at: dict[str, float] = {}
+
+    def add_routes(self, app: web.Application) -> None:
+        """Adds the targets' routes."""
+        app.router.add_post("/targets/announce", self.announce)
+
+    async def announce(self, request: web.Request) -> web.Response:
+        """Serves ``POST /targets/announce``."""
+        try:
+            self._authenticate(request)
+            body = await bodies.read_body(
+                request,
+                max_bytes=MAX_ANNOUNCEMENT_BYTES,
+                timeout_s=self.context.settings.http.body_timeout_s,
+            )
+            announcement = decode_announcement(body)
+        except responses.CodedError as error:
+            return responses.fault_response(error.fault, "", self.context.rng)
+        self.sharing.take_announcement(announcement.record)
+        wanted = self._take_cache(announcement)
+        return web.Response(
+            body=msgspec.json.encode(
+                {"listing": wanted, "draining": self.context.draining}
+            ),
+            content_type="application/json",
+        )
+
+    def _authenticate(self, request: web.Request) -> None:
+        wanted = self.context.settings.operators.target_key_hash
+        if not wanted:
+            return
+        key = request.headers.get("X-Target-Key", "")
+        given = hashlib.sha256(key.encode()).hexdigest()
+        if not hmac.compare_digest(given, wanted):
+            raise responses.CodedError(
+                codes.UNAUTHORIZED, "X-Target-Key: is missing or wrong"
+            )
+
+    def _take_cache(self, announcement: Announcement) -> bool:
+        """Takes cache events and returns whether a listing is wanted."""
+        record = announcement.record
+        if record.role == "plain":
+            return False
+        feed = self.feeds.get(record.identity)
+        if feed is None or feed.incarnation != record.incarnation:
+            feed = directory_lib.EventFeed(record.incarnation)
+            self.feeds[record.identity] = feed
+        now = context_lib.monotonic()
+        self._relist_after_change(now)
+        listing = announcement.listing
+        if listing is not None and feed.take_listing(listing):
+            self._listed_at[record.identity] = now
+            self.cache.take_listing(
+                record.identity, record.incarnation, listing
+            )
+        fresh = feed.take_events(announcement.events)
+        if fresh:
+            self.cache.take_events(record.identity, record.incarnation, fresh)
+        listed_at = self._listed_at.get(record.identity, 0.0)
+        return feed.wants_listing or now - listed_at > RELIST_PERIOD_S
+
+    def _relist_after_change(self, now: float) -> None:
+        """Asks all targets for listings when shards changed their owners."""
+        members = self.sharing.gossip.region_members()
+        if members != self._members:
+            self._members = members
+            self._listed_at.clear()
+
+
+def decode_announcement(body: bytes) -> Announcement:
+    """Decodes and checks an announcement.
+
+    Raises:
+        responses.CodedError: It is not JSON, or a field is wrong.
+    """
+    try:
+        announcement = msgspec.json.decode(body, type=Announcement)
+    except msgspec.ValidationError as error:
+        raise responses.CodedError(codes.BAD_FIELD, str(error)) from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise responses.CodedError(codes.BAD_JSON, str(error)) from None
+    faults = targets.find_record_faults(announcement.record)
+    if faults:
+        raise responses.CodedError(codes.BAD_FIELD, "; ".join(faults))
+    return announcement
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/edge/callers.py
@@ -0,0 +1,252 @@
+"""HTTP handlers for callers: completions, chat and plain services."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from aiohttp import web
+from chivelb_core import codes
+import msgspec
+
+from chivelb_node import context as context_lib
+from chivelb_node.edge import bodies
+from chivelb_node.edge import claimed
+from chivelb_node.edge import model_calls
+from chivelb_node.edge import parsing
+from chivelb_node.edge import plain_calls
+from chivelb_node.edge import responses
+from chivelb_node.edge import resume
+from chivelb_node.links import events
+from chivelb_node.telemetry import logs
+
+MAX_HEADER_BYTES = 16_384
+_log = logs.get_logger("edge")
+
+
+class CallerHandlers:
+    """Handlers of the callers' routes.
+
+    Attributes:
+        context: Aggregates of the instance.
+        model_calls: Runs model calls.
+        plain_calls: Runs calls to plain services.
+        claimed: Runs model calls that may not be repeated.
+        resume: Runs streams that a caller resumes.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        runner: model_calls.ModelCalls,
+        calls: plain_calls.PlainCalls,
+        claimed_calls: claimed.ClaimedCalls,
+        resumed: resume.ResumedCalls,
+    ) -> None:
+        """Creates handlers over the services that run calls."""
+        self.context = context
+        self.model_calls = runner
+        self.plain_calls = calls
+        self.claimed = claimed_calls
+        self.resume = resumed
+
+    def add_routes(self, app: web.Application) -> None:
+        """Adds the callers' routes."""
+        app.router.add_post("/v1/completions", self.completions)
+        app.router.add_post("/v1/chat/completions", self.chat)
+        app.router.add_route("*", "/s/{service}/{path:.*}", self.plain)
+
+    async def completions(self, request: web.Request) -> web.StreamResponse:
+        """Serves ``POST /v1/completions``."""
+        return await self._model(request, chat=False)
+
+    async def chat(self, request: web.Request) -> web.StreamResponse:
+        """Serves ``POST /v1/chat/completions``."""
+        return await self._model(request, chat=True)
+
+    async def plain(self, request: web.Request) -> web.StreamResponse:
+        """Serves ``/s/SERVICE/PATH`` with any method."""
+        with self._counted():
+            return await self._coded(request, self._plain(request))
+
+    @contextlib.contextmanager
+    def _counted(self):
+        self.context.in_progress += 1
+        self.context.metrics.in_progress.inc()
+        try:
+            yield
+        finally:
+            self.context.in_progress -= 1
+            self.context.metrics.in_progress.dec()
+
+    async def _coded(self, request, handling) -> web.StreamResponse:
+        try:
+            return await handling
+        except responses.CodedError as error:
+            request_id = request.get("request_id", "")
+            _log.info(
+                "refused",
+                request_id=request_id,
+                code=error.fault.code.number,
+                detail=error.fault.detail,
+            )
+            response = responses.fault_response(
+                error.fault, request_id, self.context.rng
+            )
+            if not request.content.at_eof():
+                # What is left of the body is not worth reading.
+                response.force_close()
+            return response
+
+    async def _read(self, request: web.Request) -> bytes:
+        http = self.context.settings.http
+        if len(request.headers) > http.max_headers:
+            raise responses.CodedError(
+                codes.BAD_HEADERS,
+                f"{len(request.headers)} headers; "
+                f"at most {http.max_headers} are taken",
+            )
+        return await bodies.read_body(
+            request,
+            max_bytes=self.context.document.limits.max_body_bytes,
+            timeout_s=http.body_timeout_s,
+        )
+
+    async def _plain(self, request: web.Request) -> web.StreamResponse:
+        name, workspace = parsing.authenticate(
+            self.context, request.headers.get("Authorization", "")
+        )
+        body = await self._read(request)
+        answer = await self.plain_calls.run(request, name, workspace, body)
+        return answer
+
+    async def _model(
+        self, request: web.Request, *, chat: bool
+    ) -> web.StreamResponse:
+        with self._counted():
+            return await self._coded(request, self._model_call(request, chat))
+
+    async def _model_call(
+        self, request: web.Request, chat: bool
+    ) -> web.StreamResponse:
+        name, workspace = parsing.authenticate(
+            self.context, request.headers.get("Authorization", "")
+        )
+        body = bodies.decode_json(await self._read(request))
+        call = parsing.parse_model_call(self.context, name, body, chat=chat)
+        request["request_id"] = call.request_id
+        last_event = request.headers.get("Last-Event-ID")
+        progress = model_calls.Progress()
+        if last_event:
+            source = self.resume.run(call, workspace, last_event, progress)
+        elif call.repeatable:
+            source = self.model_calls.run(call, progress)
+        else:
+            key = request.headers.get("Idempotency-Key", "")
+            source = self.claimed.run(call, key, progress)
+        if call.stream:
+            return await self._stream(request, call, source, progress)
+        return await self._whole(call, source, progress)
+
+    async def _whole(
+        self,
+        call: parsing.ModelCall,
+        source: AsyncIterator[events.Batch],
+        progress: model_calls.Progress,
+    ) -> web.Response:
+        code = codes.DONE
+        try:
+            async with contextlib.aclosing(source) as batches:
+                data = b"".join([batch.data async for batch in batches])
+        except responses.CodedError as error:
+            code = error.fault.code
+            raise
+        finally:
+            self.model_calls.observe(call, progress, code)
+        return web.Response(
+            body=whole_answer(call, data),
+            content_type="application/json",
+            headers={"X-Request-Id": call.request_id},
+        )
+
+    async def _stream(
+        self,
+        request: web.Request,
+        call: parsing.ModelCall,
+        source: AsyncIterator[events.Batch],
+        progress: model_calls.Progress,
+    ) -> web.StreamResponse:
+        code = codes.OUTCOME_UNKNOWN
+        response = None
+        try:
+            async with contextlib.aclosing(source) as batches:
+                async for batch in batches:
+                    if response is None:
+                        response = await self._open(request, call)
+                    await response.write(batch.data)
+            code = codes.DONE
+        except responses.CodedError as error:
+            code = error.fault.code
+            if response is None:
+                raise
+            body = responses.error_body(error.fault, call.request_id)
+            await response.write(b"event: error\ndata: " + body + b"\n\n")
+        finally:
+            self.model_calls.observe(call, progress, code)
+        if response is None:
+            response = await self._open(request, call)
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            await response.write_eof()
+        return response
+
+    async def _open(
+        self, request: web.Request, call: parsing.ModelCall
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Cache-Control": "no-store",
+                "X-Request-Id": call.request_id,
+            }
+        )
+        if self.context.draining:
+            response.force_close()
+        await response.prepare(request)
+        return response
+
+
+def whole_answer(call: parsing.ModelCall, data: bytes) -> bytes:
+    """Assembles the answer of a caller that did not ask for a stream.
+
+    Args:
+        call: The call.
+        data: All events of its answer.
+
+    Returns:
+        A completion object as JSON.
+    """
+    tokens = events.decode_tokens(data)
+    text = "".join(event.choices[0].content for event in tokens)
+    last = tokens[-1]
+    choice: dict = {
+        "index": 0,
+        "finish_reason": last.choices[0].finish_reason,
+    }
+    if call.chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    usage = last.usage or events.Usage()
+    return msgspec.json.encode(
+        {
+            "id": call.request_id,
+            "object": "chat.completion" if call.chat else "text_completion",
+            "model": call.service,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": usage.prompt_tokens,
+                "completion_tokens": usage.completion_tokens,
+                "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+                "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
+            },
+        }
+    )
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/edge/plain_calls.py
@@ -0,0 +1,268 @@
+"""Calls to plain services, claimed when they may not be repeated."""
+
+import asyncio
+import dataclasses
+import hashlib
+import secrets
+
+import aiohttp
+from aiohttp import web
+from chivelb_core import codes
+from chivelb_core import document
+from chivelb_core import targets
+from chivelb_core.calls import attempt as attempt_lib
+import mode
+
+from chivelb_node import context as context_lib
+from chivelb_node.control import claiming
+from chivelb_node.edge import claimed
+from chivelb_node.edge import dispatch
+from chivelb_node.edge import outcomes
+from chivelb_node.edge import parsing
+from chivelb_node.edge import responses
+from chivelb_node.links import runners
+from chivelb_node.links import services
+from chivelb_node.telemetry import logs
+
+MAX_ATTEMPTS = 3
+_log = logs.get_logger("plain")
+
+
+@dataclasses.dataclass(slots=True)
+class PlainCall:
+    """A call to a plain service.
+
+    Attributes:
+        service: Name of the service.
+        method: HTTP method.
+        path: Path with query.
+        headers: End-to-end headers.
+        body: Request body.
+        request_id: Id of the request.
+        repeatable: Whether it may run more than once.
+        timeout_s: Seconds until an attempt is given up.
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    request_id: str
+    repeatable: bool
+    timeout_s: float
+
+
+class PlainCalls(mode.Service):
+    """Runs calls to plain services.
+
+    Attributes:
+        context: Aggregates of the instance.
+        claims: Claims request keys.
+        session: Client session for targets.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        claims: claiming.ClaimClient,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Creates the service."""
+        super().__init__()
+        self.context = context
+        self.claims = claims
+        self.session = session
+
+    async def run(
+        self,
+        request: web.Request,
+        workspace_name: str,
+        workspace: document.Workspace,
+        body: bytes,
+    ) -> web.Response:
+        """Serves one call.
+
+        Args:
+            request: The caller's request.
+            workspace_name: The caller's workspace.
+            workspace: The same, as the document has it.
+            body: The request's body.
+
+        Returns:
+            The service's own answer.
+
+        Raises:
+            responses.CodedError: There is none.
+        """
+        name = request.match_info["service"]
+        service = parsing.find_service(self.context, workspace, name, "plain")
+        path = "/" + request.match_info["path"]
+        rule = parsing.find_rule(self.context, name, path, request.method)
+        repeatable = service.repeatable
+        if rule is not None:
+            repeatable = rule.repeatable
+        request_id = parsing.new_request_id(workspace.cache_secret)
+        request["request_id"] = request_id
+        if request.query_string:
+            path += "?" + request.query_string
+        headers = services.end_to_end(request.headers)
+        headers["X-Request-Id"] = request_id
+        headers["X-Workspace"] = workspace_name
+        call = PlainCall(
+            service=name,
+            method=request.method,
+            path=path,
+            headers=headers,
+            body=body,
+            request_id=request_id,
+            repeatable=repeatable,
+            timeout_s=service.timeout_s,
+        )
+        key = request.headers.get("Idempotency-Key", "")
+        if repeatable or not key:
+            answer = await self._attempts(call)
+            outcome = _record(answer)
+        else:
+            outcome = await self._claimed(call, workspace_name, key)
+        class_name = rule.class_name if rule is not None else "interactive"
+        self._count(workspace_name, class_name)
+        return _respond(outcome, request_id)
+
+    def _count(self, workspace: str, class_name: str) -> None:
+        metrics = self.context.metrics
+        metrics.outcomes.labels(
+            metrics.cap.label(workspace), class_name, "0"
+        ).inc()
+
+    async def _claimed(
+        self, call: PlainCall, workspace: str, key: str
+    ) -> outcomes.RecordedOutcome:
+        content = b"/".join(
+            (call.service.encode(), call.method.encode(), call.path.encode())
+        )
+        digest = hashlib.sha256(content + b"\0" + call.body).digest()
+        claim = await self.claims.claim(workspace, key, digest)
+        if isinstance(claim, bytes):
+            outcome = outcomes.decode_outcome(claim)
+            if outcome.result is not codes.DONE:
+                raise responses.CodedError(outcome.result, outcome.detail)
+            if outcome.body is None:
+                raise responses.CodedError(codes.ANSWER_NOT_KEPT)
+            return outcome
+        # The caller's leaving must not lose the outcome.
+        task = asyncio.ensure_future(self._once(call, claim))
+        return await asyncio.shield(task)
+
+    async def _once(
+        self, call: PlainCall, claim: claiming.Claim
+    ) -> outcomes.RecordedOutcome:
+        try:
+            answer = await self._attempts(call)
+        except responses.CodedError as error:
+            await claimed.end_claim(self.claims, claim, error)
+            raise
+        outcome = _record(answer)
+        kept = outcome
+        if len(answer.body) > claiming.MAX_KEPT_OUTCOME_BYTES:
+            kept = outcomes.RecordedOutcome(codes.DONE.number, body=None)
+        await self.claims.settle(claim, outcomes.encode_outcome(kept))
+        return outcome
+
+    async def _attempts(self, call: PlainCall) -> services.ServiceAnswer:
+        self.context.budget.note_first()
+        tried: set[str] = set()
+        attempts = 0
+        while True:
+            record = self._pick(call.service, tried)
+            attempts += 1
+            tried.add(record.identity)
+            load = self.context.load
+            load.note_send(record.identity, context_lib.monotonic(), 0, 0)
+            try:
+                answer = await services.call_service(
+                    self.session,
+                    record,
+                    method=call.method,
+                    path=call.path,
+                    headers=call.headers,
+                    body=call.body,
+                    attempt_id=f"{call.request_id}.{secrets.token_hex(4)}",
+                    timeout_s=call.timeout_s,
+                )
+                self.context.targets.note_success(record.identity)
+                return answer
+            except runners.AttemptError as ended:
+                outcome = ended.outcome
+            finally:
+                load.note_end(record.identity, 0)
+            self._note_failure(call, record, outcome)
+            may = attempt_lib.may_retry(
+                outcome,
+                repeatable=call.repeatable,
+                emitted=False,
+                attempts=attempts,
+                max_attempts=MAX_ATTEMPTS,
+            )
+            if not may or not self.context.budget.spend():
+                raise responses.CodedError(outcome.code, outcome.detail)
+
+    def _note_failure(
+        self,
+        call: PlainCall,
+        record: targets.TargetRecord,
+        outcome: attempt_lib.Outcome,
+    ) -> None:
+        now = context_lib.monotonic()
+        self.context.targets.note_failure(record.identity, now)
+        _log.warning(
+            "attempt ended",
+            request_id=call.request_id,
+            target=record.identity,
+            outcome=outcome.kind.value,
+            code=outcome.code.number,
+            detail=outcome.detail,
+        )
+
+    def _pick(self, service: str, tried: set[str]) -> targets.TargetRecord:
+        now = context_lib.monotonic()
+        context = self.context
+        eligible = [
+            record
+            for record in context.targets.eligible(service, now, role="plain")
+            if record.identity not in tried
+        ]
+        if not eligible:
+            raise responses.CodedError(codes.NO_TARGET)
+        failing = set(
+            context.targets.newest_failures(now, dispatch.FAILED_AVOID_S)
+        )
+        healthy = [r for r in eligible if r.identity not in failing]
+        zone = context.settings.instance.zone
+        return min(
+            healthy or eligible,
+            key=lambda record: (
+                context.load.running(record.identity, now) // record.slots,
+                record.zone != zone,
+                context.load.running(record.identity, now),
+                context.rng.random(),
+            ),
+        )
+
+
+def _record(answer: services.ServiceAnswer) -> outcomes.RecordedOutcome:
+    return outcomes.RecordedOutcome(
+        codes.DONE.number,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+    )
+
+
+def _respond(
+    outcome: outcomes.RecordedOutcome, request_id: str
+) -> web.Response:
+    headers = {**outcome.headers, "X-Request-Id": request_id}
+    return web.Response(
+        status=outcome.status, headers=headers, body=outcome.body
+    )
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/edge/server.py
@@ -0,0 +1,114 @@
+"""The HTTP server: routes, health, metrics and a graceful stop."""
+
+import asyncio
+
+from aiohttp import web
+import mode
+
+from chivelb_node import context as context_lib
+from chivelb_node import settings as settings_lib
+from chivelb_node.telemetry import logs
+
+DRAIN_POLL_S = 0.05
+MAX_LINE_BYTES = 8_190
+KEEPALIVE_S = 75.0
+_log = logs.get_logger("server")
+
+
+class HttpServer(mode.Service):
+    """Owns the listening socket.
+
+    Attributes:
+        context: Aggregates of the instance.
+        app: The routes.
+        port: Port that it listens on, once started.
+    """
+
+    def __init__(
+        self, context: context_lib.InstanceContext, handlers: list
+    ) -> None:
+        """Creates the server.
+
+        Args:
+            context: Aggregates of the instance.
+            handlers: Objects that add their routes.
+        """
+        super().__init__()
+        self.context = context
+        self.app = web.Application(
+            middlewares=[self._close_when_draining],
+            client_max_size=0,
+        )
+        self.app.router.add_get("/live", self.live)
+        self.app.router.add_get("/ready", self.ready)
+        self.app.router.add_get("/metrics", self.metrics)
+        for handler in handlers:
+            handler.add_routes(self.app)
+        self.port = 0
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+
+    @web.middleware
+    async def _close_when_draining(self, request, handler):
+        response = await handler(request)
+        if self.context.draining and not response.prepared:
+            response.force_close()
+        return response
+
+    async def live(self, request: web.Request) -> web.Response:
+        """Tells that the process runs."""
+        return web.Response(text="live\n")
+
+    async def ready(self, request: web.Request) -> web.Response:
+        """Tells the balancer whether to send requests here."""
+        if self.context.ready and not self.context.draining:
+            return web.Response(text="ready\n")
+        reason = "stopping" if self.context.draining else "no document"
+        return web.Response(status=503, text=f"{reason}\n")
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Renders the metrics."""
+        return web.Response(
+            body=self.context.metrics.render(),
+            headers={"Content-Type": "text/plain; version=0.0.4"},
+        )
+
+    async def on_start(self) -> None:
+        """Starts to listen."""
+        self._runner = web.AppRunner(
+            self.app,
+            access_log=None,
+            handle_signals=False,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            keepalive_timeout=KEEPALIVE_S,
+        )
+        await self._runner.setup()
+        host, port = settings_lib.split_address(
+            self.context.settings.http.listen
+        )
+        self._site = web.TCPSite(
+            self._runner, host, port, backlog=1024, shutdown_timeout=0.5
+        )
+        await self._site.start()
+        self.port = self._site._server.sockets[0].getsockname()[1]
+        _log.info("listening", port=self.port)
+
+    async def drain(self) -> None:
+        """Stops gracefully: not ready, then no new ones, then none left.
+
+        New requests are served during the grace, while the balancer still
+        sends them; no request in progress is cut.
+        """
+        self.context.draining = True
+        _log.info("draining", in_progress=self.context.in_progress)
+        await asyncio.sleep(self.context.settings.http.drain_grace_s)
+        await self._site.stop()
+        while self.context.in_progress:
+            await asyncio.sleep(DRAIN_POLL_S)
+        _log.info("drained")
+
+    async def on_stop(self) -> None:
+        """Closes what is left."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/edge/status.py
@@ -0,0 +1,197 @@
+"""Status of an instance and of all that it can reach."""
+
+import asyncio
+
+import msgspec
+
+from chivelb_node import context as context_lib
+from chivelb_node.control import claiming
+from chivelb_node.control import replica as replica_lib
+from chivelb_node.links import gossip as gossip_lib
+from chivelb_node.links import hub as hub_lib
+from chivelb_node.wire import messages
+
+STATUS_TIMEOUT_S = 1.0
+
+
+class TargetStatus(msgspec.Struct):
+    """A target as one instance knows it."""
+
+    identity: str
+    role: str
+    service: str
+    zone: str
+    state: str
+    weight_version: str
+    eligible: bool
+    running: int
+
+
+class InstanceStatus(msgspec.Struct):
+    """Status of one instance.
+
+    Attributes:
+        name: Its name.
+        zone: Its zone.
+        version: Document version in force.
+        ready: Whether it serves.
+        draining: Whether it is stopping.
+        in_progress: Requests in progress.
+        member_id: Its id in the control group, if it votes.
+        role: Its role in the control group.
+        leader: Leading instance that it knows.
+        log_index: Last index of its log.
+        keeper: State of its claim keeper.
+        faults: What keeps it from taking part.
+        targets: Targets that it knows.
+        members: Status of the other instances, as it sees them.
+    """
+
+    name: str
+    zone: str
+    version: int
+    ready: bool
+    draining: bool
+    in_progress: int
+    member_id: str = ""
+    role: str = ""
+    leader: str = ""
+    log_index: int = 0
+    keeper: str = ""
+    faults: list[str] = []
+    targets: list[TargetStatus] = []
+    members: dict[str, str] = {}
+
+
+class SiteStatus(msgspec.Struct):
+    """Status of all instances that one of them can reach.
+
+    Attributes:
+        here: The instance that was asked.
+        instances: All that answered, this one included.
+        unreachable: Names of those that did not answer.
+        newest: Highest version among them.
+        lagging: Names of those that serve a lower one.
+    """
+
+    here: InstanceStatus
+    instances: list[InstanceStatus]
+    unreachable: list[str]
+    newest: int
+    lagging: list[str]
+
+
+class StatusReporter:
+    """Describes this instance and asks the others.
+
+    Attributes:
+        context: Aggregates of the instance.
+        hub: Links to peers.
+        gossip: Membership.
+        replica: The document's replica, which knows the voter.
+        claims: Claim client.
+        keeping: This instance's claim keeper, or None.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        hub: hub_lib.Hub,
+        gossip: gossip_lib.Gossip,
+        replica: replica_lib.ReplicaService,
+        claims: claiming.ClaimClient,
+        keeping,
+    ) -> None:
+        """Creates the reporter."""
+        self.context = context
+        self.hub = hub
+        self.gossip = gossip
+        self.replica = replica
+        self.claims = claims
+        self.keeping = keeping
+        hub.handle(messages.StatusRequest, self._on_request)
+
+    def describe(self) -> InstanceStatus:
+        """Returns the status of this instance."""
+        context = self.context
+        instance = context.settings.instance
+        status = InstanceStatus(
+            name=instance.name,
+            zone=instance.zone,
+            version=context.version,
+            ready=context.ready,
+            draining=context.draining,
+            in_progress=context.in_progress,
+            targets=self._targets(),
+            members={
+                name: member.member.status
+                for name, member in self.gossip.swim.members.items()
+            },
+        )
+        self._add_voter(status)
+        if self.keeping is not None:
+            status.keeper = "serving" if self.keeping.serving else "waiting"
+            if self.keeping.failed:
+                status.faults.append(f"keeper: {self.keeping.failed}")
+        return status
+
+    def _add_voter(self, status: InstanceStatus) -> None:
+        voting = self.replica.voting
+        if voting is None:
+            return
+        if voting.failed:
+            status.faults.append(f"voter: {voting.failed}")
+        if voting.voter is not None:
+            status.member_id = voting.voter.member_id
+            status.role = voting.voter.role.value
+            status.leader = voting.leader_name()
+            status.log_index = voting.voter.log.last_index
+        else:
+            status.role = "waiting"
+
+    def _targets(self) -> list[TargetStatus]:
+        now = context_lib.monotonic()
+        table = self.context.targets
+        return [
+            TargetStatus(
+                identity,
+                entry.record.role,
+                entry.record.service,
+                entry.record.zone,
+                "leaving" if entry.left else entry.record.state,
+                entry.record.weight_version,
+                table.is_eligible(identity, now),
+                self.context.load.running(identity, now),
+            )
+            for identity, entry in sorted(table.entries.items())
+        ]
+
+    def _on_request(
+        self, peer: str, request: messages.StatusRequest
+    ) -> messages.StatusReply:
+        return messages.StatusReply(msgspec.json.encode(self.describe()))
+
+    async def site(self) -> SiteStatus:
+        """Asks all instances and returns the status of the site."""
+        here = self.describe()
+        names = sorted(self.hub.addresses)
+        replies = await asyncio.gather(
+            *(
+                self.hub.request(
+                    name, messages.StatusRequest(), STATUS_TIMEOUT_S
+                )
+                for name in names
+            )
+        )
+        instances = [here]
+        unreachable = []
+        for name, reply in zip(names, replies, strict=True):
+            if isinstance(reply, messages.StatusReply):
+                instances.append(
+                    msgspec.json.decode(reply.payload, type=InstanceStatus)
+                )
+            else:
+                unreachable.append(name)
+        newest = max(status.version for status in instances)
+        lagging = [s.name for s in instances if s.version < newest]
+        return SiteStatus(here, instances, unreachable, newest, lagging)
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections that this instance opens: targets, stores and peers."""
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/links/cache.py
@@ -0,0 +1,531 @@
+"""What is cached where: directory shards, stores' owners, and transfers."""
+
+import asyncio
+import collections
+import dataclasses
+
+import aiohttp
+from chivelb_core import routing
+from chivelb_core import targets
+from chivelb_core.kept import directory as directory_lib
+from chivelb_core.kept import keys as keys_lib
+from chivelb_core.kept import messages as kept_messages
+from chivelb_core.kept import returns as returns_lib
+from chivelb_core.kept import store_table as store_table_lib
+from chivelb_core.routing import cost as cost_lib
+from chivelb_core.routing import policies
+import mode
+
+from chivelb_node import context as context_lib
+from chivelb_node.edge import parsing
+from chivelb_node.links import gossip as gossip_lib
+from chivelb_node.links import hub as hub_lib
+from chivelb_node.links import runners
+from chivelb_node.links import stores
+from chivelb_node.telemetry import logs
+
+LOOKUP_TIMEOUT_S = 0.03
+LEASE_TIMEOUT_S = 0.1
+RESERVE_TIMEOUT_S = 0.5
+OWN_PERIOD_S = 0.5
+OWN_LEASE_S = 2.0
+EXPECTED_S = 3.0
+MAX_EXPECTED = 5_000
+MAX_EXPORTS = 4
+MIN_EXPORT_BLOCKS = 2
+_log = logs.get_logger("cache")
+
+
+@dataclasses.dataclass(slots=True)
+class OwnedStore:
+    """A store whose table this instance owns.
+
+    Attributes:
+        token: Fencing token of the ownership.
+        incarnation: Incarnation of the store.
+        table: The table.
+        confirmed_at: Monotonic time of the newest renewal, in seconds.
+    """
+
+    token: int
+    incarnation: int
+    table: store_table_lib.StoreTable
+    confirmed_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Imports:
+    """Leased blocks that an attempt loads.
+
+    Attributes:
+        store: Identity of the store; empty for none.
+        address: Its address.
+        reader: Id under which the blocks are leased.
+        refs: The blocks.
+    """
+
+    store: str = ""
+    address: str = ""
+    reader: str = ""
+    refs: list[kept_messages.BlockRef] = dataclasses.field(default_factory=list)
+
+
+class CacheService(mode.Service):
+    """Asks and serves the directory, and moves blocks between tiers.
+
+    Attributes:
+        context: Aggregates of the instance.
+        hub: Links to peers.
+        gossip: Membership.
+        session: Client session for targets.
+        owned: Stores whose tables this instance owns.
+        returns: Visits of the prompts of this instance's shard.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        hub: hub_lib.Hub,
+        gossip: gossip_lib.Gossip,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Creates the service."""
+        super().__init__()
+        self.context = context
+        self.hub = hub
+        self.gossip = gossip
+        self.session = session
+        self.owned: dict[str, OwnedStore] = {}
+        self.returns = returns_lib.ReturnModel()
+        self._expected: collections.OrderedDict[str, dict] = (
+            collections.OrderedDict()
+        )
+        self._exports = asyncio.Semaphore(MAX_EXPORTS)
+        self._exporting: set[str] = set()
+        hub.handle(kept_messages.CacheNews, self._on_news)
+        hub.handle(kept_messages.CacheListing, self._on_listing)
+        hub.handle(kept_messages.Lookup, self._on_lookup)
+        hub.handle(kept_messages.LeaseBlocks, self._on_lease)
+        hub.handle(kept_messages.ReleaseBlocks, self._on_release)
+        hub.handle(kept_messages.ReserveBlocks, self._on_reserve)
+        hub.handle(kept_messages.SealBlocks, self._on_seal)
+        hub.handle(kept_messages.TouchBlocks, self._on_touch)
+
+    # Directory.
+
+    def shard_owner(self, key: str) -> str:
+        """Returns the instance that owns a prompt's directory shard.
+
+        Args:
+            key: Key of the prompt's first block.
+        """
+        members = self.gossip.region_members()
+        return max(members, key=lambda name: policies.hash_weight(key, name))
+
+    async def prepare(self, call: parsing.ModelCall) -> None:
+        """Finds out what is cached of a call's prompt, within a deadline.
+
+        Args:
+            call: The call; its holdings and chance of return are filled in.
+        """
+        call.holdings = {}
+        for version in self._versions_in_use(call):
+            keys = call.keys(version)
+            if not keys:
+                continue
+            lookup = kept_messages.Lookup(keys, call.salt[:16])
+            reply = await self.hub.request(
+                self.shard_owner(keys[0]), lookup, LOOKUP_TIMEOUT_S
+            )
+            if isinstance(reply, kept_messages.LookupReply):
+                call.chance = reply.chance
+                for holding in reply.holdings:
+                    call.holdings[holding.identity] = holding.blocks
+            self._add_expected(call, keys)
+
+    def _versions_in_use(self, call: parsing.ModelCall) -> list[str]:
+        now = context_lib.monotonic()
+        in_use = {
+            record.weight_version
+            for record in self.context.targets.eligible(call.service, now)
+        }
+        return [version for version in call.versions if version in in_use]
+
+    def _add_expected(self, call: parsing.ModelCall, keys: list[str]) -> None:
+        """Counts what this instance's own recent sends will have cached."""
+        now = context_lib.monotonic()
+        for position in range(len(keys), 0, -1):
+            expected = self._expected.get(keys[position - 1])
+            if expected is None:
+                continue
+            for identity, until in expected.items():
+                if until > now and call.holdings.get(identity, 0) < position:
+                    call.holdings[identity] = position
+            return
+
+    def note_dispatch(self, call: parsing.ModelCall, identity: str) -> None:
+        """Remembers that a target is about to hold a prompt's blocks."""
+        version = self.context.targets.entries[identity].record.weight_version
+        keys = call.keys(version)
+        if not keys:
+            return
+        until = context_lib.monotonic() + EXPECTED_S
+        for key in {keys[-1], keys[len(keys) // 2], keys[0]}:
+            self._expected.setdefault(key, {})[identity] = until
+            self._expected.move_to_end(key)
+        while len(self._expected) > MAX_EXPECTED:
+            self._expected.popitem(last=False)
+
+    def _on_lookup(
+        self, peer: str, lookup: kept_messages.Lookup
+    ) -> kept_messages.LookupReply:
+        now = context_lib.monotonic()
+        if lookup.keys:
+            self.returns.visit(lookup.workspace, lookup.keys[0], now)
+        found = self.context.directory.lookup(lookup.keys)
+        holdings = [
+            kept_messages.Holding(identity, blocks)
+            for identity, blocks in found.items()
+        ]
+        chance = self.returns.chance(lookup.workspace)
+        return kept_messages.LookupReply(holdings, chance)
+
+    def take_events(
+        self,
+        identity: str,
+        incarnation: int,
+        events: list[directory_lib.CacheEvent],
+    ) -> None:
+        """Passes a target's events on to the shards of their prompts."""
+        by_owner: dict[str, list[directory_lib.CacheEvent]] = {}
+        for event in events:
+            by_owner.setdefault(self.shard_owner(event.root), []).append(event)
+        for owner, owned in by_owner.items():
+            self._tell(
+                owner, kept_messages.CacheNews(identity, incarnation, owned)
+            )
+
+    def _on_news(self, peer: str, news: kept_messages.CacheNews) -> None:
+        self.context.directory.apply_events(
+            news.identity, news.incarnation, news.events
+        )
+
+    def take_listing(
+        self, identity: str, incarnation: int, listing: directory_lib.Listing
+    ) -> None:
+        """Passes a target's listing on to all shards, each its part."""
+        by_owner: dict[str, list[str]] = {
+            name: [] for name in self.gossip.region_members()
+        }
+        for prompt in listing.prompts:
+            by_owner[self.shard_owner(prompt.root)] += prompt.keys
+        for owner, keys in by_owner.items():
+            self._tell(
+                owner, kept_messages.CacheListing(identity, incarnation, keys)
+            )
+
+    def _on_listing(
+        self, peer: str, listing: kept_messages.CacheListing
+    ) -> None:
+        self.context.directory.take_listing(
+            listing.identity, listing.incarnation, listing.keys
+        )
+
+    # Imports.
+
+    def best_store(
+        self, call: parsing.ModelCall, record: targets.TargetRecord
+    ) -> tuple[str, int, float, float]:
+        """Returns the store that holds most of a prompt for a runner.
+
+        Args:
+            call: The call.
+            record: The runner.
+
+        Returns:
+            Identity, leading blocks, bytes a second, and seconds of
+            transfers ahead; an empty identity for none.
+        """
+        now = context_lib.monotonic()
+        best = ("", 0, 1.0, 0.0)
+        for identity, blocks in call.holdings.items():
+            entry = self.context.targets.entries.get(identity)
+            if entry is None or entry.record.role != "store":
+                continue
+            if not self.context.targets.is_eligible(identity, now):
+                continue
+            rate = min(entry.record.link_rate, record.link_rate)
+            # A store reports the bytes that wait for its link.
+            wait = entry.record.pending_tokens / entry.record.link_rate
+            if blocks > best[1] or (blocks == best[1] and wait < best[3]):
+                best = (identity, blocks, rate, wait)
+        return best
+
+    async def lease_imports(
+        self, call: parsing.ModelCall, grant, reader: str
+    ) -> Imports:
+        """Leases the blocks that a grant decided to load.
+
+        Args:
+            call: The call.
+            grant: The grant.
+            reader: Id of the attempt.
+
+        Returns:
+            The leased blocks; none when the store or its owner is away, so
+            that the runner computes them.
+        """
+        choice: routing.Choice = grant.choice
+        if not choice.import_tokens:
+            return Imports()
+        identity, blocks, _, _ = self.best_store(call, grant.record)
+        entry = self.context.targets.entries.get(identity)
+        if entry is None:
+            return Imports()
+        keys = call.keys(grant.record.weight_version)[:blocks]
+        reply = await self.hub.request(
+            self._store_owner(entry.record),
+            kept_messages.LeaseBlocks(identity, reader, keys),
+            LEASE_TIMEOUT_S,
+        )
+        refs = []
+        if isinstance(reply, kept_messages.BlockRefs):
+            held = call.holdings.get(grant.record.identity, 0)
+            refs = reply.refs[held:]
+        metrics = self.context.metrics
+        size = sum(ref.length for ref in refs)
+        metrics.link_bytes.labels("import").inc(size)
+        metrics.link_seconds.labels(
+            metrics.cap.label(call.workspace), call.class_name
+        ).observe(size / grant.record.link_rate)
+        return Imports(identity, entry.record.address, reader, refs)
+
+    def release_imports(self, imports: Imports) -> None:
+        """Ends the leases of an attempt."""
+        entry = self.context.targets.entries.get(imports.store)
+        if entry is None:
+            return
+        body = kept_messages.ReleaseBlocks(imports.store, imports.reader)
+        self._tell(self._store_owner(entry.record), body)
+
+    def _tell(self, peer: str, body) -> None:
+        if peer == self.hub.name_here:
+            self.add_future(self.hub.request(peer, body, LEASE_TIMEOUT_S))
+        else:
+            self.hub.send(peer, body)
+
+    # Exports.
+
+    def consider_export(
+        self, call: parsing.ModelCall, record: targets.TargetRecord
+    ) -> None:
+        """Decides whether a finished prompt's blocks are worth keeping.
+
+        Worth it are blocks whose expected saving, at the goal's prices,
+        exceeds the use of the link to write and read them.
+        """
+        if self.context.document.limits.keeping == "none":
+            return
+        keys = call.keys(record.weight_version)
+        if len(keys) < MIN_EXPORT_BLOCKS or keys[-1] in self._exporting:
+            return
+        store = self._pick_store(keys[0])
+        if store is None:
+            return
+        service = self.context.document.services[call.service]
+        weights = cost_lib.GOALS[service.goal]
+        block_bytes = keys_lib.BLOCK_TOKENS * record.bytes_per_token
+        recompute_s = keys_lib.BLOCK_TOKENS / record.prefill_rate
+        link_s = block_bytes / min(record.link_rate, store.link_rate)
+        saved = weights.first_token + weights.recompute
+        gain = call.chance * recompute_s * saved
+        cost = weights.link * link_s * (1 + call.chance)
+        gain -= call.chance * link_s * weights.first_token
+        if gain <= cost:
+            return
+        value = recompute_s / block_bytes
+        self._exporting.add(keys[-1])
+        self.add_future(
+            self._export(call, record, store, keys, block_bytes, value)
+        )
+
+    def _pick_store(self, root: str) -> targets.TargetRecord | None:
+        now = context_lib.monotonic()
+        alive = [
+            entry.record
+            for identity, entry in self.context.targets.entries.items()
+            if entry.record.role == "store"
+            and self.context.targets.is_eligible(identity, now)
+        ]
+        if not alive:
+            return None
+        return max(
+            alive,
+            key=lambda record: policies.hash_weight(root, record.identity),
+        )
+
+    async def _export(
+        self,
+        call: parsing.ModelCall,
+        record: targets.TargetRecord,
+        store: targets.TargetRecord,
+        keys: list[str],
+        block_bytes: int,
+        value: float,
+    ) -> None:
+        try:
+            async with self._exports:
+                owner = self._store_owner(store)
+                reply = await self.hub.request(
+                    owner,
+                    kept_messages.ReserveBlocks(
+                        store.identity,
+                        call.salt[:16],
+                        keys,
+                        block_bytes,
+                        value,
+                    ),
+                    RESERVE_TIMEOUT_S,
+                )
+                if not isinstance(reply, kept_messages.BlockRefs):
+                    return
+                if not reply.refs:
+                    return
+                sealed = await stores.export_blocks(
+                    self.session, record.address, store.address, reply.refs
+                )
+                self._tell(
+                    owner, kept_messages.SealBlocks(store.identity, sealed)
+                )
+                size = sum(ref.length for ref in sealed)
+                self.context.metrics.link_bytes.labels("export").inc(size)
+        finally:
+            self._exporting.discard(keys[-1])
+
+    def touch(self, call: parsing.ModelCall) -> None:
+        """Tells the stores' owners that a prompt came back."""
+        for identity, blocks in call.holdings.items():
+            entry = self.context.targets.entries.get(identity)
+            if entry is None or entry.record.role != "store":
+                continue
+            keys = call.keys(call.versions[0])[:blocks]
+            self._tell(
+                self._store_owner(entry.record),
+                kept_messages.TouchBlocks(identity, keys, 0.0),
+            )
+
+    def cancel(self, attempt: runners.RunnerAttempt) -> None:
+        """Cancels an attempt that nobody waits for, in the background."""
+        self.add_future(runners.cancel_attempt(self.session, attempt))
+
+    # Owners of stores.
+
+    def _store_owner(self, record: targets.TargetRecord) -> str:
+        members = self.gossip.zone_members(record.zone)
+        if not members:
+            return ""
+        return max(
+            members,
+            key=lambda name: policies.hash_weight(record.identity, name),
+        )
+
+    @mode.Service.task
+    async def _own_stores(self) -> None:
+        while not self.should_stop:
+            await self.sleep(OWN_PERIOD_S)
+            now = context_lib.monotonic()
+            for entry in list(self.context.targets.entries.values()):
+                record = entry.record
+                if record.role != "store" or entry.expires_at < now:
+                    continue
+                if self._store_owner(record) == self.hub.name_here:
+                    await self._renew(record)
+                else:
+                    self.owned.pop(record.identity, None)
+
+    async def _renew(self, record: targets.TargetRecord) -> None:
+        identity = record.identity
+        owned = self.owned.get(identity)
+        if owned is not None and owned.incarnation != record.incarnation:
+            owned = None
+        token = owned.token if owned is not None else 0
+        listing = await stores.own_store(
+            self.session, record.address, self.hub.name_here, token
+        )
+        now = context_lib.monotonic()
+        if listing is None or not listing.token:
+            self.owned.pop(identity, None)
+            return
+        if owned is None or listing.token != owned.token:
+            scorer = store_table_lib.make_value_scorer(self.returns.chance)
+            if self.context.document.limits.keeping == "recency":
+                scorer = store_table_lib.score_by_recency
+            table = store_table_lib.StoreTable(
+                listing.capacity,
+                scorer,
+                no_frees_before=now + store_table_lib.LEASE_S,
+            )
+            table.rebuild(listing.refs, listing.generation, now)
+            owned = OwnedStore(listing.token, record.incarnation, table, now)
+            self.owned[identity] = owned
+            _log.info("owns store", store=identity, token=listing.token)
+        owned.confirmed_at = now
+        owned.table.expire(now)
+        owned.table.keep_reserve(now)
+        await self._free(record, owned)
+
+    async def _free(
+        self, record: targets.TargetRecord, owned: OwnedStore
+    ) -> None:
+        blocks = list(owned.table.freeing)
+        if not blocks:
+            return
+        if await stores.free_blocks(
+            self.session, record.address, owned.token, blocks
+        ):
+            for key, generation in blocks:
+                owned.table.forget_freed(key, generation)
+
+    def _table(self, store: str) -> store_table_lib.StoreTable | None:
+        owned = self.owned.get(store)
+        if owned is None:
+            return None
+        if context_lib.monotonic() - owned.confirmed_at > OWN_LEASE_S:
+            return None
+        return owned.table
+
+    def _on_lease(
+        self, peer: str, request: kept_messages.LeaseBlocks
+    ) -> kept_messages.BlockRefs:
+        table = self._table(request.store)
+        refs = []
+        if table is not None:
+            refs = table.lease(request, context_lib.monotonic())
+        return kept_messages.BlockRefs(refs)
+
+    def _on_release(
+        self, peer: str, request: kept_messages.ReleaseBlocks
+    ) -> None:
+        table = self._table(request.store)
+        if table is not None:
+            table.release(request.reader)
+
+    def _on_reserve(
+        self, peer: str, request: kept_messages.ReserveBlocks
+    ) -> kept_messages.BlockRefs:
+        table = self._table(request.store)
+        refs = []
+        if table is not None:
+            refs = table.reserve(request, context_lib.monotonic())
+        return kept_messages.BlockRefs(refs)
+
+    def _on_touch(self, peer: str, request: kept_messages.TouchBlocks) -> None:
+        table = self._table(request.store)
+        if table is not None:
+            table.touch(request, context_lib.monotonic())
+
+    def _on_seal(self, peer: str, request: kept_messages.SealBlocks) -> None:
+        table = self._table(request.store)
+        if table is not None:
+            for ref in request.refs:
+                table.seal(ref.key, ref.generation, ref.checksum)
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -0,0 +1,162 @@
+"""Membership datagrams: drives the SWIM aggregate over UDP."""
+
+import asyncio
+import random
+import time
+
+from chivelb_core import membership
+from chivelb_core.membership import messages as membership_messages
+import mode
+
+from chivelb_node import context as context_lib
+from chivelb_node import settings as settings_lib
+from chivelb_node.links import hub as hub_lib
+from chivelb_node.telemetry import logs
+from chivelb_node.wire import codec
+from chivelb_node.wire import sealing
+
+TICK_S = 0.1
+MAX_DATAGRAM_BYTES = 1_400
+_log = logs.get_logger("gossip")
+_KINDS = (
+    membership_messages.Ping,
+    membership_messages.PingRequest,
+    membership_messages.Ack,
+)
+
+
+class Gossip(mode.Service, asyncio.DatagramProtocol):
+    """Owns the UDP socket and the membership aggregate.
+
+    Attributes:
+        context: Aggregates of the instance.
+        hub: Links, told the addresses of members.
+        swim: The membership aggregate.
+    """
+
+    def __init__(
+        self, context: context_lib.InstanceContext, hub: hub_lib.Hub
+    ) -> None:
+        """Creates the service; it joins by the seeds when started."""
+        super().__init__()
+        self.context = context
+        self.hub = hub
+        settings = context.settings
+        anchors = {*settings.control.voters, *settings.control.keepers}
+        self.swim = membership.Swim(
+            membership_messages.Member(
+                settings.instance.name,
+                settings.instance.region,
+                settings.instance.zone,
+                settings.peers.listen,
+                int(time.time()),
+                anchor=settings.instance.name in anchors,
+            ),
+            random.Random(context.rng.random()),
+            context_lib.monotonic(),
+        )
+        self._transport: asyncio.DatagramTransport | None = None
+        self._seal: sealing.DatagramSeal | None = None
+        if hub.ring is not None:
+            self._seal = sealing.DatagramSeal(settings.instance.name, hub.ring)
+        now = context_lib.monotonic()
+        for text in settings.peers.seeds:
+            seed = settings_lib.parse_seed(text)
+            self.swim.join(
+                membership_messages.Member(
+                    seed.name,
+                    settings.instance.region,
+                    seed.zone,
+                    seed.address,
+                    0,
+                    anchor=seed.name in anchors,
+                ),
+                now,
+            )
+        self.swim.take_changes()
+
+    def peers_in_region(self) -> list[str]:
+        """Returns the living other instances of this region."""
+        return self.swim.alive(self.swim.me.region)
+
+    def region_members(self) -> list[str]:
+        """Returns the living instances of this region, with this one."""
+        return sorted([*self.peers_in_region(), self.swim.me.name])
+
+    def zone_members(self, zone: str) -> list[str]:
+        """Returns the living instances of a zone of this region."""
+        names = self.swim.alive(self.swim.me.region, zone)
+        if zone == self.swim.me.zone:
+            names = sorted([*names, self.swim.me.name])
+        return names
+
+    async def on_start(self) -> None:
+        """Opens the socket."""
+        listen = self.context.settings.peers.listen
+        if self._seal is None or not listen:
+            return
+        host, port = settings_lib.split_address(listen)
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, port)
+        )
+
+    async def on_stop(self) -> None:
+        """Spreads that this instance left, and closes the socket."""
+        if self._transport is not None:
+            self.swim.leave(context_lib.monotonic())
+            self._flush()
+            self._transport.close()
+
+    def connection_made(self, transport) -> None:
+        """Keeps the transport; called by asyncio."""
+
+    def datagram_received(self, data: bytes, addr) -> None:
+        """Takes a datagram; called by asyncio."""
+        metrics = self.context.metrics
+        metrics.peer_bytes.labels("in", "udp").inc(len(data))
+        try:
+            sender, payload = self._seal.open(data)
+            message = codec.decode(payload).body
+        except sealing.SealError as error:
+            metrics.peer_frames.labels("bad_seal").inc()
+            _log.debug("datagram dropped", detail=str(error))
+            return
+        except codec.WireError:
+            metrics.peer_frames.labels("garbage").inc()
+            return
+        if isinstance(message, _KINDS) and not self.hub.is_cut(sender):
+            self.swim.receive(sender, message, context_lib.monotonic())
+            self._flush()
+
+    def error_received(self, error: OSError) -> None:
+        """Ignores unreachable peers; probes find them out."""
+
+    @mode.Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop and self._transport is not None:
+            await self.sleep(TICK_S)
+            self.swim.version = max(self.context.version, 0)
+            self.swim.tick(context_lib.monotonic())
+            self._flush()
+
+    def _flush(self) -> None:
+        for member in self.swim.take_changes():
+            self.hub.addresses[member.name] = (member.address, member.zone)
+            _log.info(
+                "member changed",
+                member=member.name,
+                status=member.status,
+                incarnation=member.incarnation,
+            )
+        for name, message in self.swim.take_outbox():
+            self._send(name, message)
+
+    def _send(self, name: str, message: membership_messages.Message) -> None:
+        state = self.swim.members.get(name)
+        if state is None or self.hub.is_cut(name):
+            return
+        data = self._seal.seal(codec.encode(codec.Envelope(message)))
+        self.context.metrics.peer_bytes.labels("out", "udp").inc(len(data))
+        host, port = settings_lib.split_address(state.member.address)
+        self._transport.sendto(data, (host, port))
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files under the data folder, synced before they are relied on."""
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/storage/journal.py
@@ -0,0 +1,184 @@
+"""Append-only file of checksummed records, synced in groups."""
+
+import asyncio
+from collections.abc import Iterator
+import os
+import pathlib
+import zlib
+
+HEAD_BYTES = 8
+MAX_RECORD_BYTES = 67_108_864
+
+
+class JournalError(Exception):
+    """A file that is damaged before its tail."""
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Syncs a folder, so that names created in it last."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def frame(payload: bytes) -> bytes:
+    """Returns a record with its length and checksum."""
+    length = len(payload).to_bytes(4, "big")
+    checksum = zlib.crc32(length + payload).to_bytes(4, "big")
+    return length + checksum + payload
+
+
+def iterate_frames(data: bytes) -> Iterator[tuple[int, bytes]]:
+    """Yields the end offset and payload of each whole record.
+
+    Stops at the first torn or damaged record.
+    """
+    at = 0
+    while at + HEAD_BYTES <= len(data):
+        length = data[at : at + 4]
+        size = int.from_bytes(length, "big")
+        end = at + HEAD_BYTES + size
+        payload = data[at + HEAD_BYTES : end]
+        if size > MAX_RECORD_BYTES or len(payload) < size:
+            return
+        checksum = int.from_bytes(data[at + 4 : at + 8], "big")
+        if zlib.crc32(length + payload) != checksum:
+            return
+        yield end, payload
+        at = end
+
+
+def _has_whole_record_after(data: bytes, start: int) -> bool:
+    """Tells whether any whole record follows a damaged place."""
+    for at in range(start + 1, len(data) - HEAD_BYTES):
+        size = int.from_bytes(data[at : at + 4], "big")
+        if 0 < size <= len(data) - at - HEAD_BYTES:
+            if next(iterate_frames(data[at : at + HEAD_BYTES + size]), None):
+                return True
+    return False
+
+
+class Journal:
+    """One file of records.
+
+    A torn last record, as a crash leaves it, is cut off when the file is
+    opened; damage before whole records is refused, because synced records
+    would be lost silently.
+
+    Attributes:
+        path: The file.
+        size: Bytes of whole records.
+    """
+
+    __slots__ = ("path", "size", "_file", "_queue", "_flushing")
+
+    def __init__(self, path: pathlib.Path) -> None:
+        """Names a journal; ``open`` reads it."""
+        self.path = path
+        self.size = 0
+        self._file = None
+        self._queue: list[tuple[bytes, asyncio.Future]] = []
+        self._flushing: asyncio.Task | None = None
+
+    def open(self) -> list[bytes]:
+        """Opens the file, cuts off a torn tail and returns all payloads.
+
+        Raises:
+            JournalError: A record before the tail is damaged.
+        """
+        existed = self.path.exists()
+        data = self.path.read_bytes() if existed else b""
+        payloads = []
+        end = 0
+        for end, payload in iterate_frames(data):  # noqa: B007
+            payloads.append(payload)
+        if end < len(data) and _has_whole_record_after(data, end):
+            raise JournalError(
+                f"{self.path}: damaged at byte {end} before whole records; "
+                "bring this instance back with an empty data folder"
+            )
+        self._file = self.path.open("r+b" if existed else "w+b")
+        self._file.truncate(end)
+        self._file.seek(end)
+        os.fsync(self._file.fileno())
+        sync_folder(self.path.parent)
+        self.size = end
+        return payloads
+
+    async def append(self, payloads: list[bytes]) -> None:
+        """Appends records and returns when they are synced.
+
+        Calls that arrive during a sync share the next one.
+
+        Args:
+            payloads: Records, in order; without any, it waits for the
+                records of earlier calls.
+
+        Raises:
+            OSError: They could not be written; the journal must not be
+                used any further.
+        """
+        if not payloads and not self._queue and not self._is_flushing():
+            return
+        data = b"".join(frame(payload) for payload in payloads)
+        future = asyncio.get_running_loop().create_future()
+        self._queue.append((data, future))
+        if not self._is_flushing():
+            self._flushing = asyncio.create_task(self._flush())
+        await future
+
+    def _is_flushing(self) -> bool:
+        return self._flushing is not None and not self._flushing.done()
+
+    async def _flush(self) -> None:
+        while self._queue:
+            batch, self._queue = self._queue, []
+            data = b"".join(data for data, _ in batch)
+            try:
+                if data:
+                    await asyncio.to_thread(self._write, data)
+            except OSError as error:
+                for _, future in batch:
+                    if not future.done():
+                        future.set_exception(error)
+                continue
+            self.size += len(data)
+            for _, future in batch:
+                if not future.done():
+                    future.set_result(None)
+
+    def _write(self, data: bytes) -> None:
+        self._file.write(data)
+        self._file.flush()
+        os.fdatasync(self._file.fileno())
+
+    async def rewrite(self, payloads: list[bytes]) -> None:
+        """Replaces all records by a compact form, atomically.
+
+        Must not run together with ``append``.
+        """
+        data = b"".join(frame(payload) for payload in payloads)
+        await asyncio.to_thread(replace_file, self.path, data)
+        self._file.close()
+        self._file = self.path.open("r+b")
+        self._file.seek(len(data))
+        self.size = len(data)
+
+    def close(self) -> None:
+        """Closes the file."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+
+def replace_file(path: pathlib.Path, data: bytes) -> None:
+    """Writes a file so that it has the old or the new data, never a mix."""
+    temporary = path.with_suffix(path.suffix + ".new")
+    with temporary.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
+    sync_folder(path.parent)
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/storage/voter_files.py
@@ -0,0 +1,202 @@
+"""Files of one voter: identity, journal of the log, and snapshot."""
+
+import dataclasses
+import pathlib
+import zlib
+
+from chivelb_core import consensus
+from chivelb_core.consensus import log as log_lib
+from chivelb_core.consensus import voter as voter_lib
+import msgspec
+
+from chivelb_node.storage import journal as journal_lib
+
+
+class HardRecord(msgspec.Struct, array_like=True, tag="hard"):
+    """The hard state from here on."""
+
+    term: int
+    voted_for: str
+
+
+class EntryRecord(msgspec.Struct, array_like=True, tag="entry"):
+    """An entry; it voids stored entries from its index on."""
+
+    index: int
+    term: int
+    kind: str
+    data: bytes
+
+
+class TruncateRecord(msgspec.Struct, array_like=True, tag="truncate"):
+    """Stored entries from an index on are void."""
+
+    start: int
+
+
+Record = HardRecord | EntryRecord | TruncateRecord
+_decoder = msgspec.msgpack.Decoder(Record)
+
+
+@dataclasses.dataclass(slots=True)
+class Recovered:
+    """What a voter's disk holds.
+
+    Attributes:
+        member_id: Its id.
+        hard: Hard state.
+        log: Log above the snapshot.
+        snapshot: The newest snapshot, or empty.
+    """
+
+    member_id: str
+    hard: voter_lib.HardState
+    log: log_lib.Log
+    snapshot: bytes
+
+
+class VoterFiles:
+    """Owns the files of a voter.
+
+    Attributes:
+        folder: Where they live.
+        journal: The log's journal.
+    """
+
+    __slots__ = ("folder", "journal")
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Names the files; nothing is read yet."""
+        self.folder = folder
+        self.journal = journal_lib.Journal(folder / "log.journal")
+
+    def read_identity(self) -> str:
+        """Returns the member id, or empty when there is no state."""
+        path = self.folder / "identity"
+        return path.read_text().strip() if path.exists() else ""
+
+    def create(self, member_id: str) -> None:
+        """Starts empty files under a member id.
+
+        The identity is written last: a crash before it leaves no state.
+        """
+        self.folder.mkdir(parents=True, exist_ok=True)
+        for name in ("identity", "log.journal", "snapshot", "witnessed"):
+            (self.folder / name).unlink(missing_ok=True)
+        self.journal.open()
+        journal_lib.replace_file(
+            self.folder / "identity", member_id.encode() + b"\n"
+        )
+
+    def read_witnessed(self) -> set[str]:
+        """Returns the names of the instances that were seen voting."""
+        path = self.folder / "witnessed"
+        return set(path.read_text().split()) if path.exists() else set()
+
+    def write_witnessed(self, names: set[str]) -> None:
+        """Replaces the names of the instances that were seen voting."""
+        data = "".join(f"{name}\n" for name in sorted(names)).encode()
+        journal_lib.replace_file(self.folder / "witnessed", data)
+
+    def recover(self) -> Recovered:
+        """Reads all files.
+
+        Raises:
+            journal_lib.JournalError: A file is damaged.
+        """
+        snapshot = self._read_snapshot()
+        log = log_lib.Log()
+        data = b""
+        if snapshot is not None:
+            index, term, data = snapshot
+            log = log_lib.Log(index, term)
+        hard = voter_lib.HardState()
+        for payload in self.journal.open():
+            record = _decoder.decode(payload)
+            match record:
+                case HardRecord(term, voted_for):
+                    hard = voter_lib.HardState(term, voted_for)
+                case TruncateRecord(start):
+                    _truncate(log, start)
+                case EntryRecord(index, term, kind, entry_data):
+                    if index > log.base_index:
+                        _truncate(log, index)
+                        log.append(log_lib.Entry(index, term, kind, entry_data))
+        return Recovered(self.read_identity(), hard, log, data)
+
+    async def store(self, effects: consensus.Effects) -> None:
+        """Syncs what a step asks for.
+
+        Raises:
+            OSError: It could not be synced; the voter must stop.
+        """
+        if effects.snapshot is not None:
+            index, term, data = effects.snapshot
+            self.write_snapshot(index, term, data)
+        records: list[Record] = []
+        if effects.hard_state is not None:
+            hard = effects.hard_state
+            records.append(HardRecord(hard.term, hard.voted_for))
+        if effects.truncate_from is not None:
+            records.append(TruncateRecord(effects.truncate_from))
+        records += [_entry_record(entry) for entry in effects.entries]
+        await self.journal.append([msgspec.msgpack.encode(r) for r in records])
+
+    async def compact(
+        self, voter: consensus.Voter, index: int, data: bytes
+    ) -> None:
+        """Stores a snapshot, then drops the records that it covers."""
+        term = voter.log.term_at(index)
+        self.write_snapshot(index, term, data)
+        hard = voter.hard
+        records: list[Record] = [HardRecord(hard.term, hard.voted_for)]
+        if index < voter.log.last_index:
+            kept = voter.log.slice(index + 1, voter.log.last_index)
+            records += [_entry_record(entry) for entry in kept]
+        await self.journal.rewrite(
+            [msgspec.msgpack.encode(record) for record in records]
+        )
+
+    def write_snapshot(self, index: int, term: int, data: bytes) -> None:
+        """Replaces the snapshot file."""
+        body = msgspec.msgpack.encode((index, term, data))
+        checksum = zlib.crc32(body).to_bytes(4, "big")
+        journal_lib.replace_file(self.folder / "snapshot", checksum + body)
+
+    def _read_snapshot(self) -> tuple[int, int, bytes] | None:
+        path = self.folder / "snapshot"
+        if not path.exists():
+            return None
+        return decode_snapshot_file(path.read_bytes(), str(path))
+
+
+def decode_snapshot_file(
+    raw: bytes, source: str = "snapshot"
+) -> tuple[int, int, bytes]:
+    """Decodes a snapshot file.
+
+    Args:
+        raw: Its bytes.
+        source: Its name, for errors.
+
+    Returns:
+        Index, term and data.
+
+    Raises:
+        journal_lib.JournalError: It is damaged.
+    """
+    if zlib.crc32(raw[4:]).to_bytes(4, "big") != raw[:4]:
+        raise journal_lib.JournalError(f"{source}: the snapshot is damaged")
+    try:
+        return msgspec.msgpack.decode(raw[4:], type=tuple[int, int, bytes])
+    except msgspec.MsgspecError as error:
+        raise journal_lib.JournalError(f"{source}: {error}") from None
+
+
+def _truncate(log: log_lib.Log, start: int) -> None:
+    if log.base_index < start <= log.last_index:
+        log.truncate(start)
+
+
+def _entry_record(entry: log_lib.Entry) -> EntryRecord:
+    return EntryRecord(entry.index, entry.term, entry.kind, entry.data)
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between instances, encoded by Cap'n Proto."""
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -0,0 +1,68 @@
+"""All messages that may travel between instances, in schema order."""
+
+from chivelb_core.claims import messages as claim_messages
+from chivelb_core.consensus import messages as consensus_messages
+from chivelb_core.kept import messages as kept_messages
+from chivelb_core.membership import messages as membership_messages
+import msgspec
+
+from chivelb_node.wire import messages
+
+# The position is the field's ordinal: add at the end, never reorder.
+MESSAGES: tuple[type[msgspec.Struct], ...] = (
+    membership_messages.Ping,
+    membership_messages.PingRequest,
+    membership_messages.Ack,
+    consensus_messages.VoteRequest,
+    consensus_messages.VoteReply,
+    consensus_messages.Append,
+    consensus_messages.AppendReply,
+    consensus_messages.SnapshotPart,
+    consensus_messages.SnapshotReply,
+    consensus_messages.Disown,
+    claim_messages.ClaimRequest,
+    claim_messages.ClaimReply,
+    claim_messages.ClaimRelease,
+    claim_messages.ClaimSettle,
+    claim_messages.ClaimAck,
+    claim_messages.ListingRequest,
+    claim_messages.ListingReply,
+    claim_messages.KeeperHello,
+    kept_messages.CacheNews,
+    kept_messages.CacheListing,
+    kept_messages.Lookup,
+    kept_messages.LookupReply,
+    kept_messages.LeaseBlocks,
+    kept_messages.ReleaseBlocks,
+    kept_messages.ReserveBlocks,
+    kept_messages.SealBlocks,
+    kept_messages.TouchBlocks,
+    kept_messages.BlockRefs,
+    messages.VersionNews,
+    messages.Pull,
+    messages.Deltas,
+    messages.FullDocument,
+    messages.ChangeRequest,
+    messages.ChangeReply,
+    messages.LeaseRequest,
+    messages.LeaseReply,
+    messages.ReadRequest,
+    messages.ReadReply,
+    messages.TargetNews,
+    messages.TargetLeaving,
+    messages.Sends,
+    messages.SightingNews,
+    messages.StatusRequest,
+    messages.StatusReply,
+    messages.VoterHello,
+    messages.VoterState,
+    messages.JoinRequest,
+    messages.JoinReply,
+    messages.Refusal,
+)
+
+
+def field_name(message_type: type) -> str:
+    """Returns the name of a message's field in the envelope's union."""
+    name = message_type.__name__
+    return name[0].lower() + name[1:]
--- /dev/null
+++ b/tests/test_codes.py
@@ -0,0 +1,20 @@
+import pathlib
+
+from chivelb_core import codes
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "result-codes.md"
+
+
+def test_page_equals_table():
+    assert PAGE.read_text(encoding="utf-8") == codes.render_table()
+
+
+def test_numbers_and_names_are_unique():
+    assert len({code.number for code in codes.ALL}) == len(codes.ALL)
+    assert len({code.name for code in codes.ALL}) == len(codes.ALL)
+
+
+def test_a_code_that_invites_a_retry_says_when():
+    for code in codes.ALL:
+        if code.ran is codes.Ran.UNKNOWN:
+            assert code.retry is not codes.Retry.LATER, code.name
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,131 @@
+from chivelb_core.consensus import log
+from chivelb_core.consensus import messages as consensus_messages
+from chivelb_core.membership import messages as membership_messages
+from chivelb_node.wire import codec
+from chivelb_node.wire import schema
+from chivelb_node.wire import sealing
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+MEMBER = membership_messages.Member("a", "r", "z", "127.0.0.1:1", 3)
+SAMPLES = [
+    membership_messages.Ping(7, 3, [MEMBER]),
+    consensus_messages.Append(
+        "b", "a", 2, 1, 1, [log.Entry(2, 2, "change", b"\x00\xff")], 1, 9
+    ),
+]
+
+
+def test_committed_schema_equals_the_message_types():
+    committed = schema.SCHEMA_PATH.read_text(encoding="utf-8")
+    assert committed == schema.render_schema()
+
+
+@pytest.mark.parametrize("body", SAMPLES)
+def test_a_message_survives_the_wire(body):
+    envelope = codec.Envelope(body, request_id=5, reply_to=2**63)
+    assert codec.decode(codec.encode(envelope)) == envelope
+
+
+@settings(max_examples=400, derandomize=True, deadline=None)
+@given(strategies.binary(max_size=400))
+def test_garbage_is_an_error_and_nothing_else(data):
+    try:
+        codec.decode(data)
+    except codec.WireError:
+        pass
+
+
+@settings(max_examples=400, derandomize=True, deadline=None)
+@given(strategies.data())
+def test_a_damaged_message_is_an_error_or_a_message(data):
+    encoded = bytearray(codec.encode(codec.Envelope(SAMPLES[1])))
+    at = data.draw(strategies.integers(0, len(encoded) - 1))
+    encoded[at] = data.draw(strategies.integers(0, 255))
+    cut = data.draw(strategies.integers(0, len(encoded)))
+    try:
+        codec.decode(bytes(encoded[:cut]))
+    except codec.WireError:
+        pass
+
+
+def make_ring(tmp_path, text="k1 = " + "ab" * 32):
+    path = tmp_path / "keys"
+    path.write_text(text)
+    return sealing.KeyRing(path)
+
+
+def test_datagrams_are_authenticated_and_not_replayed(tmp_path):
+    ring = make_ring(tmp_path)
+    sender = sealing.DatagramSeal("a", ring)
+    receiver = sealing.DatagramSeal("b", ring)
+    first, second = sender.seal(b"one"), sender.seal(b"two")
+    assert receiver.open(second) == ("a", b"two")
+    assert receiver.open(first) == ("a", b"one")
+    for again in (first, second):
+        with pytest.raises(sealing.SealError, match="replayed"):
+            receiver.open(again)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(strategies.binary(max_size=120))
+def test_a_foreign_datagram_is_refused(tmp_path_factory, data):
+    ring = make_ring(tmp_path_factory.mktemp("ring"))
+    receiver = sealing.DatagramSeal("b", ring)
+    for datagram in (data, sealing.MAGIC + data):
+        with pytest.raises(sealing.SealError):
+            receiver.open(datagram)
+
+
+def test_a_wrong_key_gets_nothing(tmp_path):
+    ours = make_ring(tmp_path)
+    datagram = sealing.DatagramSeal("a", ours).seal(b"x")
+    (tmp_path / "keys").write_text("k1 = " + "cd" * 32)
+    theirs = sealing.KeyRing(tmp_path / "keys")
+    with pytest.raises(sealing.SealError, match="wrong"):
+        sealing.DatagramSeal("b", theirs).open(datagram)
+
+
+def test_frames_of_a_link_are_bound_to_their_place(tmp_path):
+    key = bytes(32)
+    dialler = sealing.make_greeting("k1", "a", "z")
+    acceptor = sealing.make_greeting("k1", "b", "z")
+    out = sealing.LinkSeal(key, dialler, acceptor, "out")
+    inward = sealing.LinkSeal(key, dialler, acceptor, "out")
+    first = out.seal(b"one")
+    second = out.seal(b"two")
+    with pytest.raises(sealing.SealError):
+        inward.check(second, b"two")
+    inward.check(first, b"one")
+    with pytest.raises(sealing.SealError):
+        inward.check(first, b"one")
+    inward.check(second, b"two")
+
+
+def test_keys_rotate_without_a_restart(tmp_path):
+    ring = make_ring(tmp_path)
+    old = sealing.DatagramSeal("a", ring).seal(b"x")
+    ring.path.write_text("k1 = " + "ab" * 32 + "\nk2 = " + "cd" * 32)
+    assert ring.refresh()
+    receiver = sealing.DatagramSeal("b", ring)
+    assert receiver.open(old) == ("a", b"x")
+    new = sealing.DatagramSeal("a", ring).seal(b"y")
+    ring.path.write_text("k2 = " + "cd" * 32)
+    assert ring.refresh()
+    with pytest.raises(sealing.SealError, match="unknown key"):
+        receiver.open(old)
+    assert receiver.open(new) == ("a", b"y")
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "k1", "k1 = zz", "k1 = abcd", "k1 = " + "a" * 33, "= " + "ab" * 32],
+)
+def test_a_bad_key_file_is_refused_and_leaves_the_keys(tmp_path, text):
+    ring = make_ring(tmp_path)
+    ring.path.write_text(text)
+    with pytest.raises(sealing.SealError):
+        ring.refresh()
+    assert list(ring.keys) == ["k1"]
