Bench: seeded workloads, checking client, scenarios and policies

Adds chivelb bench run, policies and compare over real processes with a client that checks every answer. The plain stand-in counted admin reads as executions, seen as five doubled calls; it now serves /admin/state apart.

--- /dev/null
+++ b/packages/chivelb-cli/chivelb_cli/commands/bench.py
@@ -0,0 +1,130 @@
+"""``chivelb bench``: workloads with faults, compared and reported."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+
+from chivelb_core.kept import keys as keys_lib
+import msgspec
+
+from chivelb_cli.bench import records
+from chivelb_cli.bench import running
+from chivelb_cli.bench import scenario as scenario_lib
+from chivelb_cli.bench import workloads
+
+EXIT_VIOLATION = 1
+EXIT_USAGE = 2
+# Each baseline with what its stores keep: those that never load keep none.
+CONTENDERS: dict[str, tuple[str, str]] = {
+    "random": ("random", "none"),
+    "round_robin": ("round_robin", "none"),
+    "least_loaded": ("least_loaded", "none"),
+    "prefix_affinity": ("prefix_affinity", "none"),
+    "recompute_always": ("recompute_always", "none"),
+    "load_always": ("load_always", "recency"),
+    "lru_keeping": ("expected_cost", "recency"),
+    "chivelb": ("expected_cost", "value"),
+}
+
+
+def add_parser(commands) -> None:
+    """Adds the subcommand."""
+    parser = commands.add_parser("bench", help="measure under load and faults")
+    kinds = parser.add_subparsers(dest="kind", required=True)
+    run_parser = kinds.add_parser("run", help="run a scenario file")
+    run_parser.add_argument("file")
+    run_parser.add_argument("--out", default="results")
+    run_parser.add_argument("--seed", type=int)
+    run_parser.add_argument("--logs", help="keep logs in this folder")
+    run_parser.set_defaults(run=run_file)
+    policies = kinds.add_parser("policies", help="all policies side by side")
+    policies.add_argument("workload", choices=sorted(workloads.SITES))
+    policies.add_argument("--seed", type=int, default=1)
+    policies.add_argument("--duration", type=float, default=30.0)
+    policies.add_argument("--load", type=float, default=1.0)
+    policies.add_argument("--only", action="append", default=[])
+    policies.add_argument("--out", default="results")
+    policies.set_defaults(run=run_policies)
+    compare = kinds.add_parser("compare", help="compare two results")
+    compare.add_argument("first")
+    compare.add_argument("second")
+    compare.set_defaults(run=run_compare)
+
+
+def run_file(arguments: argparse.Namespace) -> int:
+    """Runs a scenario file and writes its result."""
+    try:
+        scenario = scenario_lib.read_scenario(pathlib.Path(arguments.file))
+    except scenario_lib.ScenarioError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    if arguments.seed is not None:
+        scenario.seed = arguments.seed
+    folder = pathlib.Path(arguments.logs) if arguments.logs else None
+    result, notes = asyncio.run(running.run_scenario(scenario, folder=folder))
+    for note in notes:
+        print(note)
+    print_summary(result)
+    out = pathlib.Path(arguments.out) / f"{scenario.name}.json"
+    running.write_result(result, out)
+    return EXIT_VIOLATION if result.violations else 0
+
+
+def run_policies(arguments: argparse.Namespace) -> int:
+    """Runs the product and its baselines on one workload, one by one."""
+    results = []
+    for name, (policy, keeping) in CONTENDERS.items():
+        if arguments.only and name not in arguments.only:
+            continue
+        scenario = scenario_lib.Scenario(
+            name=f"{arguments.workload}-{name}",
+            workload=arguments.workload,
+            policy=policy,
+            keeping=keeping,
+            seed=arguments.seed,
+            duration_s=arguments.duration,
+            load=arguments.load,
+        )
+        result, _ = asyncio.run(running.run_scenario(scenario))
+        results.append(result)
+        print_summary(result)
+        out = pathlib.Path(arguments.out) / f"{scenario.name}.json"
+        running.write_result(result, out)
+    calls = running.plan(scenario)
+    oracle = workloads.oracle_share(
+        calls, keys_lib.BLOCK_BYTES, scenario.warm_s
+    )
+    print(f"oracle: recomputed share {oracle:.3f}")
+    return EXIT_VIOLATION if any(r.violations for r in results) else 0
+
+
+def print_summary(result: records.Result) -> None:
+    """Prints the figures of a result on one line, violations on more."""
+    s = result.summary
+    print(
+        f"{result.name:<28} sent {s.sent:<5} answered {s.answered:<5} "
+        f"refused {s.refused:<4} unknown {s.unknown:<3} lost {s.lost} "
+        f"wrong {s.wrong} doubled {s.doubled} | ttft p50 "
+        f"{s.first_token_p50_s * 1e3:.0f} p95 "
+        f"{s.first_token_p95_s * 1e3:.0f} ms | gap p95 "
+        f"{s.token_gap_p95_s * 1e3:.0f} ms | recomputed "
+        f"{s.recomputed_share:.3f} | link {s.link_bytes / 1e6:.0f} MB",
+        flush=True,
+    )
+    for violation in result.violations:
+        print(f"  VIOLATION: {violation}")
+
+
+def run_compare(arguments: argparse.Namespace) -> int:
+    """Prints the ratios of two results."""
+    first = running.read_result(pathlib.Path(arguments.first))
+    second = running.read_result(pathlib.Path(arguments.second))
+    print(f"{'':<22}{first.name:>24}{second.name:>24}{'ratio':>10}")
+    for field in msgspec.structs.fields(records.Summary):
+        before = getattr(first.summary, field.name)
+        after = getattr(second.summary, field.name)
+        ratio = f"{after / before:.2f}" if before else "-"
+        print(f"{field.name:<22}{before:>24.4g}{after:>24.4g}{ratio:>10}")
+    violations = first.violations + second.violations
+    return EXIT_VIOLATION if violations else 0
--- a/packages/chivelb-cli/chivelb_cli/lab/service.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/service.py
@@ -35,6 +35,7 @@
         """Returns the routes."""
         app = web.Application(client_max_size=64 << 20)
         app.router.add_get("/admin/executions", self.list_executions)
+        app.router.add_get("/admin/state", self.state)
         app.router.add_post("/admin/leave", self.leave)
         self.fault_handlers.add_routes(app)
         app.router.add_route("*", "/{path:.*}", self.execute)
@@ -83,6 +84,13 @@
             content_type="application/json",
         )
 
+    async def state(self, request: web.Request) -> web.Response:
+        """Tells tests how much ran."""
+        return web.Response(
+            body=msgspec.json.encode({"executed": len(self.executions)}),
+            content_type="application/json",
+        )
+
     async def leave(self, request: web.Request) -> web.Response:
         """Starts a planned leave."""
         self.ready = "leaving"
--- a/packages/chivelb-cli/chivelb_cli/main.py
+++ b/packages/chivelb-cli/chivelb_cli/main.py
@@ -3,6 +3,7 @@
 import argparse
 import sys
 
+from chivelb_cli.commands import bench
 from chivelb_cli.commands import demo
 from chivelb_cli.commands import operate
 from chivelb_cli.commands import settings as settings_command
@@ -18,6 +19,7 @@
     operate.add_parsers(commands)
     settings_command.add_parsers(commands)
     demo.add_parser(commands)
+    bench.add_parser(commands)
     lab = commands.add_parser("lab", help="stand-ins, one a process")
     lab_options.add_parsers(lab)
     return parser
