Name shards by an anchor behind the shared opening; close sessions last

Cause: the first block is the workspace's shared opening, so one shard and one store took a whole workspace, and the return model saw every call of a workspace as a return. The anchor (8th block) names shard and store; a visit is matched by the last block of the visit before.

Ruled out: hashing on the last block (a grown prompt would change shards).

--- a/packages/chivelb-cli/chivelb_cli/fleet.py
+++ b/packages/chivelb-cli/chivelb_cli/fleet.py
@@ -335,10 +335,21 @@
         """
         for name in names if names is not None else list(self.entries):
             await wait_for(
-                lambda name=name: _is_ready(session, self.entries[name].url),
+                lambda name=name: self._is_ready(session, name),
                 f"{name} to be ready",
             )
 
+    async def _is_ready(
+        self, session: aiohttp.ClientSession, name: str
+    ) -> bool:
+        entry = self.entries[name]
+        code = entry.process.poll()
+        if code is not None:
+            log = self.folder / f"{name}.log"
+            tail = log.read_text(errors="replace")[-800:]
+            raise RuntimeError(f"{name} ended with code {code}: {tail}")
+        return await _is_ready(session, entry.url)
+
     async def wait_targets(
         self, session: aiohttp.ClientSession, count: int
     ) -> None:
--- a/packages/chivelb-cli/chivelb_cli/lab/engine.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/engine.py
@@ -204,7 +204,7 @@
                 keys = self._keys(sequence)
                 if keys:
                     self.cache.insert(
-                        keys[0],
+                        kept.anchor_key(keys),
                         [(key, answers.block_content(key)) for key in keys],
                     )
                 sequence.state = "decode"
--- a/packages/chivelb-cli/chivelb_cli/lab/prefix_cache.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/prefix_cache.py
@@ -14,7 +14,7 @@
 
     Attributes:
         capacity: Most blocks.
-        blocks: Content and prompt root by key, least recently used first.
+        blocks: Content and anchor by key, least recently used first.
     """
 
     def __init__(
@@ -55,14 +55,14 @@
             if key in self.blocks:
                 self.blocks.move_to_end(key)
 
-    def insert(self, root: str, contents: list[tuple[str, bytes]]) -> None:
+    def insert(self, anchor: str, contents: list[tuple[str, bytes]]) -> None:
         """Adds blocks of one prompt, evicting others."""
         new = [item for item in contents if item[0] not in self.blocks]
         for key, content in new:
-            self.blocks[key] = (content, root)
+            self.blocks[key] = (content, anchor)
         self.use([key for key, _ in contents])
         if new:
-            self._publish("stored", root, [key for key, _ in new])
+            self._publish("stored", anchor, [key for key, _ in new])
         dropped: dict[str, list[str]] = {}
         while len(self.blocks) > self.capacity:
             key, (_, owner) = self.blocks.popitem(last=False)
@@ -81,9 +81,9 @@
         """Drops everything, as a change of weights does."""
         self.drop(list(self.blocks))
 
-    def _publish(self, kind: str, root: str, keys: list[str]) -> None:
+    def _publish(self, kind: str, anchor: str, keys: list[str]) -> None:
         self._sequence += 1
-        event = directory_lib.CacheEvent(self._sequence, kind, root, keys)
+        event = directory_lib.CacheEvent(self._sequence, kind, anchor, keys)
         due = time.monotonic() + self._event_lag_s
         self._events.append((due, event))
 
@@ -97,13 +97,13 @@
     def listing(self) -> directory_lib.Listing:
         """Returns all that is held, as of the newest event."""
         prompts: dict[str, list[str]] = {}
-        for key, (_, root) in self.blocks.items():
-            prompts.setdefault(root, []).append(key)
+        for key, (_, anchor) in self.blocks.items():
+            prompts.setdefault(anchor, []).append(key)
         self._events.clear()
         return directory_lib.Listing(
             self._sequence,
             [
-                directory_lib.ListedBlocks(root, keys)
-                for root, keys in prompts.items()
+                directory_lib.ListedBlocks(anchor, keys)
+                for anchor, keys in prompts.items()
             ],
         )
--- a/packages/chivelb-cli/chivelb_cli/lab/runner.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/runner.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from aiohttp import web
+from chivelb_core import kept
 from chivelb_core import targets
 from chivelb_core.kept import messages as kept_messages
 import msgspec
@@ -177,7 +178,7 @@
         keys = self.engine._keys(sequence)
         try:
             if keys:
-                await self.transfers.load(keys[0], body.imports)
+                await self.transfers.load(kept.anchor_key(keys), body.imports)
         finally:
             if sequence.state == "waiting":
                 self.engine.submit(sequence)
--- a/packages/chivelb-cli/chivelb_cli/lab/store.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/store.py
@@ -42,12 +42,12 @@
     """Body of ``POST /write``.
 
     Attributes:
-        root: Key of the prompt's first block.
+        anchor: The prompt's anchor.
         refs: The blocks.
         contents: What they hold.
     """
 
-    root: str
+    anchor: str
     refs: list[kept_messages.BlockRef]
     contents: list[bytes]
 
@@ -190,7 +190,7 @@
             )
         if sealed:
             self._events.insert(
-                body.root,
+                body.anchor,
                 [(ref.key, b"") for ref in sealed],
             )
         return _reply(msgspec.to_builtins(sealed))
--- a/packages/chivelb-cli/chivelb_cli/lab/transfers.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/transfers.py
@@ -50,7 +50,7 @@
             )
         return self._session
 
-    async def load(self, root: str, order: ImportOrder) -> None:
+    async def load(self, anchor: str, order: ImportOrder) -> None:
         """Loads blocks into the cache, as far as they can be verified."""
         refs = [ref for ref in order.refs if ref.key not in self.cache.blocks]
         if not refs:
@@ -58,13 +58,13 @@
         last = refs[-1].key
         flight = self._flights.get(last)
         if flight is None:
-            flight = asyncio.create_task(self._fetch(root, order.store, refs))
+            flight = asyncio.create_task(self._fetch(anchor, order.store, refs))
             self._flights[last] = flight
             flight.add_done_callback(lambda _: self._flights.pop(last, None))
         await asyncio.shield(flight)
 
     async def _fetch(
-        self, root: str, store: str, refs: list[kept_messages.BlockRef]
+        self, anchor: str, store: str, refs: list[kept_messages.BlockRef]
     ) -> None:
         body = msgspec.json.encode({"refs": msgspec.to_builtins(refs)})
         contents = []
@@ -85,7 +85,7 @@
             contents.append((ref.key, content))
         await self.link.transfer(sum(ref.length for ref in refs))
         if contents:
-            self.cache.insert(root, contents)
+            self.cache.insert(anchor, contents)
 
     async def store(
         self, store: str, refs: list[kept_messages.BlockRef]
@@ -104,7 +104,7 @@
             return []
         body = msgspec.json.encode(
             {
-                "root": self.cache.blocks[held[0].key][1],
+                "anchor": self.cache.blocks[held[0].key][1],
                 "refs": msgspec.to_builtins(held),
                 "contents": contents,
             }
--- a/packages/chivelb-core/chivelb_core/kept/directory.py
+++ b/packages/chivelb-core/chivelb_core/kept/directory.py
@@ -13,20 +13,20 @@
     Attributes:
         sequence: Number of the event, without gaps at the source.
         kind: ``stored`` or ``dropped``.
-        root: Key of the prompt's first block, which names the shard.
+        anchor: Key that names the prompt's shard.
         keys: The block keys.
     """
 
     sequence: int
     kind: Literal["stored", "dropped"]
-    root: str
+    anchor: str
     keys: list[str]
 
 
 class ListedBlocks(msgspec.Struct, rename="camel", frozen=True):
     """Blocks of one prompt in a target's listing."""
 
-    root: str
+    anchor: str
     keys: list[str]
 
 
@@ -169,7 +169,11 @@
             del self._by_number[holder.number]
 
     def lookup(self, keys: list[str]) -> dict[str, int]:
-        """Returns how many leading blocks each target holds.
+        """Returns how many leading blocks each target seems to hold.
+
+        A block's key stands for the whole chain before it, so the deepest
+        block that a target holds tells its prefix; blocks that it dropped
+        before that one cost time and never an answer.
 
         Args:
             keys: The keys of a prompt's blocks, in order.
@@ -177,24 +181,12 @@
         Returns:
             Lengths of the held prefixes in blocks, by identity.
         """
-        lengths: dict[int, int] = {}
-        alive: tuple[int, ...] | set[int] | None = None
-        for position, key in enumerate(keys):
-            numbers = self.blocks.get(key)
-            if not numbers:
-                break
-            if alive is None:
-                alive = set(numbers)
-            else:
-                alive = alive.intersection(numbers)
-            if not alive:
-                break
-            for number in alive:
-                lengths[number] = position + 1
-        return {
-            self._by_number[number].identity: length
-            for number, length in lengths.items()
-        }
+        lengths: dict[str, int] = {}
+        for position in range(len(keys), 0, -1):
+            for number in self.blocks.get(keys[position - 1], ()):
+                identity = self._by_number[number].identity
+                lengths.setdefault(identity, position)
+        return lengths
 
     def _add(self, holder: Holder, keys: Iterable[str]) -> None:
         for key in keys:
--- a/packages/chivelb-core/chivelb_core/kept/keys.py
+++ b/packages/chivelb-core/chivelb_core/kept/keys.py
@@ -11,6 +11,7 @@
 BLOCK_TOKENS = 64
 BLOCK_BYTES = BYTES_PER_TOKEN * BLOCK_TOKENS
 KEY_BYTES = 16
+ANCHOR_BLOCKS = 8
 
 
 def count_tokens(text: bytes) -> int:
@@ -65,3 +66,20 @@
         2
     """
     return list(iterate_keys(salt, version, prompt))
+
+
+def anchor_key(keys: list[str]) -> str:
+    """Returns the key that names a prompt's directory shard and store.
+
+    It lies behind the opening that a workspace's prompts usually share, so
+    that one busy workspace does not load one shard; see
+    docs/design/kept-cache.md.
+
+    Args:
+        keys: Keys of the prompt's blocks, in order; at least one.
+
+    Example:
+        >>> anchor_key(["a", "b"])
+        'b'
+    """
+    return keys[min(len(keys), ANCHOR_BLOCKS) - 1]
--- a/packages/chivelb-core/chivelb_core/kept/returns.py
+++ b/packages/chivelb-core/chivelb_core/kept/returns.py
@@ -63,7 +63,8 @@
 
     Attributes:
         workspaces: Gaps by workspace tag.
-        last_seen: Time of the last visit by prompt root, oldest first.
+        last_seen: Time of the last visit by the key of a prompt's last
+            block, oldest first.
     """
 
     __slots__ = ("workspaces", "last_seen", "max_prompts")
@@ -80,22 +81,31 @@
         )
         self.max_prompts = max_prompts
 
-    def visit(self, workspace: str, root: str, now: float) -> float | None:
+    def visit(
+        self, workspace: str, keys: list[str], now: float
+    ) -> float | None:
         """Counts a visit.
 
+        A prompt that has grown since its last visit still has that visit's
+        last block among its later half.
+
         Args:
             workspace: Tag of the workspace.
-            root: Key that stands for the prompt.
+            keys: Keys of the prompt's blocks, in order; at least one.
             now: Time in seconds.
 
         Returns:
             The gap since the visit before in seconds, or None.
         """
-        before = self.last_seen.pop(root, None)
-        self.last_seen[root] = now
+        gap = None
+        for position in range(len(keys) - 1, len(keys) // 2 - 1, -1):
+            before = self.last_seen.pop(keys[position], None)
+            if before is not None:
+                gap = now - before
+                break
+        self.last_seen[keys[-1]] = now
         if len(self.last_seen) > self.max_prompts:
             self.last_seen.popitem(last=False)
-        gap = None if before is None else now - before
         self.histogram(workspace).note(gap)
         return gap
 
--- a/packages/chivelb-core/chivelb_core/routing/policies.py
+++ b/packages/chivelb-core/chivelb_core/routing/policies.py
@@ -17,7 +17,7 @@
 def expected_cost(
     candidates: list[cost_lib.Candidate],
     prompt_tokens: int,
-    root: str,
+    anchor: str,
     weights: cost_lib.Weights,
     rng: random.Random,
 ) -> cost_lib.Choice:
@@ -54,7 +54,7 @@
 def random_choice(
     candidates: list[cost_lib.Candidate],
     prompt_tokens: int,
-    root: str,
+    anchor: str,
     weights: cost_lib.Weights,
     rng: random.Random,
 ) -> cost_lib.Choice:
@@ -69,7 +69,7 @@
     def round_robin(
         candidates: list[cost_lib.Candidate],
         prompt_tokens: int,
-        root: str,
+        anchor: str,
         weights: cost_lib.Weights,
         rng: random.Random,
     ) -> cost_lib.Choice:
@@ -84,7 +84,7 @@
 def least_loaded(
     candidates: list[cost_lib.Candidate],
     prompt_tokens: int,
-    root: str,
+    anchor: str,
     weights: cost_lib.Weights,
     rng: random.Random,
 ) -> cost_lib.Choice:
@@ -99,19 +99,19 @@
 def prefix_affinity(
     candidates: list[cost_lib.Candidate],
     prompt_tokens: int,
-    root: str,
+    anchor: str,
     weights: cost_lib.Weights,
     rng: random.Random,
 ) -> cost_lib.Choice:
-    """Takes the target that the first block's key hashes to."""
-    chosen = max(candidates, key=lambda c: hash_weight(root, c.identity))
+    """Takes the target that the prompt's anchor hashes to."""
+    chosen = max(candidates, key=lambda c: hash_weight(anchor, c.identity))
     return _local(chosen, prompt_tokens)
 
 
 def recompute_always(
     candidates: list[cost_lib.Candidate],
     prompt_tokens: int,
-    root: str,
+    anchor: str,
     weights: cost_lib.Weights,
     rng: random.Random,
 ) -> cost_lib.Choice:
@@ -125,12 +125,12 @@
 def load_always(
     candidates: list[cost_lib.Candidate],
     prompt_tokens: int,
-    root: str,
+    anchor: str,
     weights: cost_lib.Weights,
     rng: random.Random,
 ) -> cost_lib.Choice:
     """Takes the least loaded target and loads all that a store holds."""
-    choice = least_loaded(candidates, prompt_tokens, root, weights, rng)
+    choice = least_loaded(candidates, prompt_tokens, anchor, weights, rng)
     chosen = next(c for c in candidates if c.identity == choice.identity)
     extra = chosen.stored_tokens - chosen.held_tokens
     if extra > 0:
@@ -168,7 +168,7 @@
     candidates: list[cost_lib.Candidate],
     *,
     prompt_tokens: int,
-    root: str,
+    anchor: str,
     goal: str,
     rng: random.Random,
 ) -> cost_lib.Choice | None:
@@ -178,7 +178,7 @@
         policy: One of ``make_policies``.
         candidates: Eligible targets with room; may be empty.
         prompt_tokens: Length of the prompt.
-        root: Key of the prompt's first block; empty when it has none.
+        anchor: The prompt's anchor; empty when it has none.
         goal: Name of the goal whose prices apply.
         rng: Source of randomness.
 
@@ -188,4 +188,4 @@
     if not candidates:
         return None
     weights = cost_lib.GOALS[goal]
-    return policy(candidates, prompt_tokens, root, weights, rng)
+    return policy(candidates, prompt_tokens, anchor, weights, rng)
--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -81,25 +81,25 @@
             self.keeping = keeping.KeeperService(self.context, self.hub)
         self.server: server_lib.HttpServer | None = None
         self.parts: list[mode.Service] = []
-        self._session = None
 
     async def on_start(self) -> None:
         """Starts the services, from the links up to the HTTP server."""
-        self._session = runners.make_session()
+        sessions = runners.SessionService()
+        session = sessions.session
         cache = cache_lib.CacheService(
-            self.context, self.hub, self.gossip, self._session
+            self.context, self.hub, self.gossip, session
         )
         dispatcher = dispatch.Dispatcher(self.context, cache.best_store)
         runner = model_calls.ModelCalls(
             self.context,
             dispatcher,
-            self._session,
+            session,
             cache,
             self.sharing.spread_sighting,
         )
         claimed_calls = claimed.ClaimedCalls(self.claims, runner)
-        plain = plain_calls.PlainCalls(self.context, self.claims, self._session)
-        resumed = resume.ResumedCalls(self.context, self._session)
+        plain = plain_calls.PlainCalls(self.context, self.claims, session)
+        resumed = resume.ResumedCalls(self.context, session)
         self.server = server_lib.HttpServer(
             self.context,
             [
@@ -113,6 +113,7 @@
             ],
         )
         services = [
+            sessions,
             self.hub,
             self.gossip,
             self.keeping,
@@ -149,11 +150,6 @@
         )
         return [handlers]
 
-    async def on_stop(self) -> None:
-        """Closes the client session."""
-        if self._session is not None:
-            await self._session.close()
-
 
 async def serve(settings: settings_lib.Settings) -> int:
     """Runs an instance until it is asked to stop.
--- a/packages/chivelb-node/chivelb_node/edge/dispatch.py
+++ b/packages/chivelb-node/chivelb_node/edge/dispatch.py
@@ -167,7 +167,7 @@
             context.policies[service.policy],
             [self._candidate(call, record, now) for record in usable],
             prompt_tokens=call.prompt_tokens,
-            root=call.root,
+            anchor=call.anchor,
             goal=service.goal,
             rng=context.rng,
         )
--- a/packages/chivelb-node/chivelb_node/edge/parsing.py
+++ b/packages/chivelb-node/chivelb_node/edge/parsing.py
@@ -86,10 +86,10 @@
         return known
 
     @property
-    def root(self) -> str:
-        """Key of the first block, or empty for a short prompt."""
+    def anchor(self) -> str:
+        """The prompt's anchor, or empty for a short prompt."""
         keys = self.keys(self.versions[0])
-        return keys[0] if keys else ""
+        return kept.anchor_key(keys) if keys else ""
 
 
 def new_request_id(cache_secret: str) -> str:
--- a/packages/chivelb-node/chivelb_node/links/cache.py
+++ b/packages/chivelb-node/chivelb_node/links/cache.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 import aiohttp
+from chivelb_core import kept
 from chivelb_core import routing
 from chivelb_core import targets
 from chivelb_core.kept import directory as directory_lib
@@ -117,7 +118,7 @@
         """Returns the instance that owns a prompt's directory shard.
 
         Args:
-            key: Key of the prompt's first block.
+            key: The prompt's anchor.
         """
         members = self.gossip.region_members()
         return max(members, key=lambda name: policies.hash_weight(key, name))
@@ -135,7 +136,9 @@
                 continue
             lookup = kept_messages.Lookup(keys, call.salt[:16])
             reply = await self.hub.request(
-                self.shard_owner(keys[0]), lookup, LOOKUP_TIMEOUT_S
+                self.shard_owner(kept.anchor_key(keys)),
+                lookup,
+                LOOKUP_TIMEOUT_S,
             )
             if isinstance(reply, kept_messages.LookupReply):
                 call.chance = reply.chance
@@ -181,7 +184,7 @@
     ) -> kept_messages.LookupReply:
         now = context_lib.monotonic()
         if lookup.keys:
-            self.returns.visit(lookup.workspace, lookup.keys[0], now)
+            self.returns.visit(lookup.workspace, lookup.keys, now)
         found = self.context.directory.lookup(lookup.keys)
         holdings = [
             kept_messages.Holding(identity, blocks)
@@ -199,7 +202,9 @@
         """Passes a target's events on to the shards of their prompts."""
         by_owner: dict[str, list[directory_lib.CacheEvent]] = {}
         for event in events:
-            by_owner.setdefault(self.shard_owner(event.root), []).append(event)
+            by_owner.setdefault(self.shard_owner(event.anchor), []).append(
+                event
+            )
         for owner, owned in by_owner.items():
             self._tell(
                 owner, kept_messages.CacheNews(identity, incarnation, owned)
@@ -218,7 +223,7 @@
             name: [] for name in self.gossip.region_members()
         }
         for prompt in listing.prompts:
-            by_owner[self.shard_owner(prompt.root)] += prompt.keys
+            by_owner[self.shard_owner(prompt.anchor)] += prompt.keys
         for owner, keys in by_owner.items():
             self._tell(
                 owner, kept_messages.CacheListing(identity, incarnation, keys)
@@ -329,7 +334,7 @@
         keys = call.keys(record.weight_version)
         if len(keys) < MIN_EXPORT_BLOCKS or keys[-1] in self._exporting:
             return
-        store = self._pick_store(keys[0])
+        store = self._pick_store(kept.anchor_key(keys))
         if store is None:
             return
         service = self.context.document.services[call.service]
@@ -349,7 +354,7 @@
             self._export(call, record, store, keys, block_bytes, value)
         )
 
-    def _pick_store(self, root: str) -> targets.TargetRecord | None:
+    def _pick_store(self, anchor: str) -> targets.TargetRecord | None:
         now = context_lib.monotonic()
         alive = [
             entry.record
@@ -361,7 +366,7 @@
             return None
         return max(
             alive,
-            key=lambda record: policies.hash_weight(root, record.identity),
+            key=lambda record: policies.hash_weight(anchor, record.identity),
         )
 
     async def _export(
--- a/packages/chivelb-node/chivelb_node/links/runners.py
+++ b/packages/chivelb-node/chivelb_node/links/runners.py
@@ -9,6 +9,7 @@
 from chivelb_core import codes
 from chivelb_core import targets
 from chivelb_core.calls import attempt as attempt_lib
+import mode
 import msgspec
 
 from chivelb_node.links import events
@@ -62,6 +63,23 @@
     return hashlib.blake2b(identity.encode(), digest_size=4).hexdigest()
 
 
+class SessionService(mode.Service):
+    """Owns the client session for targets; stops after all its users.
+
+    Attributes:
+        session: The session, open while the service runs.
+    """
+
+    def __init__(self) -> None:
+        """Creates the service."""
+        super().__init__()
+        self.session = make_session()
+
+    async def on_stop(self) -> None:
+        """Closes the session."""
+        await self.session.close()
+
+
 def make_session() -> aiohttp.ClientSession:
     """Returns a client session for targets with capped idle reuse."""
     connector = aiohttp.TCPConnector(
