Proof by state machines: control group, claims, membership

Cause: consensus, claims and SWIM had no proof.

(2) A rolled-back voter denied its entries once, then caught up, and was never found out; a denial of a message sent after the acknowledgement is proof now. Ruled out for (2): two denials in a row, which never come.

--- a/packages/chivelb-core/chivelb_core/claims/keeper.py
+++ b/packages/chivelb-core/chivelb_core/claims/keeper.py
@@ -17,6 +17,7 @@
 
     GRANTED = "granted"
     SETTLED = "settled"
+    CONTESTED = "contested"
 
 
 class ClaimRecord(msgspec.Struct, array_like=True):
@@ -26,7 +27,8 @@
         key: Digest of workspace and request key.
         claim_id: The claim that holds it.
         digest: Digest of the request.
-        state: Granted or settled.
+        state: Granted, settled, or contested: copied from keepers that name
+            different holders, so that it is granted to nobody.
         outcome: Encoded outcome of a settled claim.
         written_at: Unix time of the newest write, in seconds.
     """
@@ -63,6 +65,19 @@
 Stored = StoredClaim | ReleaseRecord | WitnessRecord
 
 
+def _merge(known: ClaimRecord, other: ClaimRecord) -> ClaimRecord:
+    """Returns what two keepers' words on a key come to."""
+    if known.state is ClaimState.SETTLED:
+        return known
+    if other.state is ClaimState.SETTLED:
+        return other
+    if known.state is ClaimState.CONTESTED:
+        return known
+    if known.claim_id == other.claim_id and (other.state is ClaimState.GRANTED):
+        return known
+    return msgspec.structs.replace(known, state=ClaimState.CONTESTED)
+
+
 class Keeper:
     """Claims by key.
 
@@ -137,7 +152,10 @@
             self._write(StoredClaim(record))
         return messages.ClaimReply(
             keeper=self.name,
-            granted=record.claim_id == request.claim_id,
+            granted=(
+                record.claim_id == request.claim_id
+                and record.state is not ClaimState.CONTESTED
+            ),
             holder=record.claim_id,
             digest=record.digest,
             settled=record.state is ClaimState.SETTLED,
@@ -148,7 +166,7 @@
         """Frees a key that its owner never dispatched."""
         record = self.records.get(request.key)
         holds = record is not None and record.claim_id == request.claim_id
-        if holds:
+        if holds and record.state is not ClaimState.CONTESTED:
             assert record.state is ClaimState.GRANTED, (
                 "a settled claim can't be released"
             )
@@ -194,7 +212,11 @@
                 self.records[record.key] = record
             case ReleaseRecord(key, claim_id, written_at):
                 record = self.records.get(key)
-                if record is not None and record.claim_id == claim_id:
+                if (
+                    record is not None
+                    and record.claim_id == claim_id
+                    and record.state is ClaimState.GRANTED
+                ):
                     del self.records[key]
                 self.released[claim_id] = written_at
             case WitnessRecord(keeper, sequence):
@@ -203,17 +225,15 @@
     def take_listing(self, records: list[ClaimRecord]) -> None:
         """Takes claims of another keeper after a lost disk.
 
-        A settled claim replaces a granted one; where two keepers name
-        different holders the first is kept, which only refuses more.
+        Where two keepers name different holders, the lost disk may have
+        made either of them the majority's: nobody is granted the key.
         """
         for record in records:
             known = self.records.get(record.key)
-            if known is None or (
-                known.claim_id == record.claim_id
-                and record.state is ClaimState.SETTLED
-            ):
-                self.records[record.key] = record
-                self._write(StoredClaim(record))
+            merged = record if known is None else _merge(known, record)
+            if merged is not known:
+                self.records[record.key] = merged
+                self._write(StoredClaim(merged))
 
     def page(self, after: str) -> tuple[list[ClaimRecord], bool]:
         """Returns the claims whose keys follow ``after``, and if more do."""
--- a/packages/chivelb-core/chivelb_core/consensus/voter.py
+++ b/packages/chivelb-core/chivelb_core/consensus/voter.py
@@ -55,8 +55,8 @@
         acked_round: Newest heartbeat round that it answered.
         sent_at: Time of the newest append, in seconds.
         part_offset: Offset of the snapshot piece under way, or None.
-        doubt_round: Round in which it first denied an acknowledged entry,
-            or None.
+        match_round: First round whose messages were sent after
+            ``match_index`` was known.
         rolled_back: Whether it lost entries that it had acknowledged.
     """
 
@@ -66,7 +66,7 @@
     acked_round: int = 0
     sent_at: float = float("-inf")
     part_offset: int | None = None
-    doubt_round: int | None = None
+    match_round: int = 0
     rolled_back: bool = False
 
 
@@ -591,7 +591,7 @@
         progress.heard_at = now
         progress.acked_round = max(progress.acked_round, reply.round)
         if reply.ok:
-            progress.match_index = max(progress.match_index, reply.match_index)
+            self._raise_match(progress, reply.match_index)
             progress.next_index = max(
                 progress.next_index, progress.match_index + 1
             )
@@ -606,15 +606,20 @@
         )
         self._send_append(reply.from_member, now)
 
+    def _raise_match(self, progress: Progress, index: int) -> None:
+        if index > progress.match_index:
+            progress.match_index = index
+            self._round += 1
+            progress.match_round = self._round
+
     def _doubt(self, reply: messages.AppendReply, progress: Progress) -> None:
         """Finds out whether a member lost entries that it acknowledged.
 
         A late reply may deny them as well, so only a reply to a message
-        sent after the first denial is proof; see docs/design/consensus.md.
+        sent after the acknowledgement is proof; see
+        docs/design/consensus.md.
         """
-        if progress.doubt_round is None:
-            progress.doubt_round = self._round
-        elif reply.round > progress.doubt_round:
+        if reply.round >= progress.match_round:
             progress.rolled_back = True
         if progress.rolled_back:
             self._send(
@@ -642,7 +647,7 @@
             progress.part_offset = None
         elif reply.offset >= len(self.snapshot_data):
             progress.part_offset = None
-            progress.match_index = max(progress.match_index, reply.index)
+            self._raise_match(progress, reply.index)
             progress.next_index = max(progress.next_index, reply.index + 1)
         else:
             progress.part_offset = reply.offset
--- a/packages/chivelb-core/chivelb_core/kept/returns.py
+++ b/packages/chivelb-core/chivelb_core/kept/returns.py
@@ -6,8 +6,8 @@
 
 FIRST_BUCKET_S = 1.0
 BUCKETS = 24
-PRIOR_RETURNS = 1.0
-PRIOR_PROMPTS = 3.0
+PRIOR_RETURNS = 0.3
+PRIOR_PROMPTS = 1.0
 HALVE_ABOVE = 4_000.0
 MAX_PROMPTS = 50_000
 
@@ -42,20 +42,32 @@
             self.prompts /= 2
             self.gaps = [count / 2 for count in self.gaps]
 
-    def chance(self, elapsed_s: float = 0.0) -> float:
-        """Returns the chance that a prompt still returns.
+    def chance(
+        self, elapsed_s: float = 0.0, horizon_s: float = math.inf
+    ) -> float:
+        """Returns the chance that a prompt returns within a horizon.
 
         Args:
             elapsed_s: Time since its last visit.
+            horizon_s: Time from now within which a return counts.
 
         Returns:
             A share from 0 to 1; a prior counts while little is known.
         """
-        start = gap_bucket(elapsed_s)
-        returned_before = sum(self.gaps[:start])
-        returns_after = sum(self.gaps[start:])
-        left = max(self.prompts - returned_before, returns_after)
-        return (returns_after + PRIOR_RETURNS) / (left + PRIOR_PROMPTS)
+        before = self._count_below(elapsed_s)
+        within = self._count_below(elapsed_s + horizon_s) - before
+        left = max(self.prompts - before, within)
+        return (within + PRIOR_RETURNS) / (left + PRIOR_PROMPTS)
+
+    def _count_below(self, gap_s: float) -> float:
+        """Returns how many gaps are shorter, within a bucket by its share."""
+        if gap_s == math.inf:
+            return sum(self.gaps)
+        bucket = gap_bucket(gap_s)
+        start = FIRST_BUCKET_S * 2 ** (bucket - 1) if bucket else 0.0
+        width = max(start, FIRST_BUCKET_S)
+        share = min(1.0, (gap_s - start) / width)
+        return sum(self.gaps[:bucket]) + self.gaps[bucket] * share
 
 
 class ReturnModel:
@@ -116,6 +128,11 @@
             found = self.workspaces[workspace] = GapHistogram()
         return found
 
-    def chance(self, workspace: str, elapsed_s: float = 0.0) -> float:
+    def chance(
+        self,
+        workspace: str,
+        elapsed_s: float = 0.0,
+        horizon_s: float = math.inf,
+    ) -> float:
         """Returns the chance that a workspace's prompt still returns."""
-        return self.histogram(workspace).chance(elapsed_s)
+        return self.histogram(workspace).chance(elapsed_s, horizon_s)
--- a/packages/chivelb-core/chivelb_core/kept/store_table.py
+++ b/packages/chivelb-core/chivelb_core/kept/store_table.py
@@ -8,7 +8,9 @@
 
 LEASE_S = 10.0
 WRITE_TIMEOUT_S = 10.0
-SHARE_PRESSURE = 2.0
+MIN_HORIZON_S = 2.0
+MAX_HORIZON_S = 86_400.0
+POSITION_STEP = 1e-12
 FULL_SHARE = 0.95
 RESERVE_SHARE = 0.90
 
@@ -50,25 +52,27 @@
     leases: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
-Scorer = Callable[[Block, float], float]
+Scorer = Callable[[Block, float, float], float]
 
 
-def score_by_recency(block: Block, now: float) -> float:
+def score_by_recency(block: Block, now: float, horizon_s: float) -> float:
     """Scores by the last use alone; the baseline for keeping."""
     return block.touched_at - now
 
 
-def make_value_scorer(chance: Callable[[str, float], float]) -> Scorer:
+def make_value_scorer(
+    chance: Callable[[str, float, float], float],
+) -> Scorer:
     """Returns a scorer by the expected saving of a block.
 
     Args:
-        chance: Chance of a return by workspace and seconds since its last
-            visit.
+        chance: Chance of a return by workspace, seconds since its last
+            visit, and horizon in seconds.
     """
 
-    def score_by_value(block: Block, now: float) -> float:
+    def score_by_value(block: Block, now: float, horizon_s: float) -> float:
         elapsed = now - block.touched_at
-        return chance(block.workspace, elapsed) * block.value
+        return chance(block.workspace, elapsed, horizon_s) * block.value
 
     return score_by_value
 
@@ -95,17 +99,24 @@
         "_score",
         "_no_frees_before",
         "_readers",
-        "_used_by",
+        "_written",
+        "_started_at",
     )
 
     def __init__(
-        self, capacity: int, score: Scorer, *, no_frees_before: float = 0.0
+        self,
+        capacity: int,
+        score: Scorer,
+        *,
+        now: float = 0.0,
+        no_frees_before: float = 0.0,
     ) -> None:
         """Creates the table of an empty store.
 
         Args:
             capacity: Bytes that the store holds.
             score: What to keep; the lowest score goes first.
+            now: Time in seconds.
             no_frees_before: Time until which leases of an earlier owner may
                 be in use, in seconds.
         """
@@ -117,7 +128,8 @@
         self._score = score
         self._no_frees_before = no_frees_before
         self._readers: dict[str, list[str]] = {}
-        self._used_by: dict[str, int] = {}
+        self._written = 0
+        self._started_at = now
 
     def rebuild(
         self, refs: list[messages.BlockRef], generation: int, now: float
@@ -279,22 +291,20 @@
         self, block: Block, workspace: str, value: float, now: float
     ) -> None:
         block.touched_at = now
-        if not block.workspace and workspace:
-            block.workspace = workspace
-            self._used_by[workspace] = (
-                self._used_by.get(workspace, 0) + block.length
-            )
+        block.workspace = block.workspace or workspace
         block.value = max(value, block.value * 0.5)
 
     def _rank(self, block: Block, now: float) -> float:
-        score = self._score(block, now)
-        held = self._used_by.get(block.workspace, 0)
-        tenants = max(1, len(self._used_by))
-        share = self.capacity / tenants
-        if score > 0 and held > SHARE_PRESSURE * share:
-            # Beyond twice an even share a workspace's blocks count less.
-            score *= SHARE_PRESSURE * share / held
-        return score - 1e-12 * block.position
+        score = self._score(block, now, self.horizon_s(now))
+        return score - POSITION_STEP * block.position
+
+    def horizon_s(self, now: float) -> float:
+        """Returns how long a block stays at the present rate of writes."""
+        elapsed = max(now - self._started_at, 1.0)
+        rate = self._written / elapsed
+        return min(
+            max(self.capacity / max(rate, 1.0), MIN_HORIZON_S), MAX_HORIZON_S
+        )
 
     def _make_room(
         self, request: messages.ReserveBlocks, count: int, now: float
@@ -344,18 +354,10 @@
         assert block.key not in self.blocks
         self.blocks[block.key] = block
         self.used += block.length
-        if block.workspace:
-            self._used_by[block.workspace] = (
-                self._used_by.get(block.workspace, 0) + block.length
-            )
+        self._written += block.length
 
     def _remove(self, block: Block) -> None:
         del self.blocks[block.key]
-        if block.workspace:
-            left = self._used_by[block.workspace] - block.length
-            self._used_by[block.workspace] = left
-            if left <= 0:
-                del self._used_by[block.workspace]
 
     def _free(self, block: Block) -> None:
         assert not block.leases, "a leased block would be freed"
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers for tests: aggregates under crash, loss, delay and cuts."""
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/testing/swim_group.py
@@ -0,0 +1,158 @@
+"""A group of instances that gossip over a lossy, delayed network."""
+
+import dataclasses
+import random
+from typing import Any
+
+from chivelb_core import membership
+from chivelb_core.membership import messages
+
+TICK_S = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class Datagram:
+    """A datagram on its way."""
+
+    due_s: float
+    sender: str
+    receiver: str
+    message: Any
+
+
+class SwimGroup:
+    """Instances of regions, driven in small steps of time.
+
+    Attributes:
+        now: Time in seconds.
+        swims: Running instances by name.
+        frozen: Names of paused instances.
+        cuts: Pairs of sender and receiver whose datagrams are lost.
+        loss: Share of datagrams that are lost.
+        sent: Number of datagrams by sender.
+        on_send: Called with each datagram that is sent.
+    """
+
+    def __init__(
+        self,
+        regions: dict[str, list[str]],
+        *,
+        seed: int,
+        loss: float = 0.0,
+        delay_s: float = 0.005,
+    ) -> None:
+        """Creates a group in which all know all seeds of their region.
+
+        Args:
+            regions: Names of the instances by region.
+            seed: Seed of all randomness.
+            loss: Share of datagrams that are lost.
+            delay_s: Mean delay of a datagram.
+        """
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.loss = loss
+        self.delay_s = delay_s
+        self.swims: dict[str, membership.Swim] = {}
+        self.frozen: set[str] = set()
+        self.cuts: set[tuple[str, str]] = set()
+        self.sent: dict[str, int] = {}
+        self.on_send = lambda sender, message: None
+        self.steps = 0
+        self._regions = regions
+        self._in_flight: list[Datagram] = []
+        self._starts = 0
+        for region, names in regions.items():
+            for name in names:
+                self.start(region, name)
+
+    def start(self, region: str, name: str) -> None:
+        """Starts an instance that joins by the seeds of all regions."""
+        self._starts += 1
+        member = messages.Member(
+            name, region, f"{region}-z", "127.0.0.1:1", self._starts
+        )
+        swim = membership.Swim(
+            member, random.Random(self.rng.random()), self.now
+        )
+        for other_region, names in self._regions.items():
+            seeds = names if other_region == region else names[:2]
+            for other in seeds:
+                swim.join(
+                    messages.Member(
+                        other, other_region, f"{other_region}-z", "h:1", 0
+                    ),
+                    self.now,
+                )
+        self.swims[name] = swim
+
+    def crash(self, name: str) -> None:
+        """Ends an instance."""
+        self.swims.pop(name, None)
+
+    def leave(self, name: str) -> None:
+        """Lets an instance leave in good order."""
+        self.swims[name].leave(self.now)
+        self._collect(name)
+        self.crash(name)
+
+    def cut(self, sender: str, receiver: str) -> None:
+        """Loses what one instance sends to another."""
+        self.cuts.add((sender, receiver))
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += TICK_S
+            self._deliver()
+            for name in list(self.swims):
+                if name not in self.frozen:
+                    self.swims[name].tick(self.now)
+                    self._collect(name)
+            self.check()
+
+    def _deliver(self) -> None:
+        due = [d for d in self._in_flight if d.due_s <= self.now]
+        self._in_flight = [d for d in self._in_flight if d.due_s > self.now]
+        for datagram in due:
+            swim = self.swims.get(datagram.receiver)
+            if swim is None or datagram.receiver in self.frozen:
+                continue
+            swim.receive(datagram.sender, datagram.message, self.now)
+            self._collect(datagram.receiver)
+
+    def _collect(self, name: str) -> None:
+        swim = self.swims[name]
+        swim.take_changes()
+        for receiver, message in swim.take_outbox():
+            self.sent[name] = self.sent.get(name, 0) + 1
+            self.on_send(name, message)
+            if (name, receiver) in self.cuts:
+                continue
+            if self.rng.random() < self.loss:
+                continue
+            delay = self.rng.expovariate(1 / self.delay_s)
+            self._in_flight.append(
+                Datagram(self.now + delay, name, receiver, message)
+            )
+
+    def status(self, observer: str, name: str) -> str:
+        """Returns what one instance thinks of another."""
+        state = self.swims[observer].members.get(name)
+        return state.member.status if state is not None else "unknown"
+
+    def statuses(self, name: str) -> set[str]:
+        """Returns what all others of its region think of an instance."""
+        region = next(r for r, ns in self._regions.items() if name in ns)
+        return {
+            self.status(other, name)
+            for other in self._regions[region]
+            if other != name and other in self.swims
+        }
+
+    def check(self) -> None:
+        """Asserts the invariants of all instances."""
+        self.steps += 1
+        for swim in self.swims.values():
+            swim.check_invariants()
--- a/packages/chivelb-node/chivelb_node/control/voting.py
+++ b/packages/chivelb-node/chivelb_node/control/voting.py
@@ -10,6 +10,7 @@
 from chivelb_core import consensus
 from chivelb_core import document
 from chivelb_core.consensus import group as group_lib
+from chivelb_core.consensus import joining
 from chivelb_core.consensus import messages as consensus_messages
 from chivelb_core.consensus import voter as voter_lib
 from chivelb_core.document import register as register_lib
@@ -30,7 +31,6 @@
 APPLY_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 1.0
 JOIN_PERIOD_S = 0.5
-CATCH_UP_SLACK = 50
 _log = logs.get_logger("voter")
 _KINDS = (
     consensus_messages.VoteRequest,
@@ -421,12 +421,9 @@
             return refused
         group = self.voter.group
         if request.member_id not in group.members:
-            learner = group_lib.Member(request.member_id, request.name, False)
-            stale = [m for m in group.find_by_name(peer) if not m.votes]
-            for member in stale:
-                group = group.without(member.member_id)
             placed = self.voter.propose_group(
-                group.with_member(learner), context_lib.monotonic()
+                joining.admit_learner(group, request.member_id, peer),
+                context_lib.monotonic(),
             )
             if isinstance(placed, codes.Fault):
                 return refused
@@ -438,27 +435,9 @@
         """Lets a caught-up learner replace its instance's old member."""
         if not self.is_leader:
             return
-        group = self.voter.group
-        for learner in group.members.values():
-            if learner.votes:
-                continue
-            progress = self.voter.progress.get(learner.member_id)
-            if progress is None or (
-                progress.match_index + CATCH_UP_SLACK
-                < self.voter.log.last_index
-            ):
-                continue
-            if progress.match_index < self.voter.commit_index:
-                continue
-            old = [m for m in group.find_by_name(learner.name) if m.votes]
-            if old:
-                step = group.without(old[0].member_id)
-            else:
-                step = group.with_member(
-                    msgspec.structs.replace(learner, votes=True)
-                )
+        step = joining.plan_next_step(self.voter)
+        if step is not None:
             self.voter.propose_group(step, now)
-            return
 
 
 def _first_group(names: list[str]) -> group_lib.Group:
--- a/packages/chivelb-node/chivelb_node/links/cache.py
+++ b/packages/chivelb-node/chivelb_node/links/cache.py
@@ -468,6 +468,7 @@
             table = store_table_lib.StoreTable(
                 listing.capacity,
                 scorer,
+                now=now,
                 no_frees_before=now + store_table_lib.LEASE_S,
             )
             table.rebuild(listing.refs, listing.generation, now)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,217 @@
+import random
+
+from chivelb_core import claims
+from chivelb_core.claims import keeper as keeper_lib
+from chivelb_core.claims import messages
+from chivelb_core.testing import claim_site
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+NAMES = ("x", "y", "z")
+names = strategies.sampled_from(NAMES)
+keys = strategies.sampled_from(["k1", "k2"])
+positions = strategies.integers(0, 300)
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.site = claim_site.ClaimSite(NAMES)
+
+    @stateful.rule(key=keys)
+    def arrive(self, key):
+        self.site.arrive(key)
+
+    @stateful.rule(position=positions, again=strategies.booleans())
+    def deliver(self, position, again):
+        self.site.deliver(position, again=again)
+
+    @stateful.rule()
+    def deliver_many(self):
+        for _ in range(12):
+            self.site.deliver(0)
+
+    @stateful.rule(position=positions)
+    def drop(self, position):
+        self.site.drop(position)
+
+    @stateful.rule()
+    def time_out(self):
+        self.site.give_up_oldest()
+
+    @stateful.rule()
+    def kill_caller(self):
+        self.site.kill_caller()
+
+    @stateful.rule(key=keys)
+    def settle(self, key):
+        self.site.settle(key)
+
+    @stateful.rule(name=names)
+    def crash(self, name):
+        self.site.crash(name)
+
+    @stateful.rule(name=names)
+    def start(self, name):
+        self.site.start(name)
+
+    @stateful.rule(name=names)
+    def lose_disk(self, name):
+        self.site.lose_disk(name)
+
+    @stateful.rule(name=names)
+    def copy_claims(self, name):
+        self.site.copy_claims(name)
+
+    @stateful.rule()
+    def expire(self):
+        self.site.expire(10.0)
+
+    @stateful.invariant()
+    def check(self):
+        self.site.check()
+
+
+ClaimMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=50, derandomize=True, deadline=None
+)
+TestClaims = ClaimMachine.TestCase
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_long_random_runs_never_dispatch_a_key_twice(seed):
+    site = claim_site.ClaimSite(NAMES)
+    rng = random.Random(seed)
+    for _ in range(5_000):
+        claim_site.take_random_step(site, rng)
+    assert len(site.runs) > 20
+
+
+def request(claim_id, key="k", digest="d"):
+    return messages.ClaimRequest(key, digest, claim_id)
+
+
+def play(arrivals, keepers):
+    """Claims for each arrival at the keepers that it reaches."""
+    verdicts = []
+    for claim_id, reached in arrivals:
+        claim_round = claims.ClaimRound(request(claim_id), frozenset(NAMES))
+        for name in NAMES:
+            if name in reached:
+                claim_round.take(keepers[name].claim(request(claim_id), 0.0))
+            else:
+                claim_round.miss(name)
+        verdicts.append(claim_round.verdict())
+    return verdicts
+
+
+CASES = [
+    ("all keepers", [("a", "xyz")], [claims.Verdict.GRANTED]),
+    ("one keeper lost", [("a", "xy")], [claims.Verdict.GRANTED]),
+    ("two keepers lost", [("a", "x")], [claims.Verdict.NO_MAJORITY]),
+    (
+        "sent through two instances",
+        [("a", "xyz"), ("b", "xyz")],
+        [claims.Verdict.GRANTED, claims.Verdict.HELD],
+    ),
+    (
+        "both sides of a cut",
+        [("a", "xy"), ("b", "z")],
+        [claims.Verdict.GRANTED, claims.Verdict.NO_MAJORITY],
+    ),
+    (
+        "minority side first",
+        [("a", "z"), ("b", "xy")],
+        [claims.Verdict.NO_MAJORITY, claims.Verdict.GRANTED],
+    ),
+    (
+        "entry killed after a minority, then resent",
+        [("a", "x"), ("b", "xyz")],
+        [claims.Verdict.NO_MAJORITY, claims.Verdict.GRANTED],
+    ),
+    (
+        "keeper changes between claims",
+        [("a", "xy"), ("b", "yz")],
+        [claims.Verdict.GRANTED, claims.Verdict.HELD],
+    ),
+]
+
+
+@pytest.mark.parametrize("name,arrivals,wanted", CASES)
+def test_fault_table(name, arrivals, wanted):
+    keepers = {n: claims.Keeper(n) for n in NAMES}
+    assert play(arrivals, keepers) == wanted
+
+
+def test_a_resend_gets_the_recorded_outcome_from_one_keeper():
+    keepers = {n: claims.Keeper(n) for n in NAMES}
+    play([("a", "xyz")], keepers)
+    keepers["z"].settle(messages.ClaimSettle("k", "a", b"answer"), 1.0)
+    claim_round = claims.ClaimRound(request("b"), frozenset(NAMES))
+    claim_round.take(keepers["z"].claim(request("b"), 2.0))
+    assert claim_round.verdict() is claims.Verdict.SETTLED
+    assert claim_round.settled().outcome == b"answer"
+
+
+def test_a_reused_key_is_told_apart():
+    keepers = {n: claims.Keeper(n) for n in NAMES}
+    play([("a", "xyz")], keepers)
+    other = request("b", digest="other")
+    claim_round = claims.ClaimRound(other, frozenset(NAMES))
+    claim_round.take(keepers["x"].claim(other, 1.0))
+    assert claim_round.verdict() is claims.Verdict.KEY_REUSED
+
+
+def test_a_copy_of_keepers_that_disagree_grants_to_nobody():
+    # The lost keeper y may have given either claim its majority.
+    keepers = {n: claims.Keeper(n) for n in NAMES}
+    keepers["x"].claim(request("b"), 0.0)
+    keepers["z"].claim(request("a"), 0.0)
+    for order in ("xz", "zx"):
+        copied = claims.Keeper("y")
+        for name in order:
+            copied.take_listing(keepers[name].page("")[0])
+        assert not copied.claim(request("a"), 1.0).granted
+        assert not copied.claim(request("b"), 1.0).granted
+
+
+def test_a_claim_that_arrives_after_its_release_is_refused():
+    keeper = claims.Keeper("x")
+    keeper.release(messages.ClaimRelease("k", "a"), 0.0)
+    assert keeper.claim(request("a"), 1.0).refused
+    assert keeper.claim(request("b"), 1.0).granted
+
+
+def test_expiry_never_reopens_a_key_without_an_outcome_in_use():
+    keeper = claims.Keeper("x", ttl_s=60.0)
+    keeper.claim(request("a"), 0.0)
+    keeper.expire(3_600.0 * 24)
+    assert not keeper.claim(request("b"), 3_600.0 * 24).granted
+
+
+def test_a_settled_claim_expires_after_its_time():
+    keeper = claims.Keeper("x", ttl_s=60.0)
+    keeper.claim(request("a"), 0.0)
+    keeper.settle(messages.ClaimSettle("k", "a", b"o"), 1.0)
+    keeper.expire(60.5)
+    assert keeper.claim(request("b"), 60.5).settled
+    keeper.expire(62.0)
+    assert keeper.claim(request("b"), 62.0).granted
+
+
+def test_a_stored_keeper_is_rebuilt_from_its_compact_form():
+    keeper = claims.Keeper("x")
+    keeper.claim(request("a"), 0.0)
+    keeper.claim(request("b", key="k2"), 0.0)
+    keeper.release(messages.ClaimRelease("k2", "b"), 0.0)
+    keeper.settle(messages.ClaimSettle("k", "a", b"o"), 1.0)
+    keeper.witness("y", 4)
+    again = claims.Keeper("x")
+    for stored in keeper.stored_form():
+        again.replay(stored)
+    assert again.records == keeper.records
+    assert again.released.keys() == keeper.released.keys()
+    assert again.witnessed.keys() == keeper.witnessed.keys()
+    assert isinstance(keeper.take_writes()[0], keeper_lib.StoredClaim)
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,191 @@
+import random
+
+from chivelb_core.consensus import voter as voter_lib
+from chivelb_core.testing import control_group
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+NAMES = ("a", "b", "c")
+names = strategies.sampled_from(NAMES)
+positions = strategies.integers(0, 500)
+
+
+class ControlGroupMachine(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.group = control_group.ControlGroup(seed=1, names=NAMES)
+
+    @stateful.rule(position=positions, again=strategies.booleans())
+    def deliver(self, position, again):
+        self.group.deliver(position, again=again)
+
+    @stateful.rule()
+    def deliver_all(self):
+        for _ in range(200):
+            self.group.deliver(0)
+
+    @stateful.rule(position=positions)
+    def drop(self, position):
+        self.group.drop(position)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 0.5, 1.5, 3.0]))
+    def advance(self, seconds):
+        self.group.advance(seconds)
+
+    @stateful.rule(name=names)
+    def freeze(self, name):
+        self.group.pause_then_tick(name, 2.0)
+
+    @stateful.rule(name=names, data=strategies.binary(max_size=3))
+    def propose(self, name, data):
+        self.group.propose(name, data)
+
+    @stateful.rule(name=names, before_sync=strategies.booleans())
+    def crash(self, name, before_sync):
+        if before_sync:
+            self.group.crash_before_sync(name)
+        else:
+            self.group.crash(name)
+
+    @stateful.rule(name=names)
+    def start(self, name):
+        self.group.start(name)
+
+    @stateful.rule(name=names)
+    def lose_disk(self, name):
+        self.group.lose_disk(name)
+
+    @stateful.rule(name=names, other=names)
+    def cut(self, name, other):
+        self.group.cut(name, other)
+
+    @stateful.rule(name=names)
+    def isolate(self, name):
+        self.group.isolate(name)
+
+    @stateful.rule()
+    def heal(self):
+        self.group.heal()
+
+    @stateful.rule(name=names)
+    def compact(self, name):
+        self.group.compact(name)
+
+    @stateful.invariant()
+    def check(self):
+        self.group.check()
+
+    def teardown(self):
+        self.group.settle()
+
+
+ControlGroupMachine.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=60, derandomize=True, deadline=None
+)
+TestControlGroup = ControlGroupMachine.TestCase
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_long_random_runs_keep_what_was_acknowledged(seed):
+    group = control_group.ControlGroup(seed)
+    rng = random.Random(seed)
+    for step in range(2_500):
+        control_group.take_random_step(group, rng)
+        if step % 250 == 0:
+            group.settle()
+    leader = group.settle()
+    assert group.propose(leader, b"last")
+    group.settle()
+    assert group.acknowledged[-1][1] == b"last"
+    assert len(group.acknowledged) > 20
+
+
+def lead(group):
+    return group.settle()
+
+
+def test_an_isolated_leader_steps_down_within_the_election_timeout():
+    group = control_group.ControlGroup(seed=3)
+    name = lead(group)
+    group.isolate(name)
+    cut_at = group.now
+    bound_s = voter_lib.Timing().election_s + 0.1
+    while group.voters[name].role is voter_lib.Role.LEADER:
+        group.advance(0.05)
+        assert group.now - cut_at <= bound_s
+    assert not group.propose(name, b"x")
+
+
+def test_an_isolated_leader_confirms_no_read():
+    group = control_group.ControlGroup(seed=4)
+    name = lead(group)
+    group.isolate(name)
+    round_number = group.voters[name].start_read(group.now)
+    for _ in range(10):
+        group.advance(0.05)
+        while group.in_flight:
+            group.deliver(0)
+        assert not group.voters[name].is_read_confirmed(round_number)
+
+
+def test_a_returning_isolated_member_disturbs_nobody():
+    group = control_group.ControlGroup(seed=5)
+    name = lead(group)
+    term = group.voters[name].hard.term
+    other = next(n for n in NAMES if n != name)
+    group.isolate(other)
+    for _ in range(100):
+        group.advance(0.1)
+        while group.in_flight:
+            group.deliver(0)
+    assert group.settle() == name
+    assert group.voters[name].hard.term == term
+
+
+def test_a_second_disk_lost_right_after_a_repair_loses_nothing():
+    group = control_group.ControlGroup(seed=6)
+    for number in range(3):
+        name = lead(group)
+        assert group.propose(name, f"kept {number}".encode())
+        lead(group)
+        victim = NAMES[number]
+        group.lose_disk(victim)
+        lead(group)
+    kept = [data for _, data in group.acknowledged]
+    assert kept == [b"kept 0", b"kept 1", b"kept 2"]
+    applied = {entry.data for entry in group.ledger.values()}
+    assert applied.issuperset(kept)
+
+
+def test_a_rolled_back_disk_is_found_out_and_disowned():
+    group = control_group.ControlGroup(seed=7)
+    name = lead(group)
+    victim = next(n for n in NAMES if n != name)
+    old = list(group.disks[victim].entries)
+    for number in range(5):
+        group.propose(name, bytes([number]))
+        lead(group)
+    group.crash(victim)
+    group.disks[victim].entries = old
+    group.start(victim)
+    for _ in range(20):
+        group.advance(0.1)
+        while group.in_flight:
+            group.deliver(0)
+    assert group.voters[victim].disowned
+
+
+def test_a_late_denial_does_not_disown():
+    group = control_group.ControlGroup(seed=8)
+    name = lead(group)
+    leader = group.voters[name]
+    other = next(m for m in leader.progress)
+    progress = leader.progress[other]
+    late = control_group.consensus.voter.messages.AppendReply(
+        leader.member_id, other, leader.hard.term, False, 0, 0
+    )
+    leader.receive(late, group.now)
+    leader.receive(late, group.now)
+    assert not progress.rolled_back
