Regenerate the wire schema after the anchor's rename

Cause: a field of cache events was renamed without the generator's run, so the committed schema and the types differed; the test that keeps both equal said so. Ruled out: a hand edit of the schema. Conclusion: generated anew.

--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -98,7 +98,7 @@
 struct CacheEvent {
   sequence @0 :Int64;
   kind @1 :Text;
-  root @2 :Text;
+  anchor @2 :Text;
   keys @3 :List(Text);
 }
 
