Tests of the core aggregates; a position that is no number is refused

Adds the rollout controller with its lease as well.

Ruled out: catching ValueError around the whole check, which would hide other faults.

--- a/packages/chivelb-cli/chivelb_cli/main.py
+++ b/packages/chivelb-cli/chivelb_cli/main.py
@@ -1,6 +1,7 @@
 """Entry point of ``chivelb``."""
 
 import argparse
+import signal
 import sys
 
 from chivelb_cli.commands import bench
@@ -36,11 +37,17 @@
         The exit code.
     """
     arguments = build_parser().parse_args(argv)
+    # Commands that start processes end them on the way out.
+    signal.signal(signal.SIGTERM, _interrupt)
     try:
         return arguments.run(arguments)
     except KeyboardInterrupt:
         return 130
 
 
+def _interrupt(number: int, frame) -> None:
+    raise KeyboardInterrupt
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -15,6 +15,7 @@
 from chivelb_node.control import claiming
 from chivelb_node.control import keeping
 from chivelb_node.control import replica as replica_lib
+from chivelb_node.control import rollout
 from chivelb_node.control import voting
 from chivelb_node.edge import announcements
 from chivelb_node.edge import callers
@@ -112,6 +113,11 @@
                 *self._operator_handlers(),
             ],
         )
+        rollouts = None
+        if self.voting is not None:
+            rollouts = rollout.RolloutService(
+                self.context, self.voting, session
+            )
         services = [
             sessions,
             self.hub,
@@ -125,6 +131,7 @@
             dispatcher,
             claimed_calls,
             plain,
+            rollouts,
             self.server,
         ]
         self.parts = [part for part in services if part is not None]
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/control/rollout.py
@@ -0,0 +1,147 @@
+"""Drives swaps of weight versions from the leading voter's instance."""
+
+import asyncio
+import secrets
+
+import aiohttp
+from chivelb_core import rollout
+from chivelb_core import targets
+from chivelb_core.rollout import plan as plan_lib
+import mode
+import msgspec
+
+from chivelb_node import context as context_lib
+from chivelb_node.control import commands
+from chivelb_node.control import voting as voting_lib
+from chivelb_node.telemetry import logs
+
+PERIOD_S = 0.2
+ORDER_TIMEOUT_S = 1.0
+LEASE_NAME = "controller"
+_log = logs.get_logger("rollout")
+
+
+class RolloutService(mode.Service):
+    """The controller, while this instance leads and holds the lease.
+
+    Attributes:
+        context: Aggregates of the instance.
+        voting: This instance's voter.
+        lease: The controller's lease.
+        rollouts: Swaps by model.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        voting: voting_lib.VotingService,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Creates the service."""
+        super().__init__()
+        self.context = context
+        self.voting = voting
+        self.session = session
+        self.lease = rollout.ControllerLease(
+            f"{context.settings.instance.name}/{secrets.token_hex(4)}",
+            context_lib.monotonic(),
+        )
+        self.rollouts: dict[str, rollout.Rollout] = {}
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await self.sleep(PERIOD_S)
+            now = context_lib.monotonic()
+            holder, token = self.voting.machine.leases.get(LEASE_NAME, ("", 0))
+            self.lease.observe(holder.rpartition("#")[0], token, now)
+            if not self.voting.is_leader or not self._has_work():
+                continue
+            await self._hold_lease()
+            for model in list(self.context.document.models):
+                await self._advance(model)
+
+    def _records(self, model: str) -> list[targets.TargetRecord]:
+        now = context_lib.monotonic()
+        return [
+            entry.record
+            for entry in self.context.targets.entries.values()
+            if entry.record.role == "runner"
+            and entry.record.model == model
+            and not entry.left
+            and entry.expires_at > now
+        ]
+
+    def _has_work(self) -> bool:
+        return any(
+            record.weight_version != model.current
+            for name, model in self.context.document.models.items()
+            for record in self._records(name)
+        )
+
+    async def _hold_lease(self) -> None:
+        asked_at = context_lib.monotonic()
+        if not self.lease.may_ask(asked_at):
+            return
+        # Each grant has a holder of its own, so that a renewal is told
+        # from a resend.
+        command = commands.LeaseCommand(
+            LEASE_NAME,
+            f"{self.lease.me}#{secrets.token_hex(4)}",
+            self.lease.token,
+        )
+        _, token = await self.voting.propose("lease", commands.encode(command))
+        if token:
+            self.lease.note_granted(token, asked_at)
+
+    async def _advance(self, model: str) -> None:
+        swap = self.rollouts.setdefault(model, rollout.Rollout(model))
+        wanted = self.context.document.models[model]
+        records = self._records(model)
+        failed_before = swap.failed
+        orders = swap.plan(wanted, records, context_lib.monotonic())
+        if swap.failed and not failed_before:
+            _log.error(
+                "swap stopped",
+                model=model,
+                version=wanted.current,
+                target=swap.failed,
+            )
+        by_identity = {record.identity: record for record in records}
+        for order in orders:
+            if not self.lease.may_order(context_lib.monotonic()):
+                return
+            await self._send(swap, order, by_identity[order.identity])
+
+    async def _send(
+        self,
+        swap: rollout.Rollout,
+        order: plan_lib.Order,
+        record: targets.TargetRecord,
+    ) -> None:
+        body = {
+            "token": self.lease.token,
+            "order_id": order.order_id,
+            "kind": "swap",
+            "version": order.version,
+        }
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                async with self.session.post(
+                    f"http://{record.address}/orders",
+                    data=msgspec.json.encode(body),
+                ) as response:
+                    status = response.status
+        except (aiohttp.ClientError, TimeoutError):
+            # It may have been taken: noted as sent, so that the limit on
+            # loads at once holds; a resend has the same order id.
+            status = 0
+        if status in (0, 200):
+            swap.note_sent(order, record.incarnation, context_lib.monotonic())
+        _log.info(
+            "order sent",
+            target=order.identity,
+            version=order.version,
+            token=self.lease.token,
+            status=status,
+        )
--- a/packages/chivelb-node/chivelb_node/control/voting.py
+++ b/packages/chivelb-node/chivelb_node/control/voting.py
@@ -330,8 +330,16 @@
 
     # Proposals.
 
-    async def _propose(self, kind: str, data: bytes) -> tuple[bool, Any]:
-        """Returns whether the entry may be in the log, and its result."""
+    async def propose(self, kind: str, data: bytes) -> tuple[bool, Any]:
+        """Proposes an entry and waits until it is applied.
+
+        Args:
+            kind: Kind of the entry.
+            data: Encoded command.
+
+        Returns:
+            Whether the entry may be in the log, and its result if known.
+        """
         placed = None
         if self.voter is not None:
             placed = self.voter.propose(kind, data, context_lib.monotonic())
@@ -357,7 +365,7 @@
         change = commands.decode_change(request.payload)
         if not self.is_leader:
             return self._change_reply(codes.NO_QUORUM, None, appended=False)
-        appended, answer = await self._propose("change", request.payload)
+        appended, answer = await self.propose("change", request.payload)
         if answer is None:
             code = codes.CHANGE_UNKNOWN if appended else codes.NO_QUORUM
             return self._change_reply(code, None, appended=appended)
@@ -388,7 +396,7 @@
             f"{request.holder}/{request.request_id}",
             request.expected,
         )
-        _, token = await self._propose("lease", commands.encode(command))
+        _, token = await self.propose("lease", commands.encode(command))
         return messages.LeaseReply(token or 0, self.leader_name())
 
     async def _on_read(
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -8,6 +8,7 @@
 DONE_EVENT = b"data: [DONE]"
 END = b"\n\n"
 MAX_EVENT_BYTES = 262_144
+MAX_DIGITS = 9
 
 
 class StreamError(Exception):
@@ -72,7 +73,7 @@
         kept = []
         for event in run[:-2].split(END):
             if event.startswith(prefix):
-                number = int(event[start : event.index(b"\n", start)])
+                number = _position(event, start)
                 if number == offset:
                     offset += 1
                     tokens += 1
@@ -95,6 +96,13 @@
         yield Batch(data, tokens, done)
 
 
+def _position(event: bytes, start: int) -> int:
+    digits, found, _ = event[start:].partition(b"\n")
+    if not found or not digits.isdigit() or len(digits) > MAX_DIGITS:
+        raise StreamError("an event's position is no number")
+    return int(digits)
+
+
 class Usage(msgspec.Struct):
     """Token counts of a finished answer."""
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,127 @@
+import random
+
+from chivelb_core import admission
+from chivelb_core import codes
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+WEIGHTS = {"interactive": 8.0, "batch": 1.0}
+
+
+def make_queue(max_queue=1_000):
+    return admission.FairQueue(WEIGHTS, max_queue)
+
+
+def push(queue, workspace, cost=1.0, class_name="interactive", weight=1.0):
+    ticket = admission.Ticket(workspace, class_name, cost, deadline=100.0)
+    code = queue.push(ticket, weight=weight, max_queued=500)
+    return ticket, code
+
+
+def serve(queue, count):
+    served = {}
+    for _ in range(count):
+        ticket = queue.pop(lambda _: True)
+        name = (ticket.class_name, ticket.workspace)
+        served[name] = served.get(name, 0.0) + ticket.cost
+        queue.check_invariants()
+    return served
+
+
+def test_workspaces_share_by_weight_in_tokens():
+    queue = make_queue()
+    for _ in range(300):
+        push(queue, "small", cost=10.0)
+        push(queue, "large", cost=100.0)
+        push(queue, "heavy", cost=10.0, weight=3.0)
+    served = serve(queue, 330)
+    assert (
+        0.7
+        < served["interactive", "small"] / served["interactive", "large"]
+        < 1.4
+    )
+    assert (
+        2.0
+        < served["interactive", "heavy"] / served["interactive", "small"]
+        < 4.0
+    )
+
+
+def test_classes_share_by_weight_and_batch_is_not_starved():
+    queue = make_queue()
+    for _ in range(400):
+        push(queue, "w")
+        push(queue, "w", class_name="batch")
+    served = serve(queue, 400)
+    ratio = served["interactive", "w"] / served["batch", "w"]
+    assert 6.0 < ratio < 10.0
+
+
+def test_an_idle_workspace_saves_up_no_share():
+    queue = make_queue()
+    for _ in range(200):
+        push(queue, "busy")
+    serve(queue, 100)
+    for _ in range(100):
+        push(queue, "late")
+    served = serve(queue, 60)
+    assert (
+        abs(served["interactive", "busy"] - served["interactive", "late"]) <= 2
+    )
+
+
+def test_bounds_refuse_at_once():
+    queue = make_queue(max_queue=2)
+    assert push(queue, "a")[1] is None
+    assert push(queue, "b")[1] is None
+    assert push(queue, "c")[1] is codes.OVERLOADED
+    queue.check_invariants()
+
+
+def test_expired_and_left_tickets_are_never_started():
+    queue = make_queue()
+    first, _ = push(queue, "a")
+    second, _ = push(queue, "a")
+    third, _ = push(queue, "a")
+    queue.leave(first)
+    second.deadline = 1.0
+    assert queue.expire(2.0) == [second]
+    assert queue.pop(lambda _: True) is third
+    assert queue.pop(lambda _: True) is None
+    queue.check_invariants()
+
+
+def test_a_head_that_does_not_fit_lets_others_start():
+    queue = make_queue()
+    large, _ = push(queue, "large", cost=100.0)
+    small, _ = push(queue, "small", cost=1.0)
+    assert queue.pop(lambda ticket: ticket.cost < 10.0) is small
+    assert queue.pop(lambda ticket: ticket.cost < 10.0) is None
+    assert queue.pop(lambda _: True) is large
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(strategies.integers(0, 2**32))
+def test_any_order_of_calls_keeps_the_counts(seed):
+    rng = random.Random(seed)
+    queue = make_queue(max_queue=30)
+    tickets = []
+    for step in range(150):
+        action = rng.randrange(5)
+        if action <= 1:
+            name = rng.choice("abc")
+            kind = rng.choice(("interactive", "batch"))
+            ticket, code = push(queue, name, rng.randrange(1, 50), kind)
+            ticket.deadline = step + rng.randrange(40)
+            if code is None:
+                tickets.append(ticket)
+        elif action == 2 and tickets:
+            queue.leave(rng.choice(tickets))
+        elif action == 3:
+            for late in queue.expire(float(step)):
+                assert late.deadline <= step
+        else:
+            queue.pop(lambda _: rng.random() < 0.7)
+        queue.forget_idle()
+        queue.check_invariants()
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,162 @@
+import asyncio
+
+from chivelb_core import calls
+from chivelb_core import codes
+from chivelb_core.calls import attempt
+from chivelb_core.calls import suspects
+from chivelb_node.edge import parsing
+from chivelb_node.links import events
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+KIND = attempt.OutcomeKind
+ATTEMPT = "req.1.aabbccdd"
+
+
+def may(kind, *, repeatable=True, emitted=False, attempts=1):
+    return attempt.may_retry(
+        attempt.Outcome(kind, codes.OUTCOME_UNKNOWN),
+        repeatable=repeatable,
+        emitted=emitted,
+        attempts=attempts,
+        max_attempts=3,
+    )
+
+
+RETRY_TABLE = [
+    (KIND.NOT_RUN, True, False, True),
+    (KIND.NOT_RUN, False, False, True),
+    (KIND.UNKNOWN, True, False, True),
+    (KIND.UNKNOWN, False, False, False),
+    (KIND.UNKNOWN, True, True, False),
+    (KIND.FAILED, True, False, False),
+    (KIND.FAILED, False, False, False),
+    (KIND.DONE, True, False, False),
+]
+
+
+@pytest.mark.parametrize("kind,repeatable,emitted,wanted", RETRY_TABLE)
+def test_what_may_be_tried_again(kind, repeatable, emitted, wanted):
+    assert may(kind, repeatable=repeatable, emitted=emitted) is wanted
+    assert not may(kind, repeatable=repeatable, emitted=emitted, attempts=3)
+
+
+def test_retries_are_a_share_of_first_attempts():
+    budget = calls.RetryBudget(ratio=0.1, max_tokens=5.0)
+    while budget.spend():
+        pass
+    spent = 0
+    for _ in range(100):
+        budget.note_first()
+        spent += budget.spend()
+    assert 9 <= spent <= 10
+
+
+def sight(table, key, target, now=0.0):
+    return table.take(suspects.Sighting(key, target), now)
+
+
+def test_a_prompt_is_refused_after_two_distinct_targets():
+    table = calls.SuspectTable()
+    assert sight(table, "p", "r1/1")
+    assert not sight(table, "p", "r1/1")
+    assert not table.is_refused("p", 1.0)
+    assert sight(table, "p", "r2/1")
+    assert table.is_refused("p", 1.0)
+    assert not table.is_refused("p", suspects.REFUSE_FOR_S + 1)
+
+
+def test_a_bystander_that_finished_is_cleared():
+    table = calls.SuspectTable()
+    sight(table, "p", "r1/1")
+    table.take(suspects.Sighting("p", "", cleared=True), 1.0)
+    sight(table, "p", "r2/1")
+    assert not table.is_refused("p", 2.0)
+
+
+def test_fingerprints_tell_workspaces_apart():
+    assert calls.fingerprint("a", b"p") != calls.fingerprint("b", b"p")
+
+
+def token(position, attempt_id=ATTEMPT):
+    return (
+        f'id: {attempt_id}/{position}\ndata: {{"choices":[{{"text":"t"}}]}}\n\n'
+    ).encode()
+
+
+DONE = b"data: [DONE]\n\n"
+
+
+def check(chunks, offset=0):
+    async def run():
+        async def source():
+            for chunk in chunks:
+                yield chunk
+
+        runs = events.split_events(source())
+        return [b async for b in events.check_events(runs, ATTEMPT, offset)]
+
+    return asyncio.run(run())
+
+
+def test_whole_events_pass_as_they_are():
+    data = token(0) + token(1) + DONE
+    batches = check([data])
+    assert [(b.data, b.tokens, b.done) for b in batches] == [(data, 2, True)]
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(strategies.lists(strategies.integers(1, 120), max_size=8))
+def test_torn_events_wait_for_their_rest(cuts):
+    data = b"".join(token(n) for n in range(5)) + b": beat\n\n" + DONE
+    chunks = []
+    at = 0
+    for size in cuts:
+        chunks.append(data[at : at + size])
+        at += size
+    chunks.append(data[at:])
+    batches = check([c for c in chunks if c])
+    assert sum(batch.tokens for batch in batches) == 5
+    assert b"".join(b.data for b in batches).count(b"id: ") == 5
+    assert batches[-1].done
+
+
+BROKEN = [
+    ("another attempt", [token(0, "req.9.x")]),
+    ("a gap", [token(0), token(2)]),
+    ("no id", [b'data: {"choices":[]}\n\n']),
+    ("too large", [b"id: " + b"x" * (events.MAX_EVENT_BYTES + 9)]),
+]
+
+
+@pytest.mark.parametrize("name,chunks", BROKEN)
+def test_what_is_not_the_answer_is_refused(name, chunks):
+    with pytest.raises(events.StreamError):
+        check(chunks)
+
+
+def test_a_repeated_token_is_passed_on_once():
+    batches = check([token(0) + token(1), token(1) + token(2) + DONE])
+    data = b"".join(batch.data for batch in batches)
+    assert data.count(f"id: {ATTEMPT}/1\n".encode()) == 1
+    assert sum(batch.tokens for batch in batches) == 3
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(strategies.lists(strategies.binary(max_size=60), max_size=6))
+def test_any_bytes_are_a_stream_or_an_error(chunks):
+    try:
+        start = f"id: {ATTEMPT}/".encode()
+        check([prefix + c for c in chunks for prefix in (b"", start)])
+    except events.StreamError:
+        pass
+
+
+def test_request_ids_are_bound_to_their_workspace():
+    mine, theirs = "ab" * 32, "cd" * 32
+    request_id = parsing.new_request_id(mine)
+    assert parsing.is_own_request_id(request_id, mine)
+    assert not parsing.is_own_request_id(request_id, theirs)
+    assert not parsing.is_own_request_id("x" * 24, mine)
--- /dev/null
+++ b/tests/test_document.py
@@ -0,0 +1,213 @@
+import builders
+from chivelb_core import codes
+from chivelb_core import document
+from chivelb_core.document import changes
+from chivelb_core.document import model as model_lib
+from chivelb_core.document import register as register_lib
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import msgspec
+import pytest
+
+
+def test_the_sample_document_is_valid():
+    assert document.find_problems(builders.make_document()) == []
+
+
+BAD = [
+    (
+        "services/estimator-lm/model",
+        {"services": {"estimator-lm": {"model": "no"}}},
+    ),
+    (
+        "services/estimator-lm/policy",
+        {"services": {"estimator-lm": {"model": "lm", "policy": "expected"}}},
+    ),
+    (
+        "workspaces/joinery/services",
+        {"workspaces": {"joinery": {"services": ["estimator"]}}},
+    ),
+    (
+        "workspaces/joinery/cache_secret",
+        {"workspaces": {"joinery": {"cache_secret": "xyz"}}},
+    ),
+    ("models/lm/current", {"models": {"lm": {"current": "v9"}}}),
+    ("rules/check-in/service", {"rules": {"check-in": {"service": "no"}}}),
+    ("limits/max_queue", {"limits": {"max_queue": 0}}),
+]
+
+
+@pytest.mark.parametrize("path,overlay", BAD)
+def test_each_fault_names_its_path(path, overlay):
+    plain = msgspec.to_builtins(builders.make_document())
+    for collection, parts in overlay.items():
+        if collection == "limits":
+            plain["limits"].update(parts)
+            continue
+        for name, values in parts.items():
+            plain[collection][name].update(values)
+    broken = msgspec.convert(plain, document.Document)
+    problems = document.find_problems(broken)
+    assert [problem.path for problem in problems] == [path]
+
+
+def test_two_workspaces_never_share_a_key_or_secret():
+    plain = msgspec.to_builtins(builders.make_document())
+    one, other = plain["workspaces"].values()
+    other["key_hashes"] = one["key_hashes"]
+    other["cache_secret"] = one["cache_secret"]
+    problems = document.find_problems(msgspec.convert(plain, document.Document))
+    assert len(problems) == 2
+
+
+def test_a_near_match_is_suggested():
+    plain = msgspec.to_builtins(builders.make_document())
+    plain["services"]["estimator-lm"]["policy"] = "least_load"
+    problems = document.find_problems(msgspec.convert(plain, document.Document))
+    assert "did you mean 'least_loaded'?" in problems[0].message
+
+
+def test_equal_version_races_have_one_winner():
+    register = builders.make_register()
+    answers = [
+        register.apply_change(builders.make_change(f"c{number}"))
+        for number in range(3)
+    ]
+    assert [a.code for a in answers] == [
+        codes.DONE.number,
+        codes.CHANGE_CONFLICT.number,
+        codes.CHANGE_CONFLICT.number,
+    ]
+    assert answers[1].version == register.version == 2
+
+
+def test_changes_of_other_parts_do_not_conflict():
+    register = builders.make_register()
+    value = msgspec.to_builtins(register.document.models["lm"])
+    first = builders.make_change("c1")
+    second = builders.make_change("c2", path="models/lm", value=value)
+    assert register.apply_change(first).code == codes.DONE.number
+    assert register.apply_change(second).code == codes.DONE.number
+
+
+def test_a_whole_change_conflicts_with_any_other():
+    register = builders.make_register()
+    register.apply_change(builders.make_change("c1"))
+    whole = builders.make_change("c2", path="rules/check-in", whole=True)
+    answer = register.apply_change(whole)
+    assert answer.code == codes.CHANGE_CONFLICT.number
+
+
+def test_a_resent_change_gets_its_first_answer():
+    register = builders.make_register()
+    first = register.apply_change(builders.make_change("c1"))
+    register.apply_change(builders.make_change("c2", base=2))
+    assert register.apply_change(builders.make_change("c1")) == first
+    assert register.version == 3
+
+
+def test_a_change_id_with_other_operations_is_refused():
+    register = builders.make_register()
+    register.apply_change(builders.make_change("c1"))
+    other = builders.make_change("c1", value={"max_queue": 5})
+    answer = register.apply_change(other)
+    assert answer.code == codes.CHANGE_ID_REUSED.number
+
+
+def test_an_invalid_change_leaves_the_document():
+    register = builders.make_register()
+    before = register.document
+    bad = builders.make_change(path="models/lm", value={"versions": []})
+    answer = register.apply_change(bad)
+    assert answer.code == codes.CHANGE_INVALID.number
+    assert answer.problems
+    assert register.document is before
+
+
+def test_a_replica_follows_by_deltas_and_notices_gaps():
+    register = builders.make_register()
+    replica = register.replica()
+    for number in range(1, 40):
+        register.apply_change(
+            builders.make_change(
+                f"c{number}", base=number, value={"max_queue": number}
+            )
+        )
+    deltas = register.deltas_since(replica.version)
+    caught_up = replica.apply_deltas(deltas)
+    assert caught_up.document == register.document
+    assert caught_up.version == register.version
+    with pytest.raises(ValueError, match="does not follow"):
+        replica.apply_deltas(deltas[1:])
+
+
+def test_fencing_tokens_grow_and_races_have_one_winner():
+    register = document.Register()
+    first = register.grant_lease("controller", "a", 0)
+    assert register.grant_lease("controller", "b", 0) == 0
+    assert register.grant_lease("controller", "a", 0) == first
+    assert register.grant_lease("controller", "b", first) > first
+
+
+def test_a_register_survives_its_encoding():
+    register = builders.make_register()
+    register.apply_change(builders.make_change())
+    data = register_lib.encode_register(register)
+    assert register_lib.decode_register(data) == register
+
+
+def test_redaction_hides_every_secret():
+    loaded = builders.make_document()
+    shown = msgspec.json.encode(model_lib.redact(loaded))
+    for workspace in loaded.workspaces.values():
+        assert workspace.cache_secret.encode() not in shown
+
+
+def test_a_difference_applied_gives_the_other_document():
+    old = builders.make_document()
+    new = builders.make_document(workspaces=["joinery", "panels"])
+    operations = changes.diff_documents(old, new)
+    result, problems = changes.apply_operations(old, operations)
+    assert not problems
+    assert result == new
+
+
+json_values = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=3
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(
+    strategies.sampled_from(
+        ["limits", "models/lm", "services/x", "workspaces/w", "rules/r", "no"]
+    )
+    | strategies.text(max_size=20),
+    json_values,
+)
+def test_any_operation_is_applied_or_explained(path, value):
+    before = builders.make_document()
+    result, problems = changes.apply_operations(
+        before, [changes.Operation(path, value)]
+    )
+    if not problems:
+        assert document.find_problems(result) == []
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(strategies.binary(max_size=100))
+def test_garbage_is_no_document(data):
+    with pytest.raises((msgspec.MsgspecError, UnicodeDecodeError)):
+        model_lib.decode_document(b"\x00" + data)
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,135 @@
+import asyncio
+
+import builders
+from chivelb_core.consensus import log as log_lib
+from chivelb_core.consensus import voter as voter_lib
+from chivelb_core.document import register as register_lib
+from chivelb_node.storage import journal
+from chivelb_node.storage import restore
+from chivelb_node.storage import voter_files
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+
+def write(path, payloads):
+    async def run():
+        book = journal.Journal(path)
+        book.open()
+        await asyncio.gather(*(book.append([p]) for p in payloads))
+        book.close()
+
+    asyncio.run(run())
+
+
+def read(path):
+    book = journal.Journal(path)
+    payloads = book.open()
+    book.close()
+    return payloads
+
+
+def test_records_survive_in_order(tmp_path):
+    payloads = [bytes([n]) * n for n in range(50)]
+    write(tmp_path / "j", payloads)
+    assert read(tmp_path / "j") == payloads
+
+
+@pytest.mark.parametrize("cut", range(1, 20))
+def test_a_torn_tail_is_cut_off(tmp_path, cut):
+    write(tmp_path / "j", [b"first", b"second", b"third record"])
+    data = (tmp_path / "j").read_bytes()
+    (tmp_path / "j").write_bytes(data[:-cut])
+    assert read(tmp_path / "j") == [b"first", b"second"]
+    write(tmp_path / "j", [b"new"])
+    assert read(tmp_path / "j") == [b"first", b"second", b"new"]
+
+
+def test_damage_before_whole_records_is_refused(tmp_path):
+    write(tmp_path / "j", [b"first", b"second", b"third"])
+    data = bytearray((tmp_path / "j").read_bytes())
+    data[journal.HEAD_BYTES] ^= 1
+    (tmp_path / "j").write_bytes(data)
+    with pytest.raises(journal.JournalError, match="damaged at byte 0"):
+        read(tmp_path / "j")
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(strategies.binary(max_size=200))
+def test_any_file_opens_or_is_refused(tmp_path_factory, data):
+    path = tmp_path_factory.mktemp("j") / "j"
+    path.write_bytes(data)
+    try:
+        read(path)
+    except journal.JournalError:
+        pass
+
+
+def test_rewriting_keeps_what_is_given(tmp_path):
+    async def run():
+        book = journal.Journal(tmp_path / "j")
+        book.open()
+        await book.append([b"a", b"b"])
+        await book.rewrite([b"c"])
+        await book.append([b"d"])
+        book.close()
+
+    asyncio.run(run())
+    assert read(tmp_path / "j") == [b"c", b"d"]
+
+
+def make_effects(**options):
+    return voter_lib.Effects(**options)
+
+
+def entry(index, term, data=b""):
+    return log_lib.Entry(index, term, "change", data)
+
+
+def test_voter_files_recover_truncations_and_votes(tmp_path):
+    async def run():
+        files = voter_files.VoterFiles(tmp_path / "voter")
+        files.create("a/1")
+        files.recover()
+        await files.store(
+            make_effects(
+                hard_state=voter_lib.HardState(3, "b/1"),
+                entries=[entry(1, 1, b"x"), entry(2, 1, b"y")],
+            )
+        )
+        await files.store(
+            make_effects(truncate_from=2, entries=[entry(2, 3, b"z")])
+        )
+
+    asyncio.run(run())
+    recovered = voter_files.VoterFiles(tmp_path / "voter").recover()
+    assert recovered.member_id == "a/1"
+    assert recovered.hard == voter_lib.HardState(3, "b/1")
+    assert [e.data for e in recovered.log.entries] == [b"x", b"z"]
+
+
+def test_a_damaged_snapshot_is_refused(tmp_path):
+    files = voter_files.VoterFiles(tmp_path / "voter")
+    files.create("a/1")
+    files.write_snapshot(4, 2, b"state")
+    path = tmp_path / "voter" / "snapshot"
+    path.write_bytes(path.read_bytes()[:-1] + b"?")
+    with pytest.raises(journal.JournalError, match="damaged"):
+        files.recover()
+
+
+def test_a_restored_voter_leads_alone_above_the_floor(tmp_path):
+    register = builders.make_register()
+    data = register_lib.encode_register(register)
+    version = restore.restore_voter(data, tmp_path, name="a", above=500)
+    assert version > 500
+    recovered = voter_files.VoterFiles(tmp_path / "voter").recover()
+    snapshot = voter_lib.decode_snapshot(recovered.snapshot)
+    assert [m.name for m in snapshot.group.members.values()] == ["a"]
+    restored = register_lib.decode_register(snapshot.state)
+    assert restored.document == register.document
+    with pytest.raises(ValueError, match="holds a voter already"):
+        restore.restore_voter(data, tmp_path, name="a", above=0)
+    with pytest.raises(ValueError, match="not a saved register"):
+        restore.restore_voter(b"?", tmp_path / "b", name="a", above=0)
--- /dev/null
+++ b/tests/test_kept.py
@@ -0,0 +1,215 @@
+import builders
+from chivelb_core import kept
+from chivelb_core.kept import directory as directory_lib
+from chivelb_core.kept import keys as keys_lib
+from chivelb_core.kept import messages
+from chivelb_core.kept import returns
+from chivelb_core.kept import store_table
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+KEYS = [f"k{number}" for number in range(8)]
+SECRETS = ["00" * 16, "11" * 16]
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(strategies.binary(max_size=2_000), strategies.binary(max_size=2_000))
+def test_no_key_is_shared_between_workspaces_or_versions(one, other):
+    seen = {}
+    for secret in SECRETS:
+        for version in ("v1", "v2"):
+            salt = kept.cache_salt(secret, "lm")
+            for key in kept.block_keys(salt, version, one):
+                assert seen.setdefault(key, (secret, version)) == (
+                    secret,
+                    version,
+                )
+            for key in kept.block_keys(salt, version, other):
+                assert seen.setdefault(key, (secret, version)) == (
+                    secret,
+                    version,
+                )
+
+
+def test_a_key_stands_for_all_before_it():
+    salt = kept.cache_salt(SECRETS[0], "lm")
+    block = keys_lib.BLOCK_BYTES
+    one = kept.block_keys(salt, "v1", b"a" * block + b"c" * block)
+    other = kept.block_keys(salt, "v1", b"b" * block + b"c" * block)
+    assert not set(one) & set(other)
+
+
+def test_a_grown_prompt_keeps_its_keys_and_anchor():
+    salt = kept.cache_salt(SECRETS[0], "lm")
+    prompt = bytes(range(256)) * 20
+    short = kept.block_keys(salt, "v1", prompt)
+    grown = kept.block_keys(salt, "v1", prompt + b"more" * 200)
+    assert grown[: len(short)] == short
+    assert kept.anchor_key(grown) == kept.anchor_key(short)
+
+
+def event(sequence, kind, *keys):
+    return directory_lib.CacheEvent(sequence, kind, "anchor", list(keys))
+
+
+def test_a_gap_in_events_asks_for_a_listing():
+    feed = directory_lib.EventFeed(1)
+    listing = directory_lib.Listing(4, [])
+    assert feed.wants_listing
+    assert feed.take_listing(listing) and not feed.wants_listing
+    assert len(feed.take_events([event(5, "stored", "k")])) == 1
+    assert not feed.wants_listing
+    fresh = feed.take_events([event(8, "stored", "k"), event(5, "stored")])
+    assert [e.sequence for e in fresh] == [8]
+    assert feed.wants_listing
+    assert not feed.take_listing(listing)
+
+
+def test_lookup_finds_the_deepest_block_of_each_target():
+    directory = kept.Directory()
+    directory.apply_events("r1", 1, [event(1, "stored", *KEYS[:3])])
+    directory.apply_events("r2", 1, [event(1, "stored", *KEYS[:6])])
+    assert directory.lookup(KEYS) == {"r1": 3, "r2": 6}
+    assert directory.lookup(["other"]) == {}
+
+
+def test_a_restarted_target_holds_nothing():
+    directory = kept.Directory()
+    directory.apply_events("r1", 1, [event(1, "stored", *KEYS)])
+    directory.apply_events("r1", 2, [])
+    assert directory.lookup(KEYS) == {}
+    directory.apply_events("r1", 1, [event(9, "stored", *KEYS)])
+    assert directory.lookup(KEYS) == {}
+    directory.check_invariants()
+
+
+class StoreMachine(stateful.RuleBasedStateMachine):
+    """Blocks of a store, with readers, late frees and owners that change."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.table = self.new_table()
+        self.real = {}
+        self.readers = {}
+        self.written = []
+        self.reader_number = 0
+
+    def new_table(self):
+        return store_table.StoreTable(
+            60, store_table.score_by_recency, now=self.now
+        )
+
+    @stateful.rule(
+        start=strategies.integers(0, 5), count=strategies.integers(1, 4)
+    )
+    def reserve(self, start, count):
+        wanted = builders.make_reserve(KEYS[start : start + count])
+        for ref in self.table.reserve(wanted, self.now):
+            assert ref.generation not in self.written
+            self.written.append(ref.generation)
+            self.real[ref.key] = (ref.generation, False)
+
+    @stateful.rule(key=strategies.sampled_from(KEYS))
+    def seal(self, key):
+        if key in self.real:
+            generation, _ = self.real[key]
+            if self.table.seal(key, generation, f"sum{generation}"):
+                self.real[key] = (generation, True)
+
+    @stateful.rule(count=strategies.integers(1, 5))
+    def lease(self, count):
+        self.reader_number += 1
+        reader = f"reader{self.reader_number}"
+        refs = self.table.lease(
+            builders.make_lease(KEYS[:count], reader), self.now
+        )
+        for ref in refs:
+            # Only a sealed block of the present generation is offered.
+            assert self.real[ref.key] == (ref.generation, True)
+        if refs:
+            self.readers[reader] = (self.now, refs)
+
+    @stateful.rule()
+    def release(self):
+        if self.readers:
+            self.table.release(self.readers.popitem()[0])
+
+    @stateful.rule()
+    def free(self):
+        for key, generation in list(self.table.freeing):
+            for leased_at, refs in self.readers.values():
+                held = any(ref.generation == generation for ref in refs)
+                late = self.now - leased_at >= store_table.LEASE_S
+                assert late or not held, "a leased block is freed"
+            if self.real.get(key, (0, False))[0] == generation:
+                del self.real[key]
+            self.table.forget_freed(key, generation)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.5, 3.0, 11.0]))
+    def wait(self, seconds):
+        self.now += seconds
+        self.table.expire(self.now)
+        self.table.keep_reserve(self.now)
+
+    @stateful.rule()
+    def change_owner(self):
+        refs = [
+            messages.BlockRef(key, generation, f"sum{generation}", 10)
+            for key, (generation, sealed) in self.real.items()
+            if sealed
+        ]
+        self.real = {k: v for k, v in self.real.items() if v[1]}
+        self.table = store_table.StoreTable(
+            60,
+            store_table.score_by_recency,
+            now=self.now,
+            no_frees_before=self.now + store_table.LEASE_S,
+        )
+        newest = max(self.written, default=0)
+        self.table.rebuild(refs, newest, self.now)
+
+    @stateful.invariant()
+    def check(self):
+        self.table.check_invariants()
+
+
+StoreMachine.TestCase.settings = settings(
+    max_examples=80, stateful_step_count=40, derandomize=True, deadline=None
+)
+TestStore = StoreMachine.TestCase
+
+
+def test_value_keeps_what_returns_and_recency_does_not():
+    model = returns.ReturnModel()
+    for number in range(200):
+        model.visit("returning", [f"a{number}"], float(number))
+        model.visit("returning", [f"a{number}"], number + 5.0)
+        model.visit("once", [f"b{number}"], float(number))
+    scorer = store_table.make_value_scorer(model.chance)
+    table = store_table.StoreTable(40, scorer, now=0.0)
+    table.reserve(builders.make_reserve(["x1"], "returning"), 300.0)
+    for number in range(3):
+        name = f"y{number}"
+        table.reserve(builders.make_reserve([name], "once"), 301.0 + number)
+    for key in ("x1", "y0", "y1", "y2"):
+        table.seal(key, table.blocks[key].generation, "sum")
+    table.reserve(builders.make_reserve(["z1"], "returning"), 305.0)
+    assert "x1" in table.blocks
+    assert {k for k, _ in table.freeing} == {"y0"}
+
+
+def test_a_return_is_seen_although_the_prompt_has_grown():
+    model = returns.ReturnModel()
+    assert model.visit("w", ["a", "b", "c"], 1.0) is None
+    assert model.visit("w", ["a", "b", "c", "d"], 9.0) == 8.0
+    assert model.visit("w", ["a", "x", "y", "z"], 10.0) is None
+    assert model.chance("w") > model.chance("w", 16.0)
+
+
+def test_anchor_lies_behind_the_shared_opening():
+    keys = [str(number) for number in range(20)]
+    assert kept.anchor_key(keys) == keys[keys_lib.ANCHOR_BLOCKS - 1]
+    assert kept.anchor_key(keys[:2]) == keys[1]
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,96 @@
+import random
+
+from chivelb_core import routing
+from chivelb_core.routing import cost
+from chivelb_core.routing import policies
+
+PROMPT = 2_000
+
+
+def choose(candidates, goal="latency", policy="expected_cost", seed=1):
+    return routing.choose(
+        policies.make_policies()[policy],
+        candidates,
+        prompt_tokens=PROMPT,
+        anchor="a",
+        goal=goal,
+        rng=random.Random(seed),
+    )
+
+
+def test_no_candidate_no_choice():
+    assert choose([]) is None
+
+
+def test_the_holder_of_the_prefix_wins_when_equally_loaded():
+    idle = cost.Candidate("idle")
+    holder = cost.Candidate("holder", held_tokens=1_900)
+    assert choose([idle, holder]).identity == "holder"
+
+
+def test_a_busy_holder_loses_when_its_queue_costs_more():
+    idle = cost.Candidate("idle")
+    holder = cost.Candidate("holder", held_tokens=1_900, pending_tokens=9_000)
+    assert choose([idle, holder]).identity == "idle"
+
+
+def test_the_reuse_goal_waits_longer_for_the_holder():
+    idle = cost.Candidate("idle")
+    holder = cost.Candidate("holder", held_tokens=1_900, pending_tokens=4_000)
+    assert choose([idle, holder], "latency").identity == "idle"
+    assert choose([idle, holder], "reuse").identity == "holder"
+
+
+def test_loading_beats_recomputing_only_over_a_fast_link():
+    fast = cost.Candidate("r", stored_tokens=1_900, link_rate=100e6)
+    slow = cost.Candidate("r", stored_tokens=1_900, link_rate=4e6)
+    assert choose([fast]).import_tokens == 1_900
+    assert choose([slow]).import_tokens == 0
+
+
+def test_a_busy_link_is_not_waited_for():
+    candidate = cost.Candidate("r", stored_tokens=1_900, link_wait_s=3.0)
+    assert choose([candidate]).import_tokens == 0
+
+
+def test_another_zone_is_used_only_when_worth_its_price():
+    near = cost.Candidate("near", pending_tokens=100)
+    far = cost.Candidate("far", zone_price_s=0.02)
+    assert choose([near, far]).identity == "near"
+    near.pending_tokens = 1_000
+    assert choose([near, far]).identity == "far"
+
+
+def test_every_policy_chooses_a_candidate():
+    candidates = [cost.Candidate(f"r{n}", running=n) for n in range(30)]
+    for name in policies.make_policies():
+        choice = choose(candidates, policy=name)
+        assert choice.identity.startswith("r"), name
+
+
+def test_equal_candidates_are_spread():
+    candidates = [cost.Candidate(f"r{n}") for n in range(9)]
+    chosen = {choose(candidates, seed=s).identity for s in range(100)}
+    assert len(chosen) == 9
+
+
+def test_known_sends_correct_a_late_report():
+    view = routing.LoadView()
+    view.take_report("r", running=0, pending=0, measured_at=10.0)
+    view.note_send("r", 11.0, prompt=500, total=600)
+    assert view.pending("r", 11.1) == 500
+    assert view.running("r", 11.1) == 1
+    view.take_peer("other", "r", 11.0, 2, 700, 900)
+    assert view.pending("r", 11.2) == 1_200
+    assert view.running("r", 11.2) == 3
+    assert view.filled("r", 11.2) == 1_500
+    view.note_first_token("r", 500)
+    view.note_end("r", 600)
+    assert view.pending("r", 11.3) == 700
+
+
+def test_a_silent_peer_is_forgotten():
+    view = routing.LoadView()
+    view.take_peer("other", "r", 1.0, 5, 700, 900)
+    assert view.running("r", 2.0) == 5
+    assert view.running("r", 9.0) == 0
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,61 @@
+from chivelb_node import settings as settings_lib
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+
+def faults_of(text):
+    result = settings_lib.parse_settings(text, "x.ini")
+    return result.error if result.is_error() else []
+
+
+def test_the_example_is_valid():
+    assert faults_of(settings_lib.render_example()) == []
+
+
+BASE = "[instance]\nname = a\nzone = z\n"
+CASES = [
+    ("[instanc]\n", ["x.ini", "[instanc]", "did you mean 'instance'?"]),
+    (BASE + "nam = b\n", ["[instance] nam", "did you mean 'name'?"]),
+    (BASE + "log_level = loud\n", ["[instance] log_level", "'loud'"]),
+    (BASE + "[http]\ndrain_grace_s = soon\n", ["[http] drain_grace_s"]),
+    (BASE + "[http]\nlisten = here\n", ["[http] listen", "host:port"]),
+    (BASE + "[peers]\nseeds = b\n", ["seeds", "name@zone@host:port"]),
+    (
+        BASE + "[peers]\nlisten = 127.0.0.1:1\n",
+        ["[peers] listen", "keys_file"],
+    ),
+    (
+        BASE + "[control]\nvoters = b\n",
+        ["[control] voters", "'b' is neither"],
+    ),
+    (BASE + "[control]\nvoters = a\n", ["needs [instance] data_dir"]),
+    (
+        BASE + "[control]\nheartbeat_s = 0.9\n",
+        ["heartbeat_s", "election_timeout_s"],
+    ),
+    ("[http]\n", ["[instance]: section is missing"]),
+    ("no section\n", ["x.ini"]),
+    (BASE + BASE, ["x.ini"]),
+]
+
+
+@pytest.mark.parametrize("text,parts", CASES)
+def test_a_fault_names_file_section_key_and_choices(text, parts):
+    message = "\n".join(faults_of(text))
+    for part in parts:
+        assert part in message
+
+
+def test_a_missing_file_is_a_fault(tmp_path):
+    result = settings_lib.read_settings(tmp_path / "none.ini")
+    assert result.is_error()
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(strategies.text(max_size=120))
+def test_any_text_is_settings_or_faults(text):
+    for candidate in (text, BASE + text):
+        result = settings_lib.parse_settings(candidate)
+        assert result.is_ok() or result.error
--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,65 @@
+import builders
+from chivelb_core import targets
+import pytest
+
+
+def make_table(**options):
+    table = targets.TargetTable()
+    table.announce(builders.make_record(**options), 0.0)
+    return table
+
+
+def test_a_lease_lapses_by_this_clock():
+    table = make_table(lease_s=2.0)
+    assert table.is_eligible("r1", 1.9)
+    assert not table.is_eligible("r1", 2.0)
+
+
+def test_leaving_is_final_for_an_incarnation():
+    table = make_table()
+    table.announce(builders.make_record(sequence=2, state="leaving"), 1.0)
+    table.announce(builders.make_record(sequence=3, state="ready"), 1.5)
+    assert not table.is_eligible("r1", 1.6)
+    table.announce(builders.make_record(incarnation=2, sequence=1), 2.0)
+    assert table.is_eligible("r1", 2.1)
+
+
+def test_late_and_repeated_announcements_are_no_news():
+    table = make_table(sequence=5)
+    assert not table.announce(builders.make_record(sequence=5), 1.0)
+    assert not table.announce(builders.make_record(sequence=4), 1.0)
+    assert table.announce(builders.make_record(sequence=6), 1.0)
+
+
+def test_word_of_leaving_for_an_old_incarnation_is_ignored():
+    table = make_table(incarnation=2)
+    assert not table.take_leaving("r1", 1)
+    assert table.is_eligible("r1", 0.5)
+    assert table.take_leaving("r1", 2)
+    assert not table.is_eligible("r1", 0.5)
+
+
+def test_the_table_is_bounded():
+    table = targets.TargetTable(max_entries=2)
+    for number in range(4):
+        table.announce(builders.make_record(f"r{number}"), 0.0)
+    assert len(table.entries) == 2
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        {"address": "nowhere"},
+        {"address": "h:0"},
+        {"lease_s": 0.0},
+        {"lease_s": float("nan")},
+        {"slots": 0},
+        {"prefill_rate": -1.0},
+        {"running": -1},
+        {"identity": "x" * 500},
+        {"zone": ""},
+    ],
+)
+def test_a_bad_announcement_is_explained(options):
+    record = builders.make_record(**options)
+    assert targets.find_record_faults(record)
