A stream whose caller lost its connection can be resumed

Cause: the entry cancelled an attempt as soon as its caller's connection broke, so a resend with Last-Event-ID found it failed (seen in test_a_caller_resumes_its_stream_by_the_last_event). The entry now waits a second before it cancels, and a runner goes on while anybody reads.

Ruled out: never cancelling, which would decode for callers that left.

--- a/packages/chivelb-cli/chivelb_cli/lab/engine.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/engine.py
@@ -39,6 +39,7 @@
         credit: Share of a token that is computed.
         changed: Set when tokens or the state changed.
         ended_at: Monotonic time of the end, in seconds.
+        readers: Number of streams that are being read.
     """
 
     attempt_id: str
@@ -59,6 +60,7 @@
     credit: float = 0.0
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     ended_at: float = 0.0
+    readers: int = 0
 
     @property
     def prompt_tokens(self) -> int:
--- a/packages/chivelb-cli/chivelb_cli/lab/runner.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/runner.py
@@ -230,6 +230,23 @@
         if self.faults.late_s:
             await asyncio.sleep(self.faults.late_s)
         await response.prepare(request)
+        sequence.readers += 1
+        try:
+            return await self._feed(
+                request, response, sequence, attempt_id, position, opened_at
+            )
+        finally:
+            sequence.readers -= 1
+
+    async def _feed(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        sequence: engine_lib.Sequence,
+        attempt_id: str,
+        position: int,
+        opened_at: float,
+    ) -> web.StreamResponse:
         while True:
             if self._is_hung(opened_at):
                 await asyncio.sleep(3600)
@@ -296,9 +313,9 @@
         return _json({"state": state, "incarnation": self._incarnation})
 
     async def cancel(self, request: web.Request) -> web.Response:
-        """Stops an attempt."""
+        """Stops an attempt that nobody reads."""
         sequence = self.attempts.get(request.match_info["id"])
-        if sequence is not None:
+        if sequence is not None and not sequence.readers:
             self.engine.cancel(sequence)
         return web.Response(text="cancelled\n")
 
--- a/packages/chivelb-node/chivelb_node/links/cache.py
+++ b/packages/chivelb-node/chivelb_node/links/cache.py
@@ -421,7 +421,14 @@
 
     def cancel(self, attempt: runners.RunnerAttempt) -> None:
         """Cancels an attempt that nobody waits for, in the background."""
-        self.add_future(runners.cancel_attempt(self.session, attempt))
+        self.add_future(self._cancel(attempt))
+
+    async def _cancel(self, attempt: runners.RunnerAttempt) -> None:
+        if attempt.offset:
+            # A caller that lost its connection may resume the stream at
+            # another instance; the runner goes on while somebody reads.
+            await self.sleep(runners.CANCEL_GRACE_S)
+        await runners.cancel_attempt(self.session, attempt)
 
     # Owners of stores.
 
--- a/packages/chivelb-node/chivelb_node/links/runners.py
+++ b/packages/chivelb-node/chivelb_node/links/runners.py
@@ -17,6 +17,7 @@
 SILENCE_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 STATUS_TIMEOUT_S = 1.0
+CANCEL_GRACE_S = 1.0
 IDLE_REUSE_S = 15.0
 MAX_RESUMES = 3
 
@@ -291,7 +292,7 @@
 async def cancel_attempt(
     session: aiohttp.ClientSession, attempt: RunnerAttempt
 ) -> None:
-    """Tells a runner to stop an attempt that nobody waits for."""
+    """Tells a runner to stop an attempt that nobody reads any more."""
     url = f"http://{attempt.record.address}/v1/attempts/{attempt.attempt_id}"
     try:
         async with asyncio.timeout(STATUS_TIMEOUT_S):
