--- a/packages/chivelb-cli/chivelb_cli/fleet.py
+++ b/packages/chivelb-cli/chivelb_cli/fleet.py
@@ -1,6 +1,7 @@
 """Starts a small fleet of local processes, and stops everything it started."""
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 import hashlib
@@ -20,23 +21,40 @@
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 8.0
 POLL_S = 0.05
+FIRST_PORT = 10_000
+PORT_BLOCKS = 110
+PORTS_PER_BLOCK = 200
 OPERATOR_KEY = "lab-operator-key"
 
 
+def _iterate_ports() -> Iterator[int]:
+    """Yields ports below those that the system gives to connections.
+
+    Each process has a block of its own, so that fleets side by side do not
+    take each other's ports.
+    """
+    start = FIRST_PORT + os.getpid() % PORT_BLOCKS * PORTS_PER_BLOCK
+    while True:
+        yield from range(start, start + PORTS_PER_BLOCK)
+
+
+_ports = _iterate_ports()
+
+
 def free_port() -> int:
     """Returns a port of the loopback that is free for TCP and UDP."""
-    while True:
+    for port in _ports:
         with (
             socket.socket() as tcp,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
         ):
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
             except OSError:
                 continue
             return port
+    raise RuntimeError("no port is free")
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/chivelb-cli/chivelb_cli/lab/runner.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/runner.py
@@ -333,13 +333,18 @@
         if self.arguments.checks_fencing and body.token < self._token:
             return web.Response(status=409, text="old fencing token\n")
         self._token = max(self._token, body.token)
-        known = [o for o in self.orders if o["order_id"] == body.order_id]
-        if not known and body.version != self.version:
+        known = any(o["order_id"] == body.order_id for o in self.orders)
+        if body.version == self.version:
+            state = "done"
+        elif not known:
+            state = "accepted"
             self.orders.append(msgspec.to_builtins(body))
             if self._loading is not None:
                 self._loading.cancel()
             self._loading = asyncio.create_task(self._load(body))
-        return _json({"state": self.ready, "version": self.version})
+        else:
+            state = "loading" if self.ready == "loading" else "failed"
+        return _json({"state": state, "version": self.version})
 
     async def _load(self, body: OrderBody) -> None:
         self.ready = "loading"
--- a/packages/chivelb-cli/chivelb_cli/main.py
+++ b/packages/chivelb-cli/chivelb_cli/main.py
@@ -3,6 +3,7 @@
 import argparse
 import signal
 import sys
+import threading
 
 from chivelb_cli.commands import bench
 from chivelb_cli.commands import demo
@@ -38,7 +39,8 @@
     """
     arguments = build_parser().parse_args(argv)
     # Commands that start processes end them on the way out.
-    signal.signal(signal.SIGTERM, _interrupt)
+    if threading.current_thread() is threading.main_thread():
+        signal.signal(signal.SIGTERM, _interrupt)
     try:
         return arguments.run(arguments)
     except KeyboardInterrupt:
--- a/packages/chivelb-core/chivelb_core/calls/suspects.py
+++ b/packages/chivelb-core/chivelb_core/calls/suspects.py
@@ -47,8 +47,9 @@
 class SuspectTable:
     """Suspects by fingerprint.
 
-    Rules: a prompt is refused only after crashes of two distinct targets;
-    one that finished is no suspect any more.
+    Rules: a prompt is refused only after crashes of two distinct targets
+    that no other prompt was present at both of; one that finished is no
+    suspect any more.
 
     Attributes:
         suspects: Suspects by fingerprint, oldest first.
@@ -93,9 +94,20 @@
         return True
 
     def is_refused(self, key: str, now: float) -> bool:
-        """Tells whether a prompt is refused at this moment."""
-        return (
-            self.is_suspect(key, now)
-            and len(self.suspects[key].targets) >= CRASHES_TO_REFUSE
-            and now - self.suspects[key].seen_at < REFUSE_FOR_S
+        """Tells whether a prompt is refused at this moment.
+
+        A prompt that shared each of its crashes with another one can't be
+        told from it: both may run once more, apart from each other.
+        """
+        if not self.is_suspect(key, now):
+            return False
+        suspect = self.suspects[key]
+        if len(suspect.targets) < CRASHES_TO_REFUSE:
+            return False
+        if now - suspect.seen_at >= REFUSE_FOR_S:
+            return False
+        return not any(
+            other.targets >= suspect.targets
+            for fingerprint, other in self.suspects.items()
+            if fingerprint != key
         )
--- a/packages/chivelb-core/chivelb_core/claims/keeper.py
+++ b/packages/chivelb-core/chivelb_core/claims/keeper.py
@@ -53,6 +53,7 @@
     """Another keeper that was seen serving."""
 
     keeper: str
+    life: str
     sequence: int
 
 
@@ -89,7 +90,7 @@
         name: Name of the keeper.
         records: Claims by key.
         released: Time of release by claim id.
-        witnessed: Highest sequence seen of other keepers.
+        witnessed: Disk and highest sequence seen of other keepers.
         sequence: Number of records written.
     """
 
@@ -113,7 +114,7 @@
         self.name = name
         self.records: dict[str, ClaimRecord] = {}
         self.released: dict[str, float] = {}
-        self.witnessed: dict[str, int] = {}
+        self.witnessed: dict[str, tuple[str, int]] = {}
         self.sequence = 0
         self.ttl_s = ttl_s
         self._writes: list[Stored] = []
@@ -193,12 +194,13 @@
         self.records[request.key] = settled
         self._write(StoredClaim(settled))
 
-    def witness(self, keeper: str, sequence: int) -> None:
-        """Notes that another keeper serves; stored when it is new."""
-        known = self.witnessed.get(keeper)
-        self.witnessed[keeper] = max(known or 0, sequence)
-        if known is None:
-            self._write(WitnessRecord(keeper, sequence))
+    def witness(self, keeper: str, life: str, sequence: int) -> None:
+        """Notes that another keeper serves; stored when its disk is new."""
+        known_life, known = self.witnessed.get(keeper, ("", 0))
+        if known_life != life:
+            self._write(WitnessRecord(keeper, life, sequence))
+            known = 0
+        self.witnessed[keeper] = (life, max(known, sequence))
 
     def _write(self, stored: Stored) -> None:
         self.sequence += 1
@@ -219,8 +221,8 @@
                 ):
                     del self.records[key]
                 self.released[claim_id] = written_at
-            case WitnessRecord(keeper, sequence):
-                self.witnessed[keeper] = sequence
+            case WitnessRecord(keeper, life, sequence):
+                self.witnessed[keeper] = (life, sequence)
 
     def take_listing(self, records: list[ClaimRecord]) -> None:
         """Takes claims of another keeper after a lost disk.
@@ -275,7 +277,7 @@
                 for claim_id, at in self.released.items()
             ),
             *(
-                WitnessRecord(name, sequence)
-                for name, sequence in self.witnessed.items()
+                WitnessRecord(name, life, sequence)
+                for name, (life, sequence) in self.witnessed.items()
             ),
         ]
--- a/packages/chivelb-core/chivelb_core/claims/messages.py
+++ b/packages/chivelb-core/chivelb_core/claims/messages.py
@@ -90,10 +90,14 @@
 
     Attributes:
         keeper: Its name.
+        life: Id of its disk; a new one after a lost disk.
         sequence: Number of records that it has synced.
-        seen: Highest sequence that it has seen of the receiver.
+        seen_life: Disk of the receiver that it has seen.
+        seen: Highest sequence that it has seen of that disk.
     """
 
     keeper: str
+    life: str
     sequence: int
+    seen_life: str
     seen: int
--- a/packages/chivelb-core/chivelb_core/claims/round.py
+++ b/packages/chivelb-core/chivelb_core/claims/round.py
@@ -13,6 +13,7 @@
     GRANTED = "granted"
     SETTLED = "settled"
     HELD = "held"
+    SPLIT = "split"
     KEY_REUSED = "key reused"
     NO_MAJORITY = "no majority"
 
@@ -84,4 +85,11 @@
             held and open_keepers
         ):
             return Verdict.PENDING
-        return Verdict.HELD if held else Verdict.NO_MAJORITY
+        if not held:
+            return Verdict.NO_MAJORITY
+        unheard = len(self.keepers) - len(self.replies)
+        if max(granted, *held.values()) + unheard < self.majority:
+            # Several arrivals share the keepers: none of them can run, and
+            # each may try again under a new claim.
+            return Verdict.SPLIT
+        return Verdict.HELD
--- a/packages/chivelb-core/chivelb_core/consensus/voter.py
+++ b/packages/chivelb-core/chivelb_core/consensus/voter.py
@@ -103,6 +103,11 @@
     outgoing: list[messages.Message] = dataclasses.field(default_factory=list)
     committed: list[log_lib.Entry] = dataclasses.field(default_factory=list)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is asked."""
+        return not (self.needs_sync or self.outgoing or self.committed)
+
     @property
     def needs_sync(self) -> bool:
         """Whether anything must be synced before messages are sent."""
--- a/packages/chivelb-core/chivelb_core/rollout/plan.py
+++ b/packages/chivelb-core/chivelb_core/rollout/plan.py
@@ -113,6 +113,11 @@
         """Notes that a runner took an order."""
         self.sent[order.identity] = Sent(order.version, incarnation, now)
 
+    def note_failed(self, order: Order) -> None:
+        """Takes a runner's word that it could not carry an order out."""
+        if order.version == self._version:
+            self.failed = order.identity
+
     def is_done(
         self, wanted: model_lib.Model, records: list[targets.TargetRecord]
     ) -> bool:
--- a/packages/chivelb-core/chivelb_core/routing/load.py
+++ b/packages/chivelb-core/chivelb_core/routing/load.py
@@ -7,6 +7,25 @@
 SENDS_KEPT_S = 5.0
 
 
+@dataclasses.dataclass(slots=True)
+class PeerShare:
+    """What one peer has in progress at a target.
+
+    Attributes:
+        heard_at: Monotonic time of its word, in seconds.
+        running: Requests in progress.
+        pending: Prompt tokens awaiting a first token.
+        tokens: KV tokens that they may fill.
+        suspects: Requests that may crash the target.
+    """
+
+    heard_at: float
+    running: int
+    pending: int
+    tokens: int
+    suspects: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class TargetLoad:
     """Load of one target.
@@ -18,8 +37,9 @@
         own_running: Requests of this instance in progress.
         own_pending: Prompt tokens of this instance awaiting a first token.
         own_tokens: KV tokens that requests of this instance may fill.
+        own_suspects: Requests of this instance that may crash the target.
         sends: Time and prompt tokens of this instance's recent sends.
-        peers: By peer: time heard, running, pending tokens, KV tokens.
+        peers: What peers have in progress, by peer.
     """
 
     running: int = 0
@@ -28,12 +48,11 @@
     own_running: int = 0
     own_pending: int = 0
     own_tokens: int = 0
+    own_suspects: int = 0
     sends: collections.deque = dataclasses.field(
         default_factory=collections.deque
     )
-    peers: dict[str, tuple[float, int, int, int]] = dataclasses.field(
-        default_factory=dict
-    )
+    peers: dict[str, "PeerShare"] = dataclasses.field(default_factory=dict)
 
 
 class LoadView:
@@ -70,17 +89,9 @@
         load.pending_tokens = pending
         load.measured_at = measured_at
 
-    def take_peer(
-        self,
-        peer: str,
-        identity: str,
-        now: float,
-        running: int,
-        pending: int,
-        tokens: int,
-    ) -> None:
+    def take_peer(self, peer: str, identity: str, share: PeerShare) -> None:
         """Takes a peer's word on what it has in progress at a target."""
-        self.load(identity).peers[peer] = (now, running, pending, tokens)
+        self.load(identity).peers[peer] = share
 
     def note_send(
         self, identity: str, now: float, prompt: int, total: int
@@ -116,7 +127,7 @@
         """Returns the estimated number of requests in progress."""
         load = self.load(identity)
         known = load.own_running + sum(
-            peer[1] for peer in self._fresh(load, now)
+            peer.running for peer in self._fresh(load, now)
         )
         since = sum(
             1 for sent_at, _ in load.sends if sent_at > load.measured_at
@@ -127,7 +138,7 @@
         """Returns the estimated prompt tokens not yet prefilled."""
         load = self.load(identity)
         known = load.own_pending + sum(
-            peer[2] for peer in self._fresh(load, now)
+            peer.pending for peer in self._fresh(load, now)
         )
         since = sum(
             tokens
@@ -141,14 +152,30 @@
     def filled(self, identity: str, now: float) -> int:
         """Returns the KV tokens that requests in progress may fill."""
         load = self.load(identity)
-        return load.own_tokens + sum(peer[3] for peer in self._fresh(load, now))
+        return load.own_tokens + sum(
+            peer.tokens for peer in self._fresh(load, now)
+        )
 
-    def own_share(self, identity: str) -> tuple[int, int, int]:
-        """Returns what peers are told: running, pending and KV tokens."""
+    def suspects(self, identity: str, now: float) -> int:
+        """Returns how many requests in progress may crash the target."""
         load = self.load(identity)
-        return (load.own_running, load.own_pending, load.own_tokens)
+        return load.own_suspects + sum(
+            peer.suspects for peer in self._fresh(load, now)
+        )
+
+    def own_share(self, identity: str) -> tuple[int, int, int, int]:
+        """Returns what peers are told, in the order of ``PeerShare``."""
+        load = self.load(identity)
+        return (
+            load.own_running,
+            load.own_pending,
+            load.own_tokens,
+            load.own_suspects,
+        )
 
-    def _fresh(self, load: TargetLoad, now: float) -> list[tuple]:
+    def _fresh(self, load: TargetLoad, now: float) -> list[PeerShare]:
         return [
-            peer for peer in load.peers.values() if now - peer[0] < PEER_FRESH_S
+            peer
+            for peer in load.peers.values()
+            if now - peer.heard_at < PEER_FRESH_S
         ]
--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -2,7 +2,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import logging
 import random
 import signal
@@ -32,6 +31,7 @@
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.links import runners
 from chivelb_node.links import sharing as sharing_lib
+from chivelb_node.storage import journal
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import sealing
 
@@ -39,6 +39,7 @@
 EXIT_SETTINGS = 2
 EXIT_CUT = 3
 EXIT_CRASH = 4
+EXIT_START = 5
 CRASH_POLL_S = 0.2
 _log = logs.get_logger("app")
 
@@ -230,9 +231,12 @@
     settings = result.ok
     logs.configure(settings.instance.name, settings.instance.log_level)
     logging.getLogger("mode").setLevel(logging.CRITICAL)
-    with contextlib.suppress(KeyboardInterrupt):
+    try:
         return asyncio.run(serve(settings))
-    return EXIT_CUT
+    except (OSError, sealing.SealError, journal.JournalError) as error:
+        # A port in use, unreadable keys or a damaged file.
+        print(f"{arguments.settings}: can't start: {error}", file=sys.stderr)
+        return EXIT_START
 
 
 if __name__ == "__main__":
--- a/packages/chivelb-node/chivelb_node/control/claiming.py
+++ b/packages/chivelb-node/chivelb_node/control/claiming.py
@@ -17,6 +17,8 @@
 
 CLAIM_TIMEOUT_S = 1.5
 NOTE_TIMEOUT_S = 1.5
+SPLIT_RETRIES = 5
+SPLIT_PAUSE_S = 0.03
 NOTE_RETRIES = 20
 NOTE_PAUSE_S = 1.0
 MAX_KEY_LENGTH = 200
@@ -91,23 +93,32 @@
                 codes.CLAIM_UNAVAILABLE, "no claim keeper is configured"
             )
         key = _digest(workspace.encode(), request_key.encode())
-        request = claim_messages.ClaimRequest(
-            key, _digest(body), secrets.token_hex(12)
-        )
-        claim_round = await self._ask(request)
-        match claim_round.verdict():
-            case claims.Verdict.GRANTED:
-                return Claim(key, request.claim_id)
+        digest = _digest(body)
+        for attempt in range(SPLIT_RETRIES):
+            request = claim_messages.ClaimRequest(
+                key, digest, secrets.token_hex(12)
+            )
+            claim_round = await self._ask(request)
+            if claim_round.verdict() is not claims.Verdict.SPLIT:
+                break
+            self._give_up(claim_round)
+            pause_s = SPLIT_PAUSE_S * (attempt + self.context.rng.random())
+            await asyncio.sleep(pause_s)
+        return self._conclude(claim_round)
+
+    def _conclude(self, claim_round: claims.ClaimRound) -> Claim | bytes:
+        request = claim_round.request
+        verdict = claim_round.verdict()
+        if verdict is claims.Verdict.GRANTED:
+            return Claim(request.key, request.claim_id)
+        self._give_up(claim_round)
+        match verdict:
             case claims.Verdict.SETTLED:
-                self._give_up(claim_round)
                 return claim_round.settled().outcome
             case claims.Verdict.KEY_REUSED:
-                self._give_up(claim_round)
                 raise responses.CodedError(codes.KEY_REUSED)
             case claims.Verdict.HELD:
-                self._give_up(claim_round)
                 raise responses.CodedError(codes.CLAIM_IN_PROGRESS)
-        self._give_up(claim_round)
         raise responses.CodedError(codes.CLAIM_UNAVAILABLE)
 
     async def _ask(
@@ -139,8 +150,7 @@
     def _give_up(self, claim_round: claims.ClaimRound) -> None:
         """Frees what a round was granted; nothing was dispatched."""
         request = claim_round.request
-        if claim_round.verdict() is not claims.Verdict.GRANTED:
-            self.release(Claim(request.key, request.claim_id))
+        self.release(Claim(request.key, request.claim_id))
 
     def release(self, claim: Claim) -> None:
         """States that the claim's call never ran and never will."""
--- a/packages/chivelb-node/chivelb_node/control/keeping.py
+++ b/packages/chivelb-node/chivelb_node/control/keeping.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import secrets
 import time
 
 from chivelb_core import claims
@@ -34,6 +35,7 @@
         keeper: The aggregate.
         serving: Whether its disk can be vouched for.
         failed: Why it can't serve, or empty.
+        life: Id of its disk.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         )
         self.serving = False
         self.failed = ""
+        self.life = ""
         folder = pathlib.Path(settings.instance.data_dir) / "claims"
         self._identity = folder / "identity"
         self._journal = journal_lib.Journal(folder / "claims.journal")
@@ -69,7 +72,9 @@
         self._journal.path.parent.mkdir(parents=True, exist_ok=True)
         for payload in self._journal.open():
             self.keeper.replay(_stored_decoder.decode(payload))
-        self.serving = self._identity.exists()
+        if self._identity.exists():
+            self.life = self._identity.read_text().strip()
+            self.serving = True
 
     async def on_stop(self) -> None:
         """Closes the journal."""
@@ -82,7 +87,8 @@
     async def _recover(self) -> None:
         while not self.should_stop and not self.serving:
             if await self._copy_from_others():
-                journal_lib.replace_file(self._identity, b"keeper\n")
+                self.life = secrets.token_hex(8)
+                journal_lib.replace_file(self._identity, self.life.encode())
                 self.serving = True
                 _log.info("keeper serves", claims=len(self.keeper.records))
                 return
@@ -192,13 +198,14 @@
     ) -> None:
         if hello.keeper != peer or peer not in self._others:
             return
-        if hello.seen > self.keeper.sequence and self.serving:
+        same_disk = hello.seen_life == self.life
+        if same_disk and hello.seen > self.keeper.sequence and self.serving:
             # The other saw more of this keeper's records than its disk has.
             self.serving = False
             self.failed = "the disk was rolled back; empty the data folder"
             _log.error("keeper stopped", detail=self.failed)
             return
-        self.keeper.witness(peer, hello.sequence)
+        self.keeper.witness(peer, hello.life, hello.sequence)
         await self._sync()
 
     # Upkeep.
@@ -210,14 +217,15 @@
             if not self.serving:
                 continue
             for name in self._others:
-                self.hub.send(
-                    name,
-                    claim_messages.KeeperHello(
-                        self.keeper.name,
-                        self.keeper.sequence,
-                        self.keeper.witnessed.get(name, 0),
-                    ),
+                life, seen = self.keeper.witnessed.get(name, ("", 0))
+                hello = claim_messages.KeeperHello(
+                    self.keeper.name,
+                    self.life,
+                    self.keeper.sequence,
+                    life,
+                    seen,
                 )
+                self.hub.send(name, hello)
 
     @mode.Service.task
     async def _expire(self) -> None:
--- a/packages/chivelb-node/chivelb_node/control/rollout.py
+++ b/packages/chivelb-node/chivelb_node/control/rollout.py
@@ -21,6 +21,17 @@
 _log = logs.get_logger("rollout")
 
 
+class OrderReply(msgspec.Struct):
+    """A runner's answer to an order.
+
+    Attributes:
+        state: ``accepted``, ``loading``, ``done`` or ``failed``; a resend
+            is not carried out again.
+    """
+
+    state: str
+
+
 class RolloutService(mode.Service):
     """The controller, while this instance leads and holds the lease.
 
@@ -132,11 +143,23 @@
                     data=msgspec.json.encode(body),
                 ) as response:
                     status = response.status
+                    reply = await response.read()
+            state = msgspec.json.decode(reply, type=OrderReply).state
         except (aiohttp.ClientError, TimeoutError):
             # It may have been taken: noted as sent, so that the limit on
             # loads at once holds; a resend has the same order id.
-            status = 0
-        if status in (0, 200):
+            status, state = 0, "unknown"
+        except msgspec.MsgspecError:
+            state = "refused"
+        if state == "failed":
+            swap.note_failed(order)
+            _log.error(
+                "swap stopped",
+                model=swap.model,
+                version=order.version,
+                target=order.identity,
+            )
+        if state not in ("failed", "refused"):
             swap.note_sent(order, record.incarnation, context_lib.monotonic())
         _log.info(
             "order sent",
@@ -144,4 +167,5 @@
             version=order.version,
             token=self.lease.token,
             status=status,
+            state=state,
         )
--- a/packages/chivelb-node/chivelb_node/control/voting.py
+++ b/packages/chivelb-node/chivelb_node/control/voting.py
@@ -80,6 +80,7 @@
         self._inbox: asyncio.Queue = asyncio.Queue()
         self._applied: dict[tuple[int, int], asyncio.Future] = {}
         self._witnessed: set[str] = set()
+        self._disk_was_read = False
         for kind in _KINDS:
             hub.handle(kind, self._on_message)
         hub.handle(messages.VoterHello, self._on_hello)
@@ -124,6 +125,8 @@
         member_id = self._files.read_identity()
         if member_id:
             self._recover()
+        self._disk_was_read = True
+        if member_id:
             return
         settings = self.context.settings.control
         names = settings.voters or [self.name]
@@ -135,8 +138,9 @@
             states = await self._ask_others(names)
             joined = [s for s in states if s.member_id]
             others = len(names) - 1
-            if any(self.name in s.witnessed for s in joined):
-                # This instance voted before: its disk was lost.
+            if any(self._is_not_first(s) for s in joined):
+                # This instance voted before and its disk was lost, or the
+                # group was restored without it.
                 await self._come_back(joined)
                 return
             if len(states) == others:
@@ -144,6 +148,12 @@
                 return
             await self.sleep(HELLO_PERIOD_S)
 
+    def _is_not_first(self, state: messages.VoterState) -> bool:
+        """Tells by another member's word that this is no first start."""
+        group = voter_lib.decode_group(state.group)
+        first_id = f"{self.name}/1"
+        return self.name in state.witnessed or first_id not in group.members
+
     async def _ask_others(self, names: list[str]) -> list[messages.VoterState]:
         hello = messages.VoterHello(self.name, "")
         replies = await asyncio.gather(
@@ -157,7 +167,10 @@
 
     def _on_hello(
         self, peer: str, hello: messages.VoterHello
-    ) -> messages.VoterState:
+    ) -> messages.VoterState | None:
+        if not self._disk_was_read:
+            # A word given now could hide a member that the disk holds.
+            return None
         group = b""
         member_id = ""
         if self.voter is not None:
@@ -232,7 +245,9 @@
     # The loop that owns the aggregate.
 
     async def _run_voter(self) -> None:
-        while not self.should_stop and not self.voter.disowned:
+        while self.voter is not None and not self.voter.disowned:
+            if self.should_stop:
+                return
             await self._wait_for_input()
             now = context_lib.monotonic()
             while not self._inbox.empty():
@@ -240,7 +255,7 @@
             self.voter.tick(now)
             await self._carry_out()
             self._complete_joins(now)
-        if self.voter.disowned:
+        if self.voter is not None:
             self.failed = "the disk was rolled back; empty the data folder"
             _log.error("voter stopped", detail=self.failed)
 
@@ -253,23 +268,20 @@
             pass
 
     async def _carry_out(self) -> None:
-        effects = self.voter.take_effects()
-        if effects.snapshot is not None:
-            self._take_snapshot(effects.snapshot[2])
-        if effects.needs_sync:
-            await self._files.store(effects)
+        # Proposals may arrive during a sync: their entries are in the next
+        # effects, which must be synced as well.
+        while not (effects := self.voter.take_effects()).is_empty:
+            if effects.snapshot is not None:
+                self._take_snapshot(effects.snapshot[2])
+            if effects.needs_sync:
+                await self._files.store(effects)
             if effects.entries:
                 self.voter.note_synced(
                     effects.entries[-1].index, context_lib.monotonic()
                 )
-        for message in effects.outgoing:
-            self._send(message)
-        self._apply(effects.committed)
-        follow_up = self.voter.take_effects()
-        for message in follow_up.outgoing:
-            self._send(message)
-        assert not follow_up.needs_sync or follow_up.hard_state is None
-        self._apply(follow_up.committed)
+            for message in effects.outgoing:
+                self._send(message)
+            self._apply(effects.committed)
         await self._compact()
 
     def _send(self, message: consensus_messages.Message) -> None:
--- a/packages/chivelb-node/chivelb_node/edge/dispatch.py
+++ b/packages/chivelb-node/chivelb_node/edge/dispatch.py
@@ -34,12 +34,14 @@
         choice: What was decided.
         prompt_tokens: Prompt tokens that the target must compute.
         total_tokens: KV tokens counted against the target's room.
+        suspect: Whether the call was in flight on a target that crashed.
     """
 
     record: targets.TargetRecord
     choice: routing.Choice
     prompt_tokens: int
     total_tokens: int
+    suspect: bool = False
 
 
 class Dispatcher(mode.Service):
@@ -111,6 +113,8 @@
     def finish(self, grant: Grant, service: str, *, got_token: bool) -> None:
         """Gives a grant's room back and starts what waits for it."""
         identity = grant.record.identity
+        if grant.suspect:
+            self.context.load.load(identity).own_suspects -= 1
         if not got_token:
             self.context.load.note_first_token(identity, grant.prompt_tokens)
         self.context.load.note_end(identity, grant.total_tokens)
@@ -161,6 +165,8 @@
             if record.weight_version in call.versions
             and record.identity not in call.tried
         ]
+        suspect = self.context.suspects.is_suspect(call.fingerprint, now)
+        usable = self._keep_apart(usable, now, suspect=suspect)
         by_identity = {record.identity: record for record in usable}
         service = context.document.services[call.service]
         choice = routing.choose(
@@ -177,7 +183,28 @@
         if not self._has_room(record, call, now):
             return None
         rest = call.prompt_tokens - choice.reused_tokens
-        return Grant(record, choice, rest, call.total_tokens)
+        return Grant(record, choice, rest, call.total_tokens, suspect)
+
+    def _keep_apart(
+        self,
+        records: list[targets.TargetRecord],
+        now: float,
+        *,
+        suspect: bool,
+    ) -> list[targets.TargetRecord]:
+        """Keeps calls that may crash a target away from all others.
+
+        A suspect runs where no other suspect does and where the fewest
+        others do; all others avoid its target while they can.
+        """
+        load = self.context.load
+        apart = [r for r in records if not load.suspects(r.identity, now)]
+        if not suspect:
+            return apart or records
+        if not apart:
+            return []
+        fewest = min(load.running(r.identity, now) for r in apart)
+        return [r for r in apart if load.running(r.identity, now) == fewest]
 
     def _has_room(
         self, record: targets.TargetRecord, call: parsing.ModelCall, now: float
@@ -221,6 +248,8 @@
         ticket: admission.Ticket,
         now: float,
     ) -> None:
+        if grant.suspect:
+            self.context.load.load(grant.record.identity).own_suspects += 1
         self.context.load.note_send(
             grant.record.identity, now, grant.prompt_tokens, grant.total_tokens
         )
--- a/packages/chivelb-node/chivelb_node/edge/operators.py
+++ b/packages/chivelb-node/chivelb_node/edge/operators.py
@@ -1,5 +1,7 @@
 """HTTP handlers for operators: the document, its changes and the status."""
 
+import asyncio
+from collections.abc import Callable
 import hashlib
 import hmac
 import secrets
@@ -24,6 +26,8 @@
 MAX_DOCUMENT_BYTES = 67_108_864
 SECRET = "(secret)"
 HISTORY_SHOWN = 200
+CATCH_UP_POLLS = 40
+CATCH_UP_POLL_S = 0.05
 _BY_NUMBER = {code.number: code for code in codes.ALL}
 _log = logs.get_logger("operators")
 
@@ -148,13 +152,24 @@
         return json_response(await self.reporter.site())
 
     async def snapshot(self, request: web.Request) -> web.Response:
-        """Serves a snapshot of the document's register."""
+        """Serves a snapshot of the document's register.
+
+        The header ``X-Current`` tells whether it was proved to hold every
+        accepted change; without a quorum it is the newest found here.
+        """
+        newest = await self.replica.read_current()
+        voting = self.replica.voting
         register = self.context.register
-        if self.replica.voting is not None:
-            register = self.replica.voting.machine
+        if voting is not None:
+            wanted = max(newest or 0, self.context.version)
+            await _wait_until(lambda: voting.machine.version >= wanted)
+            if voting.machine.version >= register.version:
+                register = voting.machine
+        current = newest is not None and register.version >= newest
         return web.Response(
             body=register_lib.encode_register(register),
             content_type="application/octet-stream",
+            headers={"X-Current": str(int(current))},
         )
 
     async def check(self, request: web.Request) -> web.Response:
@@ -219,6 +234,14 @@
         return json_response({"draining": body.target})
 
 
+async def _wait_until(condition: Callable[[], bool]) -> None:
+    """Polls until a condition holds, for a bounded time."""
+    for _ in range(CATCH_UP_POLLS):
+        if condition():
+            return
+        await asyncio.sleep(CATCH_UP_POLL_S)
+
+
 def is_operator_key(context: context_lib.InstanceContext, key: str) -> bool:
     """Tells whether a key is the operators' key."""
     wanted = context.settings.operators.key_hash
--- a/packages/chivelb-node/chivelb_node/links/sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/sharing.py
@@ -1,5 +1,6 @@
 """Spreads announcements, loads and sightings among the instances."""
 
+from chivelb_core import routing
 from chivelb_core import targets
 from chivelb_core.calls import suspects as suspects_lib
 import mode
@@ -36,7 +37,7 @@
         self.hub = hub
         self.gossip = gossip
         self._news: dict[str, targets.TargetRecord] = {}
-        self._told: dict[str, tuple[int, int, int]] = {}
+        self._told: dict[str, tuple[int, ...]] = {}
         hub.handle(messages.TargetNews, self._on_news)
         hub.handle(messages.TargetLeaving, self._on_leaving)
         hub.handle(messages.Sends, self._on_sends)
@@ -94,10 +95,13 @@
             self.context.load.take_peer(
                 peer,
                 entry.identity,
-                now,
-                entry.running,
-                entry.pending,
-                entry.tokens,
+                routing.PeerShare(
+                    now,
+                    entry.running,
+                    entry.pending,
+                    entry.tokens,
+                    entry.suspects,
+                ),
             )
 
     def _on_sightings(self, peer: str, news: messages.SightingNews) -> None:
@@ -123,7 +127,7 @@
             entries = []
             for identity in self.context.targets.entries:
                 share = self.context.load.own_share(identity)
-                if share != (0, 0, 0) or self._told.get(identity) != share:
+                if any(share) or self._told.get(identity, share) != share:
                     entries.append(messages.SendEntry(identity, *share))
                     self._told[identity] = share
             if entries:
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -198,8 +198,10 @@
 
 struct KeeperHello {
   keeper @0 :Text;
-  sequence @1 :Int64;
-  seen @2 :Int64;
+  life @1 :Text;
+  sequence @2 :Int64;
+  seenLife @3 :Text;
+  seen @4 :Int64;
 }
 
 struct LeaseBlocks {
@@ -306,6 +308,7 @@
   running @1 :Int64;
   pending @2 :Int64;
   tokens @3 :Int64;
+  suspects @4 :Int64;
 }
 
 struct Sends {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -112,6 +112,7 @@
     running: int
     pending: int
     tokens: int
+    suspects: int
 
 
 class Sends(msgspec.Struct, rename="camel", frozen=True):
--- a/tests/run.py
+++ b/tests/run.py
@@ -43,7 +43,7 @@
 def main() -> int:
     """Returns the exit code for CI."""
     recorder = Recorder()
-    arguments = ["-n", "4", "--dist", "loadfile", *sys.argv[1:]]
+    arguments = ["-n", "5", "--dist", "loadgroup", *sys.argv[1:]]
     status = int(pytest.main(arguments, plugins=[recorder]))
     known = read_known_red()
     for name in sorted(recorder.failed & known.keys()):
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -168,5 +168,37 @@
     return await fleet_lib.wait_for(find, "a leader")
 
 
+async def wait_keepers(session, fleet):
+    """Waits until every claim keeper serves."""
+    wanted = sum(bool(entry.data) for entry in fleet.entries.values())
+    name = next(iter(fleet.entries))
+
+    async def serving():
+        status = await status_of(session, fleet, name)
+        keepers = [i["keeper"] for i in status["instances"]]
+        return keepers.count("serving") == wanted
+
+    await fleet_lib.wait_for(serving, "all claim keepers")
+
+
+async def cut_zone(session, fleet, zone):
+    """Cuts a zone off and waits until its instances reach no other zone.
+
+    A request sent just before could still be answered across the cut.
+    """
+    fleet.cut_zone(zone)
+    inside = [e.name for e in fleet.entries.values() if e.zone == zone]
+    outside = {e.name for e in fleet.entries.values() if e.zone != zone}
+
+    async def cut():
+        for name in inside:
+            status = await status_of(session, fleet, name)
+            if not outside <= set(status["unreachable"]):
+                return False
+        return True
+
+    await fleet_lib.wait_for(cut, f"{zone} to be cut off")
+
+
 wait_for = fleet_lib.wait_for
 partial = functools.partial
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -76,6 +76,18 @@
     assert not table.is_refused("p", 2.0)
 
 
+def test_prompts_that_shared_both_crashes_are_told_apart_by_a_third():
+    table = calls.SuspectTable()
+    for target in ("r1/1", "r2/1"):
+        sight(table, "poison", target)
+        sight(table, "bystander", target)
+    assert not table.is_refused("poison", 1.0)
+    assert not table.is_refused("bystander", 1.0)
+    sight(table, "poison", "r3/1")
+    assert table.is_refused("poison", 1.0)
+    assert not table.is_refused("bystander", 1.0)
+
+
 def test_fingerprints_tell_workspaces_apart():
     assert calls.fingerprint("a", b"p") != calls.fingerprint("b", b"p")
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -139,6 +139,20 @@
 ]
 
 
+def test_a_split_is_told_from_a_held_key():
+    keepers = {n: claims.Keeper(n) for n in NAMES}
+    for claim_id, name in zip("abc", NAMES, strict=True):
+        keepers[name].claim(request(claim_id), 0.0)
+    claim_round = claims.ClaimRound(request("a"), frozenset(NAMES))
+    for name in "xy":
+        claim_round.take(keepers[name].claim(request("a"), 1.0))
+    assert claim_round.verdict() is claims.Verdict.PENDING
+    claim_round.miss("z")
+    assert claim_round.verdict() is claims.Verdict.HELD
+    claim_round.take(keepers["z"].claim(request("a"), 1.0))
+    assert claim_round.verdict() is claims.Verdict.SPLIT
+
+
 @pytest.mark.parametrize("name,arrivals,wanted", CASES)
 def test_fault_table(name, arrivals, wanted):
     keepers = {n: claims.Keeper(n) for n in NAMES}
@@ -207,7 +221,7 @@
     keeper.claim(request("b", key="k2"), 0.0)
     keeper.release(messages.ClaimRelease("k2", "b"), 0.0)
     keeper.settle(messages.ClaimSettle("k", "a", b"o"), 1.0)
-    keeper.witness("y", 4)
+    keeper.witness("y", "disk", 4)
     again = claims.Keeper("x")
     for stored in keeper.stored_form():
         again.replay(stored)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -80,7 +80,7 @@
     view.note_send("r", 11.0, prompt=500, total=600)
     assert view.pending("r", 11.1) == 500
     assert view.running("r", 11.1) == 1
-    view.take_peer("other", "r", 11.0, 2, 700, 900)
+    view.take_peer("other", "r", routing.PeerShare(11.0, 2, 700, 900))
     assert view.pending("r", 11.2) == 1_200
     assert view.running("r", 11.2) == 3
     assert view.filled("r", 11.2) == 1_500
@@ -91,6 +91,6 @@
 
 def test_a_silent_peer_is_forgotten():
     view = routing.LoadView()
-    view.take_peer("other", "r", 1.0, 5, 700, 900)
+    view.take_peer("other", "r", routing.PeerShare(1.0, 5, 700, 900))
     assert view.running("r", 2.0) == 5
     assert view.running("r", 9.0) == 0
--- a/tests/test_site_calls.py
+++ b/tests/test_site_calls.py
@@ -7,6 +7,8 @@
 import sites
 
 ONE_MEBIBYTE = 1 << 20
+# One fleet serves the tests of this file.
+pytestmark = pytest.mark.xdist_group("calls")
 
 
 @pytest.fixture(scope="module")
--- /dev/null
+++ b/tests/test_site_faults.py
@@ -0,0 +1,505 @@
+import asyncio
+import shutil
+
+import pytest
+import sites
+
+NAMES = ["z1-1", "z2-1", "z3-1"]
+
+
+def play(tmp_path, scenario, **options):
+    fleet = sites.make_fleet(tmp_path, **options)
+
+    async def main():
+        async with sites.running(fleet) as session:
+            sites.start_entries(fleet)
+            await fleet.wait_ready(session)
+            await sites.wait_keepers(session, fleet)
+            await scenario(session, fleet)
+
+    asyncio.run(main())
+
+
+async def start_portal(session, fleet, **options):
+    sites.start_portal(fleet, "portal-1", "z1", **options)
+    await fleet.wait_targets(session, 1)
+
+
+def test_claims_with_a_keeper_lost_and_on_both_sides_of_a_cut(tmp_path):
+    async def scenario(session, fleet):
+        await start_portal(session, fleet)
+        urls = [fleet.entries[name].url for name in NAMES]
+        # The same key through all instances at once.
+        replies = await asyncio.gather(
+            *(sites.check_in(session, url, "k1", "m1") for url in urls)
+        )
+        assert any(status == 200 for status, _ in replies)
+        assert (await sites.executions(session, fleet)).count("m1") == 1
+        # One keeper is lost.
+        fleet.kill("z3-1")
+        status, reply = await sites.check_in(session, urls[0], "k2", "m2")
+        assert status == 200, reply
+        fleet.start_entry("z3-1")
+        await fleet.wait_ready(session)
+        status, again = await sites.check_in(session, urls[2], "k2", "m2")
+        assert status == 200 and again["body"] == "m2"
+        assert (await sites.executions(session, fleet)).count("m2") == 1
+        # A cut: the smaller side refuses, and its call did not run.
+        await sites.cut_zone(session, fleet, "z3")
+        status, reply = await sites.check_in(session, urls[2], "k3", "m3")
+        assert (status, reply["error"]["ran"]) == (503, "not run")
+        status, reply = await sites.check_in(session, urls[0], "k3", "m3")
+        assert status == 200, reply
+        fleet.heal()
+
+        async def resent():
+            status, _ = await sites.check_in(session, urls[2], "k3", "m3")
+            return status == 200
+
+        await sites.wait_for(resent, "the recorded outcome on the other side")
+        assert (await sites.executions(session, fleet)).count("m3") == 1
+
+    play(tmp_path, scenario)
+
+
+def test_claims_survive_a_keepers_lost_disk(tmp_path):
+    async def scenario(session, fleet):
+        await start_portal(session, fleet)
+        urls = [fleet.entries[name].url for name in NAMES]
+        for number in range(10):
+            status, _ = await sites.check_in(
+                session, urls[0], f"k{number}", f"m{number}"
+            )
+            assert status == 200
+        # Each keeper in turn loses its disk and copies the others' claims.
+        for victim in NAMES:
+            fleet.kill(victim)
+            shutil.rmtree(fleet.entries[victim].data)
+            fleet.start_entry(victim)
+
+            async def serving(victim=victim):
+                status = await sites.status_of(session, fleet, victim)
+                return status and status["here"]["keeper"] == "serving"
+
+            await sites.wait_for(serving, f"keeper {victim}", 30.0)
+        for number in range(10):
+            status, reply = await sites.check_in(
+                session, urls[1], f"k{number}", f"m{number}"
+            )
+            assert status == 200, reply
+        runs = await sites.executions(session, fleet)
+        assert sorted(runs) == [f"m{number}" for number in range(10)]
+
+    play(tmp_path, scenario)
+
+
+def test_an_entry_killed_in_the_middle_runs_nothing_twice(tmp_path):
+    async def scenario(session, fleet):
+        await start_portal(session, fleet, work_s=0.6)
+        urls = [fleet.entries[name].url for name in NAMES]
+        call = asyncio.create_task(
+            sites.check_in(session, urls[1], "killed", "m-killed")
+        )
+        await asyncio.sleep(0.3)
+        fleet.kill("z2-1")
+        with pytest.raises(Exception):  # noqa: B017
+            await call
+        # Dispatched, and no outcome was recorded: said so, never run again.
+        status, reply = await sites.check_in(
+            session, urls[0], "killed", "m-killed"
+        )
+        assert (status, reply["error"]["ran"]) == (409, "unknown")
+        await asyncio.sleep(0.8)
+        assert (await sites.executions(session, fleet)).count("m-killed") == 1
+
+    play(tmp_path, scenario)
+
+
+def test_a_claimed_call_goes_on_when_its_caller_leaves(tmp_path):
+    async def scenario(session, fleet):
+        await start_portal(session, fleet, work_s=0.5)
+        url = fleet.entries["z1-1"].url
+        call = asyncio.create_task(
+            sites.check_in(session, url, "left", "m-left")
+        )
+        await asyncio.sleep(0.2)
+        call.cancel()
+
+        async def recorded():
+            status, reply = await sites.check_in(
+                session, fleet.entries["z2-1"].url, "left", "m-left"
+            )
+            return status == 200 and reply["body"] == "m-left"
+
+        await sites.wait_for(recorded, "the recorded outcome")
+        assert (await sites.executions(session, fleet)).count("m-left") == 1
+
+    play(tmp_path, scenario)
+
+
+def test_a_model_call_that_may_not_be_repeated(tmp_path):
+    async def scenario(session, fleet):
+        sites.start_runner(fleet, "runner-1", "z1")
+        await fleet.wait_targets(session, 1)
+        replies = []
+        for name in NAMES:
+            replies.append(
+                await sites.complete(
+                    session,
+                    fleet.entries[name].url,
+                    prompt="quotation letter",
+                    repeatable=False,
+                    more={"Idempotency-Key": "letter-1"},
+                )
+            )
+        texts = {sites.text_of(reply) for _, reply, _ in replies}
+        assert texts == {sites.right_answer("quotation letter")}
+        state = await sites.state_of(session, fleet, "runner-1")
+        assert len(state["attempts"]) == 1
+
+    play(tmp_path, scenario)
+
+
+def test_a_runner_killed_in_a_stream_is_replaced_without_a_lost_token(
+    tmp_path,
+):
+    async def scenario(session, fleet):
+        for number in (1, 2):
+            sites.start_runner(fleet, f"runner-{number}", "z1")
+        await fleet.wait_targets(session, 2)
+        call = asyncio.create_task(
+            sites.complete(
+                session, fleet.entries["z1-1"].url, prompt="long", tokens=80
+            )
+        )
+        await asyncio.sleep(0.6)
+        for number in (1, 2):
+            state = await sites.state_of(session, fleet, f"runner-{number}")
+            if state["running"]:
+                fleet.kill(f"runner-{number}")
+                break
+        status, reply, _ = await call
+        assert status == 200, reply
+        assert sites.text_of(reply) == sites.right_answer("long", 80)
+
+    play(tmp_path, scenario, voters=1, zones=["z1"])
+
+
+def test_a_poison_prompt_is_refused_everywhere_after_two_targets(tmp_path):
+    async def scenario(session, fleet):
+        for number in range(4):
+            sites.start_runner(
+                fleet, f"runner-{number}", sites.ZONES[number % 3]
+            )
+        await fleet.wait_targets(session, 4)
+        for number in range(4):
+            await sites.set_faults(
+                session, fleet, f"runner-{number}", crash_on="poison"
+            )
+        bystanders = [
+            asyncio.create_task(
+                sites.complete(
+                    session,
+                    fleet.entries[NAMES[n % 3]].url,
+                    prompt=f"good {n}",
+                    tokens=40,
+                )
+            )
+            for n in range(6)
+        ]
+        await asyncio.sleep(0.2)
+        replies = []
+        for attempt in range(5):
+            name = NAMES[attempt % 3]
+            replies.append(
+                await sites.complete(
+                    session, fleet.entries[name].url, prompt="poison pill"
+                )
+            )
+            await asyncio.sleep(0.1)
+        dead = sum(
+            fleet.process(f"runner-{n}").poll() is not None for n in range(4)
+        )
+        assert dead == 2
+        assert replies[-1][0] == 503
+        assert replies[-1][1]["error"]["type"] == "suspect"
+        for number, bystander in enumerate(bystanders):
+            status, reply, _ = await bystander
+            assert status == 200, reply
+            wanted = sites.right_answer(f"good {number}", 40)
+            assert sites.text_of(reply) == wanted
+        # Bystanders may come again.
+        for name in NAMES:
+            status, _, _ = await sites.complete(
+                session, fleet.entries[name].url, prompt="good 1"
+            )
+            assert status == 200
+
+    play(tmp_path, scenario)
+
+
+def test_a_leaving_target_gets_no_new_work(tmp_path):
+    async def scenario(session, fleet):
+        for number in (1, 2):
+            sites.start_runner(fleet, f"runner-{number}", "z1")
+        await fleet.wait_targets(session, 2)
+        await sites.admin(session, fleet, "runner-1", "leave")
+
+        async def known_everywhere():
+            for name in NAMES:
+                status = await sites.status_of(session, fleet, name)
+                states = {
+                    t["identity"]: t["eligible"]
+                    for t in status["here"]["targets"]
+                }
+                if states.get("runner-1", True):
+                    return False
+            return True
+
+        # The stated bound is 3 s after the word reached any instance.
+        await sites.wait_for(known_everywhere, "the word of leaving", 3.0)
+        before = await sites.state_of(session, fleet, "runner-1")
+        for name in NAMES:
+            for number in range(4):
+                status, _, _ = await sites.complete(
+                    session, fleet.entries[name].url, prompt=f"x{number}"
+                )
+                assert status == 200
+        after = await sites.state_of(session, fleet, "runner-1")
+        assert after["attempts"] == before["attempts"]
+        # The same address comes back as a new incarnation.
+        fleet.kill("runner-1")
+        fleet.restart_target("runner-1")
+
+        async def back():
+            status = await sites.status_of(session, fleet, "z2-1")
+            return all(t["eligible"] for t in status["here"]["targets"])
+
+        await sites.wait_for(back, "the new incarnation")
+
+    play(tmp_path, scenario)
+
+
+def start_swap(fleet, count=4, **options):
+    weights = fleet.start_weights(load_s=0.5, at_once=1)
+    for number in range(count):
+        sites.start_runner(
+            fleet,
+            f"runner-{number}",
+            sites.ZONES[number % 3],
+            weights=weights.url,
+            **options,
+        )
+
+
+async def order_swap(session, fleet, name, version="v2"):
+    model = {
+        "versions": ["v1", "v2"],
+        "current": version,
+        "loads_at_once": 1,
+        "min_ready": 2,
+    }
+    base = await sites.version_of(session, fleet, name)
+    change = {
+        "change_id": f"swap-{version}",
+        "base_version": base,
+        "operations": [{"path": "models/lm", "value": model}],
+    }
+    return await sites.fleet_lib.operator_post(
+        session, fleet.entries[name].url, "/operator/changes", change
+    )
+
+
+async def swapped(session, fleet, count=4, version="v2"):
+    states = [
+        await sites.state_of(session, fleet, f"runner-{n}")
+        for n in range(count)
+    ]
+    return all(s["version"] == version for s in states) and states
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+def test_a_swap_survives_its_controllers_death(tmp_path, fencing):
+    async def scenario(session, fleet):
+        options = {} if fencing else {"ignore_fencing": True}
+        start_swap(fleet, **options)
+        await fleet.wait_targets(session, 4)
+        leader = await sites.wait_leader(session, fleet, NAMES)
+        # A run across the swap keeps its own version.
+        side = next(name for name in NAMES if name != leader)
+        run = asyncio.create_task(
+            sites.complete(
+                session, fleet.entries[side].url, prompt="across", tokens=300
+            )
+        )
+        status, reply = await order_swap(session, fleet, side)
+        assert status == 200, reply
+
+        async def half_way():
+            states = [
+                await sites.state_of(session, fleet, f"runner-{n}")
+                for n in range(4)
+            ]
+            return any(s["version"] == "v2" for s in states)
+
+        await sites.wait_for(half_way, "the first load", 30.0)
+        fleet.kill(leader)
+        states = await sites.wait_for(
+            lambda: swapped(session, fleet), "the swap", 60.0
+        )
+        for state in states:
+            # No order was carried out twice.
+            assert len(state["orders"]) == 1
+        loads = await sites.state_of(session, fleet, "weights")
+        assert loads["most_at_once"] == 1
+        assert len(loads["loads"]) == 4
+        status, reply, _ = await run
+        assert status == 200
+        text = sites.text_of(reply)
+        assert text in (
+            sites.right_answer("across", 300),
+            sites.right_answer("across", 300, version="v2"),
+        )
+        status, reply, _ = await sites.complete(
+            session, fleet.entries[side].url
+        )
+        assert sites.text_of(reply) == sites.right_answer(version="v2")
+
+    # The zone of the dead controller keeps an instance to announce to.
+    play(tmp_path, scenario, per_zone=2)
+
+
+def test_a_swap_stops_at_a_failed_load(tmp_path):
+    async def scenario(session, fleet):
+        weights = fleet.start_weights(load_s=0.2, missing="v2")
+        for number in range(3):
+            sites.start_runner(
+                fleet, f"runner-{number}", "z1", weights=weights.url
+            )
+        await fleet.wait_targets(session, 3)
+        status, _ = await order_swap(session, fleet, "z1-1")
+        assert status == 200
+
+        async def stopped():
+            logs = [fleet.folder / f"{name}.log" for name in NAMES]
+            return any("swap stopped" in log.read_text() for log in logs)
+
+        await sites.wait_for(stopped, "the swap to stop", 30.0)
+        await asyncio.sleep(1.0)
+        orders = [
+            (await sites.state_of(session, fleet, f"runner-{n}"))["orders"]
+            for n in range(3)
+        ]
+        assert sum(map(len, orders)) == 1
+        status, reply, _ = await sites.complete(
+            session, fleet.entries["z1-1"].url
+        )
+        assert status == 200
+        assert sites.text_of(reply) == sites.right_answer()
+
+    play(tmp_path, scenario)
+
+
+async def fill_store(session, fleet, url, prompts=6):
+    """Serves prompts until the store holds blocks of them."""
+    for number in range(prompts):
+        for _ in range(2):
+            prompt = f"{number} " + sites.PROMPT
+            status, reply, _ = await sites.complete(session, url, prompt=prompt)
+            assert status == 200
+            assert sites.text_of(reply) == sites.right_answer(prompt)
+
+    async def filled():
+        state = await sites.state_of(session, fleet, "store-1")
+        return state["blocks"] >= 4
+
+    await sites.wait_for(filled, "blocks in the store")
+
+
+async def expect_right(session, url, prompts=6):
+    cached = 0
+    for number in range(prompts):
+        prompt = f"{number} " + sites.PROMPT
+        status, reply, _ = await sites.complete(session, url, prompt=prompt)
+        assert status == 200, reply
+        assert sites.text_of(reply) == sites.right_answer(prompt)
+        details = reply["usage"]["prompt_tokens_details"]
+        cached += details["cached_tokens"]
+    return cached
+
+
+def start_kept_site(fleet, **options):
+    # Each runner holds less than one prompt, so that returns need the store.
+    for number in (1, 2):
+        sites.start_runner(
+            fleet,
+            f"runner-{number}",
+            "z1",
+            cache_blocks=6,
+            prefill_rate=2_000,
+            **options,
+        )
+    fleet.start_target("store", "store-1", "z1", capacity=20_000_000)
+
+
+def test_returning_prompts_are_loaded_and_a_lost_store_is_survived(tmp_path):
+    async def scenario(session, fleet):
+        start_kept_site(fleet)
+        await fleet.wait_targets(session, 3)
+        url = fleet.entries["z1-1"].url
+        await fill_store(session, fleet, url)
+        await asyncio.sleep(1.0)
+        assert await expect_right(session, url) > 0
+        assert (await sites.state_of(session, fleet, "store-1"))["reads"] > 0
+        await sites.set_faults(session, fleet, "store-1", full=True)
+        await expect_right(session, url)
+        await sites.set_faults(session, fleet, "store-1", link_factor=0.01)
+        await expect_right(session, url, prompts=2)
+        fleet.kill("store-1")
+        await expect_right(session, url)
+
+    play(tmp_path, scenario, voters=1, zones=["z1"])
+
+
+def test_an_owner_of_shards_and_stores_may_die(tmp_path):
+    async def scenario(session, fleet):
+        start_kept_site(fleet)
+        await fleet.wait_targets(session, 3)
+        url = fleet.entries["z1-1"].url
+        await fill_store(session, fleet, url)
+        owner = (await sites.state_of(session, fleet, "store-1"))["owner"]
+        survivors = [n for n in fleet.entries if n != owner]
+        fleet.kill(owner)
+        await expect_right(session, fleet.entries[survivors[0]].url)
+
+        async def owned_anew():
+            state = await sites.state_of(session, fleet, "store-1")
+            return state["owner"] not in ("", owner)
+
+        await sites.wait_for(owned_anew, "a new owner of the store", 30.0)
+        await expect_right(session, fleet.entries[survivors[0]].url)
+
+    play(tmp_path, scenario, zones=["z1"], per_zone=3)
+
+
+def test_an_overload_is_refused_at_once_with_a_time_to_return(tmp_path):
+    async def scenario(session, fleet):
+        sites.start_runner(fleet, "runner-1", "z1", slots=2, decode_rate=20)
+        await fleet.wait_targets(session, 1)
+        url = fleet.entries["z1-1"].url
+        base = await sites.version_of(session, fleet, "z1-1")
+        await sites.change_limits(session, fleet, "z1-1", "few", base, 4)
+        replies = await asyncio.gather(
+            *(
+                sites.complete(session, url, prompt=f"{n} x", tokens=20)
+                for n in range(30)
+            )
+        )
+        refused = [r for r in replies if r[0] == 429]
+        served = [r for r in replies if r[0] == 200]
+        assert len(refused) + len(served) == 30
+        assert served and refused
+        waits = {float(r[2]["Retry-After"]) for r in refused}
+        assert len(waits) > 1, "all callers would return at the same time"
+
+    play(tmp_path, scenario, voters=1, zones=["z1"])
--- /dev/null
+++ b/tests/test_site_state.py
@@ -0,0 +1,389 @@
+import asyncio
+import shutil
+import signal
+
+from chivelb_cli import fleet as fleet_lib
+from chivelb_cli import main as cli
+from chivelb_cli.commands import operate
+import pytest
+import sites
+
+NAMES = ["z1-1", "z2-1", "z3-1"]
+
+
+def play(tmp_path, scenario, **options):
+    fleet = sites.make_fleet(tmp_path, **options)
+
+    async def main():
+        async with sites.running(fleet) as session:
+            sites.start_entries(fleet)
+            await fleet.wait_ready(session)
+            await sites.wait_keepers(session, fleet)
+            await scenario(session, fleet)
+
+    asyncio.run(main())
+
+
+def others(name):
+    return [other for other in NAMES if other != name]
+
+
+def test_races_resends_and_a_dead_leader(tmp_path):
+    async def scenario(session, fleet):
+        # Operators race at equal versions, through different instances.
+        replies = await asyncio.gather(
+            *(
+                sites.change_limits(session, fleet, name, f"r-{name}", 1, n)
+                for n, name in enumerate(NAMES, 10)
+            )
+        )
+        assert sorted(status for status, _ in replies) == [200, 409, 409]
+        winner = NAMES[[s for s, _ in replies].index(200)]
+        first = replies[NAMES.index(winner)][1]
+        await sites.wait_version(session, fleet, NAMES, 2)
+        # A resend gets its first answer, after a leader change as well.
+        leader = await sites.wait_leader(session, fleet, NAMES)
+        fleet.kill(leader)
+        left = others(leader)
+        value = 10 + NAMES.index(winner)
+        for name in left:
+            status, again = await sites.change_limits(
+                session, fleet, name, f"r-{winner}", 1, value
+            )
+            assert (status, again) == (200, first)
+        status, reply = await sites.change_limits(
+            session, fleet, left[0], "after", 2, 99
+        )
+        assert (status, reply["version"]) == (200, 3)
+        await sites.wait_version(session, fleet, left, 3)
+        fleet.start_entry(leader)
+        await fleet.wait_ready(session, [leader])
+        assert await sites.version_of(session, fleet, leader) == 3
+
+    play(tmp_path, scenario)
+
+
+def test_an_isolated_leader_answers_nothing_as_current(tmp_path):
+    async def scenario(session, fleet):
+        leader = await sites.wait_leader(session, fleet, NAMES)
+        url = fleet.entries[leader].url
+        path = "/operator/document?current=1"
+        assert await fleet_lib.operator_get(session, url, path)
+        zone = fleet.entries[leader].zone
+        await sites.cut_zone(session, fleet, zone)
+
+        async def stepped_down():
+            status = await sites.status_of(session, fleet, leader)
+            return status["here"]["role"] != "leader"
+
+        await sites.wait_for(stepped_down, "the leader to step down")
+        assert await fleet_lib.operator_get(session, url, path) is None
+        status, reply = await sites.change_limits(
+            session, fleet, leader, "minority", 1, 50
+        )
+        assert (status, reply["error"]["ran"]) == (503, "not run")
+        # The others go on.
+        side = others(leader)
+        await sites.wait_leader(session, fleet, side)
+        status, reply = await sites.change_limits(
+            session, fleet, side[0], "majority", 1, 60
+        )
+        assert status == 200
+        assert await sites.version_of(session, fleet, leader) == 1
+        fleet.heal()
+        await sites.wait_version(session, fleet, NAMES, 2)
+
+    play(tmp_path, scenario)
+
+
+def test_a_paused_leader_is_replaced_and_reverts_nothing(tmp_path):
+    async def scenario(session, fleet):
+        leader = await sites.wait_leader(session, fleet, NAMES)
+        fleet.pause(leader)
+        side = others(leader)
+        await sites.wait_leader(session, fleet, side)
+        status, reply = await sites.change_limits(
+            session, fleet, side[0], "while-paused", 1, 60
+        )
+        assert (status, reply["version"]) == (200, 2)
+        fleet.go_on(leader)
+        await sites.wait_version(session, fleet, NAMES, 2)
+
+    play(tmp_path, scenario)
+
+
+def test_lost_disks_come_back_as_new_members(tmp_path):
+    async def scenario(session, fleet):
+        status, _ = await sites.change_limits(
+            session, fleet, NAMES[0], "c1", 1, 60
+        )
+        assert status == 200
+        # A second disk is lost right after the first one's repair.
+        for number, victim in enumerate(NAMES[:2]):
+            fleet.kill(victim)
+            shutil.rmtree(fleet.entries[victim].data)
+            fleet.start_entry(victim)
+
+            async def repaired(victim=victim):
+                status = await sites.status_of(session, fleet, victim)
+                if status is None:
+                    return False
+                here = status["here"]
+                new = here["member_id"] not in ("", f"{victim}/1")
+                others_say = [i["keeper"] for i in status["instances"]].count(
+                    "serving"
+                )
+                return (
+                    new
+                    and here["role"] in ("follower", "leader")
+                    and here["log_index"] > 2
+                    and others_say == 3
+                )
+
+            await sites.wait_for(repaired, f"{victim} as a new member", 30.0)
+            await sites.wait_leader(session, fleet, NAMES)
+            # The repair is over when the group's last step is committed.
+            for attempt in range(40):
+                status, reply = await sites.change_limits(
+                    session,
+                    fleet,
+                    victim,
+                    f"d{number}-{attempt}",
+                    2 + number,
+                    70 + number,
+                )
+                if status != 503:
+                    break
+            assert status == 200, reply
+            await sites.wait_version(session, fleet, NAMES, 3 + number)
+
+        shown = await fleet_lib.operator_get(
+            session, fleet.entries[NAMES[2]].url, "/operator/document"
+        )
+        assert shown["document"]["limits"]["max_queue"] == 71
+
+    play(tmp_path, scenario)
+
+
+def test_hundreds_of_changes_pass_a_stopped_instance_by(tmp_path):
+    async def scenario(session, fleet):
+        late = ["z1-2", "z2-2"]
+        for name in late:
+            fleet.kill(name)
+        for number in range(300):
+            status, reply = await sites.change_limits(
+                session, fleet, NAMES[0], f"n{number}", number + 1, number + 1
+            )
+            assert status == 200, reply
+        for name in late:
+            fleet.start_entry(name)
+        await fleet.wait_ready(session, late)
+        # It serves only after it took the newest version.
+        for name in late:
+            assert await sites.version_of(session, fleet, name) == 301
+
+    play(tmp_path, scenario, per_zone=2)
+
+
+def test_a_cut_zone_serves_on_and_converges(tmp_path):
+    async def scenario(session, fleet):
+        for zone in sites.ZONES:
+            sites.start_runner(fleet, f"runner-{zone}", zone)
+        await fleet.wait_targets(session, 3)
+        await sites.cut_zone(session, fleet, "z3")
+        for zone in sites.ZONES:
+            url = fleet.entries[f"{zone}-1"].url
+            status, reply, _ = await sites.complete(session, url)
+            assert status == 200
+            assert sites.text_of(reply) == sites.right_answer()
+        await sites.wait_leader(session, fleet, NAMES[:2])
+
+        async def accepted():
+            status, _ = await sites.change_limits(
+                session, fleet, "z1-1", "during-cut", 1, 60
+            )
+            return status == 200
+
+        await sites.wait_for(accepted, "a change on the larger side")
+        status, reply = await sites.change_limits(
+            session, fleet, "z3-1", "cut-off", 1, 61
+        )
+        assert (status, reply["error"]["type"]) == (503, "no_quorum")
+        fleet.heal()
+        await sites.wait_version(session, fleet, NAMES, 2)
+
+    play(tmp_path, scenario)
+
+
+def test_keys_rotate_and_a_stranger_gets_nothing(tmp_path):
+    async def scenario(session, fleet):
+        old = fleet.keys_path.read_text()
+        new = "k2 = " + "cd" * 32 + "\n"
+        fleet.keys_path.write_text(new + old)
+        await asyncio.sleep(1.2)
+        fleet.keys_path.write_text(old + new)
+        await asyncio.sleep(1.2)
+        fleet.keys_path.write_text(new)
+        await asyncio.sleep(1.2)
+        await sites.wait_leader(session, fleet, NAMES)
+        status, _ = await sites.change_limits(
+            session, fleet, "z1-1", "rotated", 1, 60
+        )
+        assert status == 200
+        await sites.wait_version(session, fleet, NAMES, 2)
+        # Garbage and a wrong key are counted and dropped.
+        port = fleet.entries["z1-1"].peers
+        for data in (b"\x00" * 64, b"GET / HTTP/1.1\r\n\r\n", b"\xff\xff"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(data)
+            writer.write_eof()
+            assert await asyncio.wait_for(reader.read(), 10) == b""
+            writer.close()
+        async with session.get(f"{fleet.entries['z1-1'].url}/metrics") as r:
+            text = await r.text()
+        assert 'chivelb_peer_frames_total{kind="stranger"} 3.0' in text
+
+    play(tmp_path, scenario)
+
+
+def chivelb(capsys, fleet, *arguments, name="z1-1"):
+    """Runs a command against an instance; returns exit code and output."""
+    where = ["--url", fleet.entries[name].url]
+    where += ["--key", fleet_lib.OPERATOR_KEY]
+    code = cli.main([*arguments, *where])
+    captured = capsys.readouterr()
+    return code, captured.out + captured.err
+
+
+def test_commands_of_operators(tmp_path, capsys):
+    async def scenario(session, fleet):
+        await asyncio.to_thread(drive, fleet)
+
+    def drive(fleet):
+        import json
+
+        path = fleet.document_path
+        code, out = chivelb(capsys, fleet, "diff", str(path))
+        assert code == operate.EXIT_OK and "no difference" in out
+        document = json.loads(path.read_bytes())
+        document["limits"]["max_queue"] = 321
+        path.write_text(json.dumps(document))
+        code, out = chivelb(capsys, fleet, "diff", str(path))
+        assert "+ limits" in out and "models" not in out
+        code, out = chivelb(capsys, fleet, "apply", str(path), "--wait")
+        assert code == operate.EXIT_OK, out
+        assert "version 2 is in force" in out
+        document["limits"]["max_queue"] = 322
+        path.write_text(json.dumps(document))
+        code, out = chivelb(
+            capsys, fleet, "apply", str(path), "--base", "1", name="z2-1"
+        )
+        assert code == operate.EXIT_REFUSED and "change_conflict" in out
+        document["models"]["lm"]["current"] = "v9"
+        path.write_text(json.dumps(document))
+        code, out = chivelb(capsys, fleet, "apply", str(path))
+        assert code == operate.EXIT_REFUSED and "models/lm/current" in out
+        code, out = chivelb(capsys, fleet, "history")
+        assert "limits" in out
+        code, out = chivelb(capsys, fleet, "show", "--current", "--json")
+        assert code == operate.EXIT_OK
+        assert json.loads(out)["current"] is True
+        code, out = chivelb(capsys, fleet, "status", "--json")
+        assert code == operate.EXIT_OK
+        assert json.loads(out)["newest"] == 2
+        wrong = ["status", "--url", fleet.entries["z1-1"].url, "--key", "no"]
+        assert cli.main(wrong) == operate.EXIT_REFUSED
+        nobody = ["status", "--url", "http://127.0.0.1:9"]
+        assert cli.main(nobody) == operate.EXIT_UNREACHABLE
+        capsys.readouterr()
+        code, out = chivelb(capsys, fleet, "drain", name="z3-1")
+        assert code == operate.EXIT_OK
+        assert fleet.process("z3-1").wait(20) == 0
+
+    play(tmp_path, scenario)
+
+
+def test_two_lost_voters_are_restored_from_a_snapshot(tmp_path, capsys):
+    saved = tmp_path / "register"
+
+    async def scenario(session, fleet):
+        status, reply = await sites.change_limits(
+            session, fleet, "z1-1", "kept", 1, 55
+        )
+        assert status == 200, reply
+        code, out = await asyncio.to_thread(
+            chivelb, capsys, fleet, "snapshot", "save", str(saved)
+        )
+        assert code == operate.EXIT_OK, out
+        # Two of three disks are lost: the group can't go on by itself.
+        for name in NAMES:
+            fleet.kill(name)
+            shutil.rmtree(fleet.entries[name].data)
+        survivor = fleet.entries["z1-1"]
+        code = cli.main(
+            ["snapshot", "restore", str(saved), "--name", "z1-1"]
+            + ["--data-dir", survivor.data, "--above", "7"]
+        )
+        assert code == operate.EXIT_OK
+        capsys.readouterr()
+        for name in NAMES:
+            fleet.start_entry(name)
+        await fleet.wait_ready(session)
+        version = await sites.version_of(session, fleet, "z1-1")
+        assert version > 7
+        shown = await fleet_lib.operator_get(
+            session, survivor.url, "/operator/document"
+        )
+        assert shown["document"]["limits"]["max_queue"] == 55
+        status, _ = await sites.change_limits(
+            session, fleet, "z1-1", "after-restore", version, 56
+        )
+        assert status == 200
+        await sites.wait_version(session, fleet, NAMES, version + 1)
+
+    play(tmp_path, scenario)
+
+
+def test_settings_with_faults_end_the_daemon_with_their_text(tmp_path):
+    import subprocess
+    import sys
+
+    path = tmp_path / "bad.ini"
+    path.write_text("[instance]\nnam = x\n")
+    done = subprocess.run(
+        [sys.executable, "-m", "chivelb_node.app", "--settings", str(path)],
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 2
+    assert "did you mean 'name'?" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
+def test_a_port_in_use_ends_the_daemon_with_a_clear_error(tmp_path):
+    import subprocess
+    import sys
+
+    async def scenario(session, fleet):
+        path = fleet.entries["z1-1"].settings
+        done = await asyncio.to_thread(
+            subprocess.run,
+            [sys.executable, "-m", "chivelb_node.app", "--settings", str(path)],
+            capture_output=True,
+            text=True,
+        )
+        assert done.returncode == 5
+        assert "can't start" in done.stderr
+        assert "Traceback" not in done.stderr
+
+    play(tmp_path, scenario, voters=0, zones=["z1"])
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_either_signal_stops_an_idle_instance(tmp_path, number):
+    async def scenario(session, fleet):
+        process = fleet.process("z1-1")
+        process.send_signal(number)
+        assert await asyncio.to_thread(process.wait, 20) == 0
+
+    play(tmp_path, scenario, voters=1, zones=["z1"])
