--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -19,6 +19,7 @@
 from chivelb_node.edge import announcements
 from chivelb_node.edge import callers
 from chivelb_node.edge import claimed
+from chivelb_node.edge import console
 from chivelb_node.edge import dispatch
 from chivelb_node.edge import model_calls
 from chivelb_node.edge import operators
@@ -156,7 +157,10 @@
         handlers = operators.OperatorHandlers(
             self.context, self.replica, reporter, self.sharing
         )
-        return [handlers]
+        return [
+            handlers,
+            console.ConsoleHandlers(self.context, handlers, reporter),
+        ]
 
 
 async def serve(settings: settings_lib.Settings) -> int:
