Bench: entry hop, streams, spread of changes, slopes and long runs

Adds chivelb bench hop|spread|slope and chivelb soak, and a bare forwarder to compare with. Candidates are sampled before they are priced, so that a decision costs the same with many runners.

--- a/packages/chivelb-cli/chivelb_cli/commands/bench.py
+++ b/packages/chivelb-cli/chivelb_cli/commands/bench.py
@@ -5,12 +5,18 @@
 import pathlib
 import sys
 
+from chivelb_core.document import checks
 from chivelb_core.kept import keys as keys_lib
 import msgspec
 
+from chivelb_cli.bench import forwarder
+from chivelb_cli.bench import hop
 from chivelb_cli.bench import records
 from chivelb_cli.bench import running
 from chivelb_cli.bench import scenario as scenario_lib
+from chivelb_cli.bench import slopes
+from chivelb_cli.bench import soak
+from chivelb_cli.bench import spread
 from chivelb_cli.bench import workloads
 
 EXIT_VIOLATION = 1
@@ -51,6 +57,94 @@
     compare.add_argument("second")
     compare.set_defaults(run=run_compare)
 
+    hop_parser = kinds.add_parser("hop", help="cost of the entry hop")
+    hop_parser.add_argument("--calls", type=int, default=400)
+    hop_parser.set_defaults(run=run_hop)
+    forward = kinds.add_parser("forwarder", help="a bare forwarder")
+    forward.add_argument("--port", type=int, required=True)
+    forward.add_argument("--upstream", required=True)
+    forward.set_defaults(run=forwarder.run)
+    slope = kinds.add_parser("slope", help="cost of a role by size")
+    slope.add_argument("names", nargs="*", metavar="NAME")
+    slope.set_defaults(run=run_slopes)
+    spread_parser = kinds.add_parser("spread", help="changes in force")
+    spread_parser.add_argument("--changes", type=int, default=30)
+    spread_parser.add_argument("--dead-voters", type=int, default=0)
+    spread_parser.set_defaults(run=run_spread)
+
+
+def add_soak_parser(commands) -> None:
+    """Adds ``chivelb soak``."""
+    parser = commands.add_parser("soak", help="long randomised runs")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--minutes", type=float, default=1.0)
+    parser.set_defaults(run=run_soak)
+
+
+def run_soak(arguments: argparse.Namespace) -> int:
+    """Runs the soak and prints the steps taken."""
+    try:
+        steps = soak.run(seed=arguments.seed, minutes=arguments.minutes)
+    except AssertionError as error:
+        print(f"VIOLATION: {error}")
+        return EXIT_VIOLATION
+    for name, count in steps.items():
+        print(f"{name:<16}{count:>10}")
+    return 0
+
+
+def run_hop(arguments: argparse.Namespace) -> int:
+    """Measures the entry hop beside the target and a bare forwarder."""
+    result = asyncio.run(hop.run(calls=arguments.calls))
+    for name in ("direct", "forwarder", "entry"):
+        way = getattr(result, name)
+        print(
+            f"{name:<10} first token p50 {way.first_token_p50_s * 1e3:.2f} ms"
+            f"  {way.requests_per_s:.0f} requests/s"
+            f"  {way.requests_per_cpu_s:.0f} requests per cpu second"
+        )
+    direct, bare, entry = result.direct, result.forwarder, result.entry
+    added = entry.first_token_p50_s - direct.first_token_p50_s
+    bare_added = bare.first_token_p50_s - direct.first_token_p50_s
+    print(
+        f"added median: entry {added * 1e3:.2f} ms, forwarder "
+        f"{bare_added * 1e3:.2f} ms, ratio {added / bare_added:.2f}; "
+        f"requests/s ratio {entry.requests_per_s / bare.requests_per_s:.2f}, "
+        "per cpu second "
+        f"{entry.requests_per_cpu_s / bare.requests_per_cpu_s:.2f}"
+    )
+    streams = result.streams
+    print(
+        f"streams: {streams.tokens_per_s:.0f} of {streams.wanted_per_s:.0f} "
+        f"tokens/s, {streams.cpu_share:.2f} of a core, gap p95 "
+        f"{streams.gap_p95_s * 1e3:.0f} ms"
+    )
+    return 0
+
+
+def run_slopes(arguments: argparse.Namespace) -> int:
+    """Measures slopes and prints them as Markdown."""
+    wanted = arguments.names or list(slopes.SLOPES)
+    for name in wanted:
+        if name not in slopes.SLOPES:
+            print(checks.suggest(name, list(slopes.SLOPES)), file=sys.stderr)
+            return EXIT_USAGE
+        print(slopes.render(slopes.SLOPES[name]()), flush=True)
+    return 0
+
+
+def run_spread(arguments: argparse.Namespace) -> int:
+    """Measures how fast changes are in force on nine instances."""
+    result = asyncio.run(
+        spread.run(changes=arguments.changes, dead_voters=arguments.dead_voters)
+    )
+    print(
+        f"accepted p50 {result.accepted_p50_s:.3f} s; in force on half p50 "
+        f"{result.median_p50_s:.3f} s, on the last p50 "
+        f"{result.last_p50_s:.3f} s, worst {result.last_worst_s:.3f} s"
+    )
+    return 0
+
 
 def run_file(arguments: argparse.Namespace) -> int:
     """Runs a scenario file and writes its result."""
--- a/packages/chivelb-cli/chivelb_cli/main.py
+++ b/packages/chivelb-cli/chivelb_cli/main.py
@@ -22,6 +22,7 @@
     settings_command.add_parsers(commands)
     demo.add_parser(commands)
     bench.add_parser(commands)
+    bench.add_soak_parser(commands)
     lab = commands.add_parser("lab", help="stand-ins, one a process")
     lab_options.add_parsers(lab)
     return parser
--- a/packages/chivelb-core/chivelb_core/routing/policies.py
+++ b/packages/chivelb-core/chivelb_core/routing/policies.py
@@ -4,6 +4,7 @@
 import hashlib
 import random
 
+from chivelb_core import targets
 from chivelb_core.routing import cost as cost_lib
 
 SAMPLE_SIZE = 12
@@ -21,15 +22,10 @@
     weights: cost_lib.Weights,
     rng: random.Random,
 ) -> cost_lib.Choice:
-    """Takes the cheapest of the cache holders and a random sample."""
-    pool = candidates
-    if len(pool) > SAMPLE_SIZE:
-        holders = [c for c in candidates if c.held_tokens]
-        holders.sort(key=lambda c: -c.held_tokens)
-        pool = holders[:SAMPLE_SIZE] + rng.sample(candidates, SAMPLE_SIZE)
+    """Takes the cheapest candidate; equal ones are taken in turn."""
     best = None
     ties = 0
-    for candidate in pool:
+    for candidate in candidates:
         choice = cost_lib.price(candidate, prompt_tokens, weights)
         if best is None or choice.cost < best.cost - 1e-9:
             best = choice
@@ -41,6 +37,28 @@
     return best
 
 
+def sample_records(
+    records: list[targets.TargetRecord],
+    holdings: dict[str, int],
+    rng: random.Random,
+) -> list[targets.TargetRecord]:
+    """Returns the targets worth pricing: the holders and a random sample.
+
+    Among many entry instances a sample avoids that all of them herd on the
+    one target that a late report shows as idle.
+
+    Args:
+        records: All eligible targets.
+        holdings: Leading blocks that each holds, by identity.
+        rng: Source of randomness.
+    """
+    if len(records) <= SAMPLE_SIZE:
+        return records
+    holders = [r for r in records if holdings.get(r.identity)]
+    holders.sort(key=lambda r: -holdings[r.identity])
+    return holders[:SAMPLE_SIZE] + rng.sample(records, SAMPLE_SIZE)
+
+
 def _local(
     candidate: cost_lib.Candidate, prompt_tokens: int
 ) -> cost_lib.Choice:
--- a/packages/chivelb-node/chivelb_node/edge/dispatch.py
+++ b/packages/chivelb-node/chivelb_node/edge/dispatch.py
@@ -9,6 +9,7 @@
 from chivelb_core import routing
 from chivelb_core import targets
 from chivelb_core.kept import keys as keys_lib
+from chivelb_core.routing import policies
 import mode
 
 from chivelb_node import context as context_lib
@@ -167,6 +168,7 @@
         ]
         suspect = self.context.suspects.is_suspect(call.fingerprint, now)
         usable = self._keep_apart(usable, now, suspect=suspect)
+        usable = policies.sample_records(usable, call.holdings, context.rng)
         by_identity = {record.identity: record for record in usable}
         service = context.document.services[call.service]
         choice = routing.choose(
