--- a/packages/chivelb-cli/chivelb_cli/bench/running.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/running.py
@@ -26,14 +26,12 @@
     scenario: scenario_lib.Scenario,
     *,
     folder: pathlib.Path | None = None,
-    extra_calls: list[workloads.PlannedCall] | None = None,
 ) -> tuple[records.Result, list[str]]:
     """Runs a scenario and stops everything that it started.
 
     Args:
         scenario: The scenario.
         folder: Folder for logs and data; a temporary one by default.
-        extra_calls: Calls beside the workload.
 
     Returns:
         The result, and notes on what the timetable did.
@@ -53,7 +51,7 @@
             site = site_lib.Site(scenario, folder, session)
             try:
                 await site.start()
-                return await _drive(site, extra_calls or [])
+                return await _drive(site)
             finally:
                 site.fleet.stop()
 
@@ -62,19 +60,25 @@
     """Returns the calls of a scenario's workload."""
     shape = workloads.SHAPES[scenario.workload]
     shape = dataclasses.replace(shape, rate=shape.rate * scenario.load)
-    return workloads.plan_calls(
+    calls = workloads.plan_calls(
         scenario.site,
         shape,
         seed=scenario.seed,
         duration_s=scenario.duration_s,
     )
+    workspace = next(iter(scenario.site.workspaces))
+    calls += [
+        workloads.PlannedCall(at_s, workspace, scenario.poison, 4)
+        for at_s in scenario.poison_times
+    ]
+    return sorted(calls, key=lambda call: call.at_s)
 
 
 async def _drive(
-    site: site_lib.Site, extra_calls: list[workloads.PlannedCall]
+    site: site_lib.Site,
 ) -> tuple[records.Result, list[str]]:
     scenario = site.scenario
-    calls = sorted([*plan(scenario), *extra_calls], key=lambda call: call.at_s)
+    calls = plan(scenario)
     client = client_lib.CheckingClient(
         site.session,
         [],
--- a/packages/chivelb-cli/chivelb_cli/bench/scenario.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/scenario.py
@@ -9,6 +9,8 @@
 
 from chivelb_cli.bench import workloads
 
+LIST_KEYS = ("versions", "poison_times")
+
 
 class FaultStep(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """One entry of the timetable.
@@ -64,6 +66,8 @@
         event_lag_s: Lag of cache events.
         drop_events: Share of cache events that are lost.
         versions: Weight versions of the model.
+        poison: Text of a prompt that is sent at ``poison_times``.
+        poison_times: Seconds after the start.
         faults: The timetable.
     """
 
@@ -84,6 +88,8 @@
     event_lag_s: float = 0.1
     drop_events: float = 0.02
     versions: list[str] = msgspec.field(default_factory=lambda: ["v1"])
+    poison: str = ""
+    poison_times: list[float] = []
     faults: list[FaultStep] = []
 
     @property
@@ -122,7 +128,7 @@
             raise ScenarioError(
                 f"{path}: [run] {key}: {checks.suggest(key, list(fields))}"
             )
-        values[key] = value.split() if key == "versions" else value
+        values[key] = value.split() if key in LIST_KEYS else value
     steps = []
     for section in parser.sections():
         if section != "run":
--- a/packages/chivelb-cli/chivelb_cli/commands/bench.py
+++ b/packages/chivelb-cli/chivelb_cli/commands/bench.py
@@ -39,12 +39,12 @@
     """Adds the subcommand."""
     parser = commands.add_parser("bench", help="measure under load and faults")
     kinds = parser.add_subparsers(dest="kind", required=True)
-    run_parser = kinds.add_parser("run", help="run a scenario file")
-    run_parser.add_argument("file")
+    run_parser = kinds.add_parser("run", help="run scenario files")
+    run_parser.add_argument("files", nargs="+", metavar="FILE")
     run_parser.add_argument("--out", default="results")
     run_parser.add_argument("--seed", type=int)
     run_parser.add_argument("--logs", help="keep logs in this folder")
-    run_parser.set_defaults(run=run_file)
+    run_parser.set_defaults(run=run_files)
     policies = kinds.add_parser("policies", help="all policies side by side")
     policies.add_argument("workload", choices=sorted(workloads.SITES))
     policies.add_argument("--seed", type=int, default=1)
@@ -167,23 +167,30 @@
     return 0
 
 
-def run_file(arguments: argparse.Namespace) -> int:
-    """Runs a scenario file and writes its result."""
-    try:
-        scenario = scenario_lib.read_scenario(pathlib.Path(arguments.file))
-    except scenario_lib.ScenarioError as error:
-        print(error, file=sys.stderr)
-        return EXIT_USAGE
-    if arguments.seed is not None:
-        scenario.seed = arguments.seed
-    folder = pathlib.Path(arguments.logs) if arguments.logs else None
-    result, notes = asyncio.run(running.run_scenario(scenario, folder=folder))
-    for note in notes:
-        print(note)
-    print_summary(result)
-    out = pathlib.Path(arguments.out) / f"{scenario.name}.json"
-    running.write_result(result, out)
-    return EXIT_VIOLATION if result.violations else 0
+def run_files(arguments: argparse.Namespace) -> int:
+    """Runs scenario files, one by one, and writes their results."""
+    violated = False
+    for name in arguments.files:
+        try:
+            scenario = scenario_lib.read_scenario(pathlib.Path(name))
+        except scenario_lib.ScenarioError as error:
+            print(error, file=sys.stderr)
+            return EXIT_USAGE
+        if arguments.seed is not None:
+            scenario.seed = arguments.seed
+        folder = None
+        if arguments.logs:
+            folder = pathlib.Path(arguments.logs) / scenario.name
+        result, notes = asyncio.run(
+            running.run_scenario(scenario, folder=folder)
+        )
+        for note in notes:
+            print(f"  {note}")
+        print_summary(result)
+        out = pathlib.Path(arguments.out) / f"{scenario.name}.json"
+        running.write_result(result, out)
+        violated = violated or bool(result.violations)
+    return EXIT_VIOLATION if violated else 0
 
 
 def run_policies(arguments: argparse.Namespace) -> int:
--- a/packages/chivelb-core/chivelb_core/testing/control_group.py
+++ b/packages/chivelb-core/chivelb_core/testing/control_group.py
@@ -202,6 +202,19 @@
             self.cut(name, other)
             self.cut(other, name)
 
+    def strand_leader(self, data: bytes) -> None:
+        """Cuts a leader off with a fresh proposal until others elect one."""
+        for name, voter in list(self.voters.items()):
+            if voter.role is not voter_lib.Role.LEADER:
+                continue
+            self.isolate(name)
+            self.propose(name, data)
+            for _ in range(60):
+                self.advance(STEP_S)
+                for _ in range(len(self.in_flight)):
+                    self.deliver(0)
+            return
+
     def heal(self) -> None:
         """Ends all cuts."""
         self.cuts.clear()
@@ -370,6 +383,7 @@
         (4, lambda: group.start(name)),
         (0.4, lambda: group.cut(name, other)),
         (0.3, lambda: group.isolate(name)),
+        (0.2, lambda: group.strand_leader(rng.randbytes(4))),
         (1, group.heal),
         (1, lambda: group.compact(name)),
         (0.1, lambda: group.lose_disk(name)),
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -65,6 +65,10 @@
     def isolate(self, name):
         self.group.isolate(name)
 
+    @stateful.rule(data=strategies.binary(max_size=3))
+    def strand_leader(self, data):
+        self.group.strand_leader(data)
+
     @stateful.rule()
     def heal(self):
         self.group.heal()
@@ -189,3 +193,76 @@
     leader.receive(late, group.now)
     leader.receive(late, group.now)
     assert not progress.rolled_back
+
+
+def make_leader(entries):
+    """Returns a leader of term 3 whose log has entries of older terms."""
+    log = control_group.log_lib.Log()
+    for term, data in entries:
+        log.append(
+            control_group.log_lib.Entry(
+                log.last_index + 1, term, "change", data
+            )
+        )
+    group = control_group.group_lib.Group(
+        {
+            f"{n}/1": control_group.group_lib.Member(f"{n}/1", n, True)
+            for n in NAMES
+        }
+    )
+    voter = voter_lib.Voter(
+        "a/1",
+        group,
+        timing=voter_lib.Timing(),
+        rng=random.Random(1),
+        now=0.0,
+        hard=voter_lib.HardState(2, "b/1"),
+        log=log,
+    )
+    voter.tick(9.0)
+    for pre, term in ((True, 3), (False, 3)):
+        voter.receive(
+            voter_lib.messages.VoteReply("a/1", "b/1", term, True, pre), 9.0
+        )
+    assert voter.role is voter_lib.Role.LEADER
+    effects = voter.take_effects()
+    voter.note_synced(effects.entries[-1].index, 9.0)
+    return voter
+
+
+def acknowledge(voter, index):
+    voter.receive(
+        voter_lib.messages.AppendReply("a/1", "b/1", 3, True, index, 1), 9.1
+    )
+
+
+def test_entries_of_older_terms_are_committed_only_with_one_of_its_own():
+    voter = make_leader([(1, b"old")])
+    acknowledge(voter, 1)
+    assert voter.commit_index == 0
+    acknowledge(voter, 2)
+    assert voter.commit_index == 2
+
+
+def test_nothing_is_committed_without_a_majority():
+    voter = make_leader([])
+    assert voter.commit_index == 0
+    assert voter.propose("change", b"x", 9.2) == (2, 3)
+    voter.note_synced(2, 9.2)
+    assert voter.commit_index == 0
+
+
+def test_a_learner_votes_only_when_it_has_caught_up():
+    voter = make_leader([(1, b"old")])
+    acknowledge(voter, 2)
+    joined = control_group.joining.admit_learner(voter.group, "c/2", "c")
+    assert voter.propose_group(joined, 9.2)
+    voter.note_synced(3, 9.2)
+    acknowledge(voter, 3)
+    assert voter.commit_index == 3
+    assert control_group.joining.plan_next_step(voter) is None
+    voter.receive(
+        voter_lib.messages.AppendReply("a/1", "c/2", 3, True, 3, 2), 9.3
+    )
+    step = control_group.joining.plan_next_step(voter)
+    assert "c/1" not in step.members
--- /dev/null
+++ b/tests/test_repository.py
@@ -0,0 +1,101 @@
+"""Rules of the repository itself."""
+
+import ast
+import pathlib
+import re
+import subprocess
+
+from chivelb_cli.bench import scenario
+import pytest
+
+ROOT = pathlib.Path(__file__).parent.parent
+ALLOWED = {
+    "chivelb_core": {"chivelb_core"},
+    "chivelb_node": {"chivelb_core", "chivelb_node"},
+    "chivelb_cli": {"chivelb_core", "chivelb_node", "chivelb_cli"},
+}
+
+
+def sources():
+    return sorted((ROOT / "packages").glob("*/chivelb_*/**/*.py"))
+
+
+def imported(path):
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module or ""
+
+
+@pytest.mark.parametrize("path", sources(), ids=lambda p: p.stem)
+def test_imports_run_one_way(path):
+    package = path.relative_to(ROOT / "packages").parts[1]
+    ours = {
+        name.split(".")[0]
+        for name in imported(path)
+        if name.startswith("chivelb_")
+    }
+    assert ours <= ALLOWED[package]
+
+
+def test_the_core_has_no_sockets_clocks_or_files():
+    banned = {"socket", "asyncio", "time", "os", "pathlib", "aiohttp", "mode"}
+    for path in sources():
+        if "chivelb_core" in path.parts:
+            found = {name.split(".")[0] for name in imported(path)} & banned
+            assert not found, f"{path.name} imports {found}"
+
+
+def known_tests():
+    names = set()
+    for path in (ROOT / "tests").glob("test_*.py"):
+        for line in path.read_text(encoding="utf-8").splitlines():
+            match = re.match(r"def (test_\w+)|(Test\w+) = ", line)
+            if match:
+                names.add(f"{path.stem}::{match[1] or match[2]}")
+    return names
+
+
+def test_every_test_that_the_promises_name_exists():
+    text = (ROOT / "docs" / "promises.md").read_text(encoding="utf-8")
+    named = set(re.findall(r"`(test_\w+::\w+)`", text))
+    assert len(named) > 30
+    assert named <= known_tests(), named - known_tests()
+
+
+def test_every_command_and_scenario_of_the_pages_exists():
+    for path in (ROOT / "scenarios").glob("*.ini"):
+        loaded = scenario.read_scenario(path)
+        assert loaded.faults, path.name
+
+
+def test_every_linked_page_exists():
+    for page in [*ROOT.glob("*.md"), *(ROOT / "docs").rglob("*.md")]:
+        for link in re.findall(r"\]\(([^)#]+)\)", page.read_text()):
+            if "://" not in link:
+                assert (page.parent / link).exists(), f"{page}: {link}"
+
+
+def test_known_red_entries_have_all_their_parts():
+    for line in (ROOT / "KNOWN-RED.txt").read_text().splitlines():
+        if line and not line.startswith("#"):
+            assert len(line.split("|")) == 4, line
+
+
+def test_a_scenario_with_a_wrong_key_is_explained(tmp_path):
+    path = tmp_path / "x.ini"
+    path.write_text("[run]\nworkloud = caroni\n")
+    with pytest.raises(scenario.ScenarioError, match="workload"):
+        scenario.read_scenario(path)
+    path.write_text("[run]\n[a]\nat_s = 1\naction = explode\n")
+    with pytest.raises(scenario.ScenarioError, match="explode"):
+        scenario.read_scenario(path)
+
+
+def test_no_generated_or_local_file_is_committed():
+    listed = subprocess.run(
+        ["git", "ls-files"], cwd=ROOT, capture_output=True, text=True
+    ).stdout.splitlines()
+    bad = [f for f in listed if "__pycache__" in f or f.startswith("results/")]
+    assert not bad
