--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -32,6 +32,7 @@
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.links import runners
 from chivelb_node.links import sharing as sharing_lib
+from chivelb_node.links import store_owner
 from chivelb_node.storage import journal
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import sealing
@@ -92,6 +93,9 @@
         cache = cache_lib.CacheService(
             self.context, self.hub, self.gossip, session
         )
+        owner = store_owner.StoreOwnerService(
+            self.context, self.hub, self.gossip, session, cache.returns
+        )
         dispatcher = dispatch.Dispatcher(self.context, cache.best_store)
         runner = model_calls.ModelCalls(
             self.context,
@@ -129,6 +133,7 @@
             self.replica,
             self.claims,
             self.sharing,
+            owner,
             cache,
             dispatcher,
             claimed_calls,
--- a/packages/chivelb-node/chivelb_node/links/cache.py
+++ b/packages/chivelb-node/chivelb_node/links/cache.py
@@ -12,7 +12,6 @@
 from chivelb_core.kept import keys as keys_lib
 from chivelb_core.kept import messages as kept_messages
 from chivelb_core.kept import returns as returns_lib
-from chivelb_core.kept import store_table as store_table_lib
 from chivelb_core.routing import cost as cost_lib
 from chivelb_core.routing import policies
 import mode
@@ -22,14 +21,13 @@
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.links import runners
+from chivelb_node.links import store_owner
 from chivelb_node.links import stores
 from chivelb_node.telemetry import logs
 
 LOOKUP_TIMEOUT_S = 0.03
 LEASE_TIMEOUT_S = 0.1
 RESERVE_TIMEOUT_S = 0.5
-OWN_PERIOD_S = 0.5
-OWN_LEASE_S = 2.0
 EXPECTED_S = 3.0
 MAX_EXPECTED = 5_000
 MAX_EXPORTS = 4
@@ -37,23 +35,6 @@
 _log = logs.get_logger("cache")
 
 
-@dataclasses.dataclass(slots=True)
-class OwnedStore:
-    """A store whose table this instance owns.
-
-    Attributes:
-        token: Fencing token of the ownership.
-        incarnation: Incarnation of the store.
-        table: The table.
-        confirmed_at: Monotonic time of the newest renewal, in seconds.
-    """
-
-    token: int
-    incarnation: int
-    table: store_table_lib.StoreTable
-    confirmed_at: float
-
-
 @dataclasses.dataclass(slots=True)
 class Imports:
     """Leased blocks that an attempt loads.
@@ -79,7 +60,6 @@
         hub: Links to peers.
         gossip: Membership.
         session: Client session for targets.
-        owned: Stores whose tables this instance owns.
         returns: Visits of the prompts of this instance's shard.
     """
 
@@ -96,7 +76,6 @@
         self.hub = hub
         self.gossip = gossip
         self.session = session
-        self.owned: dict[str, OwnedStore] = {}
         self.returns = returns_lib.ReturnModel()
         self._expected: collections.OrderedDict[str, dict] = (
             collections.OrderedDict()
@@ -106,11 +85,6 @@
         hub.handle(kept_messages.CacheNews, self._on_news)
         hub.handle(kept_messages.CacheListing, self._on_listing)
         hub.handle(kept_messages.Lookup, self._on_lookup)
-        hub.handle(kept_messages.LeaseBlocks, self._on_lease)
-        hub.handle(kept_messages.ReleaseBlocks, self._on_release)
-        hub.handle(kept_messages.ReserveBlocks, self._on_reserve)
-        hub.handle(kept_messages.SealBlocks, self._on_seal)
-        hub.handle(kept_messages.TouchBlocks, self._on_touch)
 
     # Directory.
 
@@ -291,7 +265,7 @@
             return Imports()
         keys = call.keys(grant.record.weight_version)[:blocks]
         reply = await self.hub.request(
-            self._store_owner(entry.record),
+            store_owner.find_owner(self.gossip, entry.record),
             kept_messages.LeaseBlocks(identity, reader, keys),
             LEASE_TIMEOUT_S,
         )
@@ -313,7 +287,7 @@
         if entry is None:
             return
         body = kept_messages.ReleaseBlocks(imports.store, imports.reader)
-        self._tell(self._store_owner(entry.record), body)
+        self._tell(store_owner.find_owner(self.gossip, entry.record), body)
 
     def _tell(self, peer: str, body) -> None:
         if peer == self.hub.name_here:
@@ -382,7 +356,7 @@
     ) -> None:
         try:
             async with self._exports:
-                owner = self._store_owner(store)
+                owner = store_owner.find_owner(self.gossip, store)
                 reply = await self.hub.request(
                     owner,
                     kept_messages.ReserveBlocks(
@@ -417,7 +391,7 @@
                 continue
             keys = call.keys(call.versions[0])[:blocks]
             self._tell(
-                self._store_owner(entry.record),
+                store_owner.find_owner(self.gossip, entry.record),
                 kept_messages.TouchBlocks(identity, keys, 0.0),
             )
 
@@ -431,116 +405,3 @@
             # another instance; the runner goes on while somebody reads.
             await self.sleep(runners.CANCEL_GRACE_S)
         await runners.cancel_attempt(self.session, attempt)
-
-    # Owners of stores.
-
-    def _store_owner(self, record: targets.TargetRecord) -> str:
-        members = self.gossip.zone_members(record.zone)
-        if not members:
-            return ""
-        return max(
-            members,
-            key=lambda name: policies.hash_weight(record.identity, name),
-        )
-
-    @mode.Service.task
-    async def _own_stores(self) -> None:
-        while not self.should_stop:
-            await self.sleep(OWN_PERIOD_S)
-            now = context_lib.monotonic()
-            for entry in list(self.context.targets.entries.values()):
-                record = entry.record
-                if record.role != "store" or entry.expires_at < now:
-                    continue
-                if self._store_owner(record) == self.hub.name_here:
-                    await self._renew(record)
-                else:
-                    self.owned.pop(record.identity, None)
-
-    async def _renew(self, record: targets.TargetRecord) -> None:
-        identity = record.identity
-        owned = self.owned.get(identity)
-        if owned is not None and owned.incarnation != record.incarnation:
-            owned = None
-        token = owned.token if owned is not None else 0
-        listing = await stores.own_store(
-            self.session, record.address, self.hub.name_here, token
-        )
-        now = context_lib.monotonic()
-        if listing is None or not listing.token:
-            self.owned.pop(identity, None)
-            return
-        if owned is None or listing.token != owned.token:
-            scorer = store_table_lib.make_value_scorer(self.returns.chance)
-            if self.context.document.limits.keeping == "recency":
-                scorer = store_table_lib.score_by_recency
-            table = store_table_lib.StoreTable(
-                listing.capacity,
-                scorer,
-                now=now,
-                no_frees_before=now + store_table_lib.LEASE_S,
-            )
-            table.rebuild(listing.refs, listing.generation, now)
-            owned = OwnedStore(listing.token, record.incarnation, table, now)
-            self.owned[identity] = owned
-            _log.info("owns store", store=identity, token=listing.token)
-        owned.confirmed_at = now
-        owned.table.expire(now)
-        owned.table.keep_reserve(now)
-        await self._free(record, owned)
-
-    async def _free(
-        self, record: targets.TargetRecord, owned: OwnedStore
-    ) -> None:
-        blocks = list(owned.table.freeing)
-        if not blocks:
-            return
-        if await stores.free_blocks(
-            self.session, record.address, owned.token, blocks
-        ):
-            for key, generation in blocks:
-                owned.table.forget_freed(key, generation)
-
-    def _table(self, store: str) -> store_table_lib.StoreTable | None:
-        owned = self.owned.get(store)
-        if owned is None:
-            return None
-        if context_lib.monotonic() - owned.confirmed_at > OWN_LEASE_S:
-            return None
-        return owned.table
-
-    def _on_lease(
-        self, peer: str, request: kept_messages.LeaseBlocks
-    ) -> kept_messages.BlockRefs:
-        table = self._table(request.store)
-        refs = []
-        if table is not None:
-            refs = table.lease(request, context_lib.monotonic())
-        return kept_messages.BlockRefs(refs)
-
-    def _on_release(
-        self, peer: str, request: kept_messages.ReleaseBlocks
-    ) -> None:
-        table = self._table(request.store)
-        if table is not None:
-            table.release(request.reader)
-
-    def _on_reserve(
-        self, peer: str, request: kept_messages.ReserveBlocks
-    ) -> kept_messages.BlockRefs:
-        table = self._table(request.store)
-        refs = []
-        if table is not None:
-            refs = table.reserve(request, context_lib.monotonic())
-        return kept_messages.BlockRefs(refs)
-
-    def _on_touch(self, peer: str, request: kept_messages.TouchBlocks) -> None:
-        table = self._table(request.store)
-        if table is not None:
-            table.touch(request, context_lib.monotonic())
-
-    def _on_seal(self, peer: str, request: kept_messages.SealBlocks) -> None:
-        table = self._table(request.store)
-        if table is not None:
-            for ref in request.refs:
-                table.seal(ref.key, ref.generation, ref.checksum)
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/links/store_owner.py
@@ -0,0 +1,189 @@
+"""Owners of the stores' block tables, one instance of the zone each."""
+
+import dataclasses
+
+import aiohttp
+from chivelb_core import targets
+from chivelb_core.kept import messages as kept_messages
+from chivelb_core.kept import returns as returns_lib
+from chivelb_core.kept import store_table as store_table_lib
+from chivelb_core.routing import policies
+import mode
+
+from chivelb_node import context as context_lib
+from chivelb_node.links import gossip as gossip_lib
+from chivelb_node.links import hub as hub_lib
+from chivelb_node.links import stores
+from chivelb_node.telemetry import logs
+
+OWN_PERIOD_S = 0.5
+OWN_LEASE_S = 2.0
+_log = logs.get_logger("stores")
+
+
+def find_owner(gossip: gossip_lib.Gossip, record: targets.TargetRecord) -> str:
+    """Returns the instance that owns a store's table, or empty.
+
+    Args:
+        gossip: Membership.
+        record: The store.
+    """
+    members = gossip.zone_members(record.zone)
+    return max(
+        members,
+        key=lambda name: policies.hash_weight(record.identity, name),
+        default="",
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class OwnedStore:
+    """A store whose table this instance owns.
+
+    Attributes:
+        token: Fencing token of the ownership.
+        incarnation: Incarnation of the store.
+        table: The table.
+        confirmed_at: Monotonic time of the newest renewal, in seconds.
+    """
+
+    token: int
+    incarnation: int
+    table: store_table_lib.StoreTable
+    confirmed_at: float
+
+
+class StoreOwnerService(mode.Service):
+    """Owns the tables of the stores that fall to this instance.
+
+    Attributes:
+        context: Aggregates of the instance.
+        gossip: Membership.
+        session: Client session for targets.
+        returns: Visits of prompts, which tell what is worth keeping.
+        owned: Owned stores by identity.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        hub: hub_lib.Hub,
+        gossip: gossip_lib.Gossip,
+        session: aiohttp.ClientSession,
+        returns: returns_lib.ReturnModel,
+    ) -> None:
+        """Creates the service."""
+        super().__init__()
+        self.context = context
+        self.gossip = gossip
+        self.session = session
+        self.returns = returns
+        self.owned: dict[str, OwnedStore] = {}
+        self._name = hub.name_here
+        hub.handle(kept_messages.LeaseBlocks, self._on_lease)
+        hub.handle(kept_messages.ReleaseBlocks, self._on_release)
+        hub.handle(kept_messages.ReserveBlocks, self._on_reserve)
+        hub.handle(kept_messages.SealBlocks, self._on_seal)
+        hub.handle(kept_messages.TouchBlocks, self._on_touch)
+
+    @mode.Service.task
+    async def _own_stores(self) -> None:
+        while not self.should_stop:
+            await self.sleep(OWN_PERIOD_S)
+            now = context_lib.monotonic()
+            for entry in list(self.context.targets.entries.values()):
+                record = entry.record
+                if record.role != "store" or entry.expires_at < now:
+                    continue
+                if find_owner(self.gossip, record) == self._name:
+                    await self._renew(record)
+                else:
+                    self.owned.pop(record.identity, None)
+
+    async def _renew(self, record: targets.TargetRecord) -> None:
+        identity = record.identity
+        owned = self.owned.get(identity)
+        if owned is not None and owned.incarnation != record.incarnation:
+            owned = None
+        token = owned.token if owned is not None else 0
+        listing = await stores.own_store(
+            self.session, record.address, self._name, token
+        )
+        now = context_lib.monotonic()
+        if listing is None or not listing.token:
+            self.owned.pop(identity, None)
+            return
+        if owned is None or listing.token != owned.token:
+            scorer = store_table_lib.make_value_scorer(self.returns.chance)
+            if self.context.document.limits.keeping == "recency":
+                scorer = store_table_lib.score_by_recency
+            table = store_table_lib.StoreTable(
+                listing.capacity,
+                scorer,
+                now=now,
+                no_frees_before=now + store_table_lib.LEASE_S,
+            )
+            table.rebuild(listing.refs, listing.generation, now)
+            owned = OwnedStore(listing.token, record.incarnation, table, now)
+            self.owned[identity] = owned
+            _log.info("owns store", store=identity, token=listing.token)
+        owned.confirmed_at = now
+        owned.table.expire(now)
+        owned.table.keep_reserve(now)
+        await self._free(record, owned)
+
+    async def _free(
+        self, record: targets.TargetRecord, owned: OwnedStore
+    ) -> None:
+        blocks = list(owned.table.freeing)
+        if not blocks:
+            return
+        if await stores.free_blocks(
+            self.session, record.address, owned.token, blocks
+        ):
+            for key, generation in blocks:
+                owned.table.forget_freed(key, generation)
+
+    def _table(self, store: str) -> store_table_lib.StoreTable | None:
+        owned = self.owned.get(store)
+        if owned is None:
+            return None
+        if context_lib.monotonic() - owned.confirmed_at > OWN_LEASE_S:
+            return None
+        return owned.table
+
+    def _on_lease(
+        self, peer: str, request: kept_messages.LeaseBlocks
+    ) -> kept_messages.BlockRefs:
+        table = self._table(request.store)
+        refs = []
+        if table is not None:
+            refs = table.lease(request, context_lib.monotonic())
+        return kept_messages.BlockRefs(refs)
+
+    def _on_release(
+        self, peer: str, request: kept_messages.ReleaseBlocks
+    ) -> None:
+        table = self._table(request.store)
+        if table is not None:
+            table.release(request.reader)
+
+    def _on_reserve(
+        self, peer: str, request: kept_messages.ReserveBlocks
+    ) -> kept_messages.BlockRefs:
+        table = self._table(request.store)
+        refs = []
+        if table is not None:
+            refs = table.reserve(request, context_lib.monotonic())
+        return kept_messages.BlockRefs(refs)
+
+    def _on_touch(self, peer: str, request: kept_messages.TouchBlocks) -> None:
+        table = self._table(request.store)
+        if table is not None:
+            table.touch(request, context_lib.monotonic())
+
+    def _on_seal(self, peer: str, request: kept_messages.SealBlocks) -> None:
+        table = self._table(request.store)
+        if table is not None:
+            for ref in request.refs:
+                table.seal(ref.key, ref.generation, ref.checksum)
