--- a/packages/chivelb-core/chivelb_core/consensus/__init__.py
+++ b/packages/chivelb-core/chivelb_core/consensus/__init__.py
@@ -2,7 +2,7 @@
 
 from chivelb_core.consensus.group import Group
 from chivelb_core.consensus.log import Entry
-from chivelb_core.consensus.voter import Effects
+from chivelb_core.consensus.states import Effects
 from chivelb_core.consensus.voter import Voter
 
 __all__ = ["Effects", "Entry", "Group", "Voter"]
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/consensus/elections.py
@@ -0,0 +1,186 @@
+"""Elections: pre-vote, votes, and stepping down."""
+
+from __future__ import annotations
+
+import typing
+
+from chivelb_core.consensus import leading
+from chivelb_core.consensus import log as log_lib
+from chivelb_core.consensus import messages
+from chivelb_core.consensus import states
+
+if typing.TYPE_CHECKING:
+    from chivelb_core.consensus import voter as voter_lib
+
+
+def may_vote(voter: voter_lib.Voter) -> bool:
+    """Tells whether this member votes in the present group."""
+    return voter.member_id in voter.group.voters and not voter.disowned
+
+
+def election_delay(voter: voter_lib.Voter) -> float:
+    """Returns a random time until the next election, in seconds."""
+    return voter.timing.election_s * (1.0 + voter.rng.random())
+
+
+def start_pre_vote(voter: voter_lib.Voter, now: float) -> None:
+    """Asks whether an election would be won."""
+    voter.role = states.Role.PRE_CANDIDATE
+    voter.leader = ""
+    ask_votes(voter, voter.hard.term + 1, pre=True, now=now)
+
+
+def start_election(voter: voter_lib.Voter, now: float) -> None:
+    """Begins a term and asks for votes."""
+    voter.role = states.Role.CANDIDATE
+    voter.hard = states.HardState(voter.hard.term + 1, voter.member_id)
+    voter.hard_dirty = True
+    ask_votes(voter, voter.hard.term, pre=False, now=now)
+
+
+def ask_votes(
+    voter: voter_lib.Voter, term: int, *, pre: bool, now: float
+) -> None:
+    """Asks all other voters for their vote."""
+    voter.votes = {voter.member_id}
+    voter.deadline = now + election_delay(voter)
+    for member_id in voter.group.voters - {voter.member_id}:
+        voter.send(
+            messages.VoteRequest(
+                member_id,
+                voter.member_id,
+                term,
+                voter.log.last_index,
+                voter.log.last_term,
+                pre,
+            )
+        )
+    count_votes(voter, now)
+
+
+def on_vote_request(
+    voter: voter_lib.Voter, request: messages.VoteRequest, now: float
+) -> None:
+    """Answers a vote request; one vote a term."""
+    silent = now - voter.heard_leader_at >= voter.timing.election_s
+    leading = voter.role is states.Role.LEADER and has_quorum_contact(
+        voter, now
+    )
+    undisturbed = leading or not silent
+    if request.pre:
+        granted = (
+            request.term > voter.hard.term
+            and not undisturbed
+            and is_up_to_date(voter, request)
+        )
+        reply_vote(voter, request, request.term, granted)
+        return
+    if undisturbed and request.term > voter.hard.term:
+        # A member that hears its leader is not drawn into an election.
+        return
+    if request.term > voter.hard.term:
+        step_down(voter, request.term, "", now)
+    granted = (
+        request.term == voter.hard.term
+        and voter.hard.voted_for in ("", request.from_member)
+        and is_up_to_date(voter, request)
+    )
+    if granted:
+        if voter.hard.voted_for != request.from_member:
+            voter.hard.voted_for = request.from_member
+            voter.hard_dirty = True
+        voter.deadline = now + election_delay(voter)
+    reply_vote(voter, request, voter.hard.term, granted)
+
+
+def reply_vote(
+    voter: voter_lib.Voter,
+    request: messages.VoteRequest,
+    term: int,
+    granted: bool,
+) -> None:
+    """Sends the answer to a vote request."""
+    voter.send(
+        messages.VoteReply(
+            request.from_member, voter.member_id, term, granted, request.pre
+        )
+    )
+
+
+def is_up_to_date(
+    voter: voter_lib.Voter, request: messages.VoteRequest
+) -> bool:
+    """Tells whether the asking member's log is no older."""
+    mine = (voter.log.last_term, voter.log.last_index)
+    return (request.last_term, request.last_index) >= mine
+
+
+def on_vote_reply(
+    voter: voter_lib.Voter, reply: messages.VoteReply, now: float
+) -> None:
+    """Counts a vote that was given."""
+    if not reply.pre and reply.term > voter.hard.term:
+        step_down(voter, reply.term, "", now)
+        return
+    if not reply.granted:
+        return
+    if reply.pre:
+        wanted = voter.role is states.Role.PRE_CANDIDATE
+        wanted = wanted and reply.term == voter.hard.term + 1
+    else:
+        wanted = voter.role is states.Role.CANDIDATE
+        wanted = wanted and reply.term == voter.hard.term
+    if wanted:
+        voter.votes.add(reply.from_member)
+        count_votes(voter, now)
+
+
+def count_votes(voter: voter_lib.Voter, now: float) -> None:
+    """Goes on when a majority has voted."""
+    if not voter.group.is_quorum(voter.votes):
+        return
+    if voter.role is states.Role.PRE_CANDIDATE:
+        start_election(voter, now)
+    elif voter.role is states.Role.CANDIDATE:
+        become_leader(voter, now)
+
+
+def become_leader(voter: voter_lib.Voter, now: float) -> None:
+    """Begins to lead the term with an entry of its own."""
+    voter.role = states.Role.LEADER
+    voter.leader = voter.member_id
+    voter.lead_since = now
+    voter.progress = {}
+    leading.track_members(voter)
+    entry = log_lib.Entry(
+        voter.log.last_index + 1, voter.hard.term, "noop", b""
+    )
+    voter.term_start = entry.index
+    leading.append_own(voter, entry)
+    leading.broadcast(voter, now)
+
+
+def step_down(
+    voter: voter_lib.Voter, term: int, leader: str, now: float
+) -> None:
+    """Follows, in a newer term if there is one."""
+    if term > voter.hard.term:
+        voter.hard = states.HardState(term, "")
+        voter.hard_dirty = True
+    voter.role = states.Role.FOLLOWER
+    voter.leader = leader
+    voter.progress = {}
+    voter.deadline = now + election_delay(voter)
+
+
+def has_quorum_contact(voter: voter_lib.Voter, now: float) -> bool:
+    """Tells whether a majority answered lately."""
+    since = now - voter.timing.election_s
+    if voter.lead_since > since:
+        return True
+    heard = {
+        member_id
+        for member_id, progress in voter.progress.items()
+        if progress.heard_at > since
+    }
+    return voter.group.is_quorum(heard | {voter.member_id})
--- a/packages/chivelb-core/chivelb_core/testing/control_group.py
+++ b/packages/chivelb-core/chivelb_core/testing/control_group.py
@@ -10,7 +10,8 @@
 from chivelb_core.consensus import group as group_lib
 from chivelb_core.consensus import joining
 from chivelb_core.consensus import log as log_lib
-from chivelb_core.consensus import voter as voter_lib
+from chivelb_core.consensus import snapshots
+from chivelb_core.consensus import states
 
 MAX_IN_FLIGHT = 400
 SETTLE_STEPS = 400
@@ -30,7 +31,7 @@
     """
 
     member_id: str
-    hard: voter_lib.HardState
+    hard: states.HardState
     base: tuple[int, int]
     snapshot: bytes
     entries: list[log_lib.Entry]
@@ -98,10 +99,10 @@
         first = group_lib.Group(
             {f"{n}/1": group_lib.Member(f"{n}/1", n, True) for n in names}
         )
-        snapshot = voter_lib.encode_snapshot(first, b"")
+        snapshot = snapshots.encode_snapshot(first, b"")
         for name in names:
             self.disks[name] = Disk(
-                f"{name}/1", voter_lib.HardState(), (0, 0), snapshot, []
+                f"{name}/1", states.HardState(), (0, 0), snapshot, []
             )
             self.start(name)
 
@@ -114,11 +115,11 @@
         disk = self.disks[name]
         group = group_lib.Group()
         if disk.snapshot:
-            group = voter_lib.decode_snapshot_group(disk.snapshot)
+            group = snapshots.decode_snapshot_group(disk.snapshot)
         self.voters[name] = consensus.Voter(
             disk.member_id,
             group,
-            timing=voter_lib.Timing(),
+            timing=states.Timing(),
             rng=random.Random(self.rng.random()),
             now=self.now,
             hard=copy.copy(disk.hard),
@@ -146,7 +147,7 @@
             member_id = f"{name}/new{self._lives}"
             self.joining[name] = member_id
             self.disks[name] = Disk(
-                member_id, voter_lib.HardState(), (0, 0), b"", []
+                member_id, states.HardState(), (0, 0), b"", []
             )
 
     def _may_lose(self, name: str) -> bool:
@@ -205,7 +206,7 @@
     def strand_leader(self, data: bytes) -> None:
         """Cuts a leader off with a fresh proposal until others elect one."""
         for name, voter in list(self.voters.items()):
-            if voter.role is not voter_lib.Role.LEADER:
+            if voter.role is not states.Role.LEADER:
                 continue
             self.isolate(name)
             self.propose(name, data)
@@ -238,7 +239,7 @@
             return
         index = voter.applied_index
         term = voter.log.term_at(index)
-        data = voter_lib.encode_snapshot(
+        data = snapshots.encode_snapshot(
             voter.committed_group(), str(index).encode()
         )
         disk = self.disks[name]
@@ -267,7 +268,7 @@
 
     def _settled_leader(self) -> str:
         for name, voter in self.voters.items():
-            if voter.role is not voter_lib.Role.LEADER:
+            if voter.role is not states.Role.LEADER:
                 continue
             equal = all(
                 other.commit_index == voter.log.last_index
@@ -291,7 +292,7 @@
                 self._send(name, message)
             for entry in effects.committed:
                 self._apply(name, entry)
-        if voter.role is voter_lib.Role.LEADER:
+        if voter.role is states.Role.LEADER:
             step = joining.plan_next_step(voter)
             if step is not None:
                 voter.propose_group(step, self.now)
@@ -329,7 +330,7 @@
     def _ask_to_join(self) -> None:
         for name, member_id in list(self.joining.items()):
             for voter in list(self.voters.values()):
-                if voter.role is not voter_lib.Role.LEADER:
+                if voter.role is not states.Role.LEADER:
                     continue
                 member = voter.group.members.get(member_id)
                 if member is None:
@@ -353,7 +354,7 @@
         self.steps += 1
         for name, voter in self.voters.items():
             voter.check_invariants()
-            if voter.role is voter_lib.Role.LEADER:
+            if voter.role is states.Role.LEADER:
                 term = voter.hard.term
                 known = self.leaders.setdefault(term, voter.member_id)
                 assert known == voter.member_id, f"two leaders in {term}"
--- a/packages/chivelb-node/chivelb_node/control/voting.py
+++ b/packages/chivelb-node/chivelb_node/control/voting.py
@@ -12,7 +12,8 @@
 from chivelb_core.consensus import group as group_lib
 from chivelb_core.consensus import joining
 from chivelb_core.consensus import messages as consensus_messages
-from chivelb_core.consensus import voter as voter_lib
+from chivelb_core.consensus import snapshots
+from chivelb_core.consensus import states
 from chivelb_core.document import register as register_lib
 import mode
 import msgspec
@@ -97,9 +98,7 @@
     @property
     def is_leader(self) -> bool:
         """Whether this member leads the group."""
-        return (
-            self.voter is not None and self.voter.role is voter_lib.Role.LEADER
-        )
+        return self.voter is not None and self.voter.role is states.Role.LEADER
 
     def leader_name(self) -> str:
         """Returns the name of the leading instance, or empty."""
@@ -150,7 +149,7 @@
 
     def _is_not_first(self, state: messages.VoterState) -> bool:
         """Tells by another member's word that this is no first start."""
-        group = voter_lib.decode_group(state.group)
+        group = snapshots.decode_group(state.group)
         first_id = f"{self.name}/1"
         return self.name in state.witnessed or first_id not in group.members
 
@@ -174,7 +173,7 @@
         group = b""
         member_id = ""
         if self.voter is not None:
-            group = voter_lib.encode_group(self.voter.group)
+            group = snapshots.encode_group(self.voter.group)
             member_id = self.voter.member_id
         return messages.VoterState(
             self.name,
@@ -204,7 +203,7 @@
     def _create(self, member_id: str, group: group_lib.Group) -> None:
         self._files.create(member_id)
         if group.members:
-            data = voter_lib.encode_snapshot(
+            data = snapshots.encode_snapshot(
                 group, register_lib.encode_register(self._first_register())
             )
             self._files.write_snapshot(0, 0, data)
@@ -218,14 +217,14 @@
         self._witnessed = self._files.read_witnessed()
         group = group_lib.Group()
         if recovered.snapshot:
-            snapshot = voter_lib.decode_snapshot(recovered.snapshot)
+            snapshot = snapshots.decode_snapshot(recovered.snapshot)
             group = snapshot.group
             self.machine = register_lib.decode_register(snapshot.state)
         control = self.context.settings.control
         self.voter = consensus.Voter(
             recovered.member_id,
             group,
-            timing=voter_lib.Timing(
+            timing=states.Timing(
                 control.election_timeout_s, control.heartbeat_s
             ),
             rng=random.Random(self.context.rng.random()),
@@ -301,7 +300,7 @@
         self._inbox.put_nowait(message)
 
     def _take_snapshot(self, data: bytes) -> None:
-        snapshot = voter_lib.decode_snapshot(data)
+        snapshot = snapshots.decode_snapshot(data)
         self.machine = register_lib.decode_register(snapshot.state)
         self._publish()
 
@@ -332,7 +331,7 @@
         voter = self.voter
         if voter.applied_index - voter.log.base_index < SNAPSHOT_EVERY:
             return
-        data = voter_lib.encode_snapshot(
+        data = snapshots.encode_snapshot(
             voter.committed_group(),
             register_lib.encode_register(self.machine),
         )
@@ -448,7 +447,7 @@
             if isinstance(placed, codes.Fault):
                 return refused
         return messages.JoinReply(
-            True, self.name, voter_lib.encode_group(self.voter.group)
+            True, self.name, snapshots.encode_group(self.voter.group)
         )
 
     def _complete_joins(self, now: float) -> None:
--- a/packages/chivelb-node/chivelb_node/storage/restore.py
+++ b/packages/chivelb-node/chivelb_node/storage/restore.py
@@ -4,7 +4,7 @@
 import secrets
 
 from chivelb_core.consensus import group as group_lib
-from chivelb_core.consensus import voter as voter_lib
+from chivelb_core.consensus import snapshots
 from chivelb_core.document import register as register_lib
 import msgspec
 
@@ -46,7 +46,7 @@
     member_id = f"{name}/{secrets.token_hex(4)}"
     member = group_lib.Member(member_id, name, True)
     files.create(member_id)
-    snapshot = voter_lib.encode_snapshot(
+    snapshot = snapshots.encode_snapshot(
         group_lib.Group({member_id: member}),
         register_lib.encode_register(register),
     )
--- a/packages/chivelb-node/chivelb_node/storage/voter_files.py
+++ b/packages/chivelb-node/chivelb_node/storage/voter_files.py
@@ -6,7 +6,7 @@
 
 from chivelb_core import consensus
 from chivelb_core.consensus import log as log_lib
-from chivelb_core.consensus import voter as voter_lib
+from chivelb_core.consensus import states
 import msgspec
 
 from chivelb_node.storage import journal as journal_lib
@@ -50,7 +50,7 @@
     """
 
     member_id: str
-    hard: voter_lib.HardState
+    hard: states.HardState
     log: log_lib.Log
     snapshot: bytes
 
@@ -110,12 +110,12 @@
         if snapshot is not None:
             index, term, data = snapshot
             log = log_lib.Log(index, term)
-        hard = voter_lib.HardState()
+        hard = states.HardState()
         for payload in self.journal.open():
             record = _decoder.decode(payload)
             match record:
                 case HardRecord(term, voted_for):
-                    hard = voter_lib.HardState(term, voted_for)
+                    hard = states.HardState(term, voted_for)
                 case TruncateRecord(start):
                     _truncate(log, start)
                 case EntryRecord(index, term, kind, entry_data):
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,5 +1,7 @@
 import random
 
+from chivelb_core.consensus import messages as consensus_messages
+from chivelb_core.consensus import states
 from chivelb_core.consensus import voter as voter_lib
 from chivelb_core.testing import control_group
 from hypothesis import settings
@@ -115,8 +117,8 @@
     name = lead(group)
     group.isolate(name)
     cut_at = group.now
-    bound_s = voter_lib.Timing().election_s + 0.1
-    while group.voters[name].role is voter_lib.Role.LEADER:
+    bound_s = states.Timing().election_s + 0.1
+    while group.voters[name].role is states.Role.LEADER:
         group.advance(0.05)
         assert group.now - cut_at <= bound_s
     assert not group.propose(name, b"x")
@@ -213,18 +215,18 @@
     voter = voter_lib.Voter(
         "a/1",
         group,
-        timing=voter_lib.Timing(),
+        timing=states.Timing(),
         rng=random.Random(1),
         now=0.0,
-        hard=voter_lib.HardState(2, "b/1"),
+        hard=states.HardState(2, "b/1"),
         log=log,
     )
     voter.tick(9.0)
     for pre, term in ((True, 3), (False, 3)):
         voter.receive(
-            voter_lib.messages.VoteReply("a/1", "b/1", term, True, pre), 9.0
+            consensus_messages.VoteReply("a/1", "b/1", term, True, pre), 9.0
         )
-    assert voter.role is voter_lib.Role.LEADER
+    assert voter.role is states.Role.LEADER
     effects = voter.take_effects()
     voter.note_synced(effects.entries[-1].index, 9.0)
     return voter
@@ -232,7 +234,7 @@
 
 def acknowledge(voter, index):
     voter.receive(
-        voter_lib.messages.AppendReply("a/1", "b/1", 3, True, index, 1), 9.1
+        consensus_messages.AppendReply("a/1", "b/1", 3, True, index, 1), 9.1
     )
 
 
@@ -262,7 +264,7 @@
     assert voter.commit_index == 3
     assert control_group.joining.plan_next_step(voter) is None
     voter.receive(
-        voter_lib.messages.AppendReply("a/1", "c/2", 3, True, 3, 2), 9.3
+        consensus_messages.AppendReply("a/1", "c/2", 3, True, 3, 2), 9.3
     )
     step = control_group.joining.plan_next_step(voter)
     assert "c/1" not in step.members
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,7 +2,8 @@
 
 import builders
 from chivelb_core.consensus import log as log_lib
-from chivelb_core.consensus import voter as voter_lib
+from chivelb_core.consensus import snapshots
+from chivelb_core.consensus import states
 from chivelb_core.document import register as register_lib
 from chivelb_node.storage import journal
 from chivelb_node.storage import restore
@@ -80,7 +81,7 @@
 
 
 def make_effects(**options):
-    return voter_lib.Effects(**options)
+    return states.Effects(**options)
 
 
 def entry(index, term, data=b""):
@@ -94,7 +95,7 @@
         files.recover()
         await files.store(
             make_effects(
-                hard_state=voter_lib.HardState(3, "b/1"),
+                hard_state=states.HardState(3, "b/1"),
                 entries=[entry(1, 1, b"x"), entry(2, 1, b"y")],
             )
         )
@@ -105,7 +106,7 @@
     asyncio.run(run())
     recovered = voter_files.VoterFiles(tmp_path / "voter").recover()
     assert recovered.member_id == "a/1"
-    assert recovered.hard == voter_lib.HardState(3, "b/1")
+    assert recovered.hard == states.HardState(3, "b/1")
     assert [e.data for e in recovered.log.entries] == [b"x", b"z"]
 
 
@@ -125,7 +126,7 @@
     version = restore.restore_voter(data, tmp_path, name="a", above=500)
     assert version > 500
     recovered = voter_files.VoterFiles(tmp_path / "voter").recover()
-    snapshot = voter_lib.decode_snapshot(recovered.snapshot)
+    snapshot = snapshots.decode_snapshot(recovered.snapshot)
     assert [m.name for m in snapshot.group.members.values()] == ["a"]
     restored = register_lib.decode_register(snapshot.state)
     assert restored.document == register.document
