Bench: a report page with plots, and the cost of a claim

Cause: results were only lines and JSON, and the cost of a claim had no run. Ruled out: own plotting; matplotlib is loaded by that command alone. Conclusion: kept.

--- a/packages/chivelb-cli/chivelb_cli/commands/bench.py
+++ b/packages/chivelb-cli/chivelb_cli/commands/bench.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from chivelb_cli.bench import admission
+from chivelb_cli.bench import claim_cost
 from chivelb_cli.bench import forwarder
 from chivelb_cli.bench import hop
 from chivelb_cli.bench import records
@@ -80,6 +81,14 @@
     spread_parser.add_argument("--dead-voters", type=int, default=0)
     spread_parser.set_defaults(run=run_spread)
 
+    report_parser = kinds.add_parser("report", help="a page with plots")
+    report_parser.add_argument("files", nargs="+", metavar="RESULT")
+    report_parser.add_argument("--out", default="results/report")
+    report_parser.set_defaults(run=run_report)
+    claims_parser = kinds.add_parser("claims", help="what a claim adds")
+    claims_parser.add_argument("--calls", type=int, default=300)
+    claims_parser.set_defaults(run=run_claims)
+
 
 def add_soak_parser(commands) -> None:
     """Adds ``chivelb soak``."""
@@ -143,6 +152,34 @@
     return 0
 
 
+def run_report(arguments: argparse.Namespace) -> int:
+    """Writes a page with plots over results."""
+    # Imported here: only this command needs the plotting library.
+    from chivelb_cli.bench import report
+
+    try:
+        results = [
+            running.read_result(pathlib.Path(name)) for name in arguments.files
+        ]
+    except (OSError, msgspec.MsgspecError) as error:
+        print(f"not a result: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    print(report.write_report(results, pathlib.Path(arguments.out)))
+    return EXIT_VIOLATION if any(r.violations for r in results) else 0
+
+
+def run_claims(arguments: argparse.Namespace) -> int:
+    """Measures what a claim adds to a call."""
+    cost = asyncio.run(claim_cost.run(calls=arguments.calls))
+    print(
+        f"without a key p50 {cost.plain_p50_s * 1e3:.1f} p95 "
+        f"{cost.plain_p95_s * 1e3:.1f} ms; claimed p50 "
+        f"{cost.claimed_p50_s * 1e3:.1f} p95 {cost.claimed_p95_s * 1e3:.1f} "
+        f"ms; {cost.claimed_per_s:.0f} claimed calls/s"
+    )
+    return 0
+
+
 def run_slopes(arguments: argparse.Namespace) -> int:
     """Measures slopes and prints them as Markdown."""
     wanted = arguments.names or list(slopes.SLOPES)
