--- a/tests/sites.py
+++ b/tests/sites.py
@@ -1,5 +1,6 @@
 """Fleets of real processes for tests."""
 
+import asyncio
 import contextlib
 import functools
 
@@ -59,6 +60,20 @@
         fleet.stop()
 
 
+def play(tmp_path, scenario, **options):
+    """Runs a scenario on a fresh fleet whose instances and keepers serve."""
+    fleet = make_fleet(tmp_path, **options)
+
+    async def main():
+        async with running(fleet) as session:
+            start_entries(fleet)
+            await fleet.wait_ready(session)
+            await wait_keepers(session, fleet)
+            await scenario(session, fleet)
+
+    asyncio.run(main())
+
+
 def headers(workspace="joinery", **more):
     key = samples.workspace_key(workspace)
     return {"Authorization": f"Bearer {key}", **more}
