Tests: one start for both tests of a stop

Cause: the start of a site with a call in progress stood twice. Ruled out: the shared fleet of that file, which a stop would end. Conclusion: no check changed.

--- a/tests/test_site_calls.py
+++ b/tests/test_site_calls.py
@@ -392,55 +392,46 @@
     run(fleet, scenario)
 
 
-def test_a_planned_stop_cuts_no_request(tmp_path):
-    fleet = sites.make_fleet(tmp_path, voters=1, zones=["z1"], per_zone=1)
+def play_stop(tmp_path, tokens, scenario):
+    """Runs a scenario beside a call that is in progress."""
 
-    async def main():
-        async with sites.running(fleet) as session:
-            sites.start_entries(fleet)
-            sites.start_runner(fleet, "runner-1", "z1")
-            await fleet.wait_ready(session)
-            await fleet.wait_targets(session, 1)
-            url = fleet.entries["z1-1"].url
-            call = asyncio.create_task(
-                sites.complete(session, url, prompt="stop", tokens=60)
-            )
-            await asyncio.sleep(0.3)
-            process = fleet.process("z1-1")
-            process.send_signal(signal.SIGTERM)
-            await asyncio.sleep(0.1)
-            async with session.get(f"{url}/ready") as response:
-                assert response.status == 503
-            status, reply, _ = await call
-            assert status == 200
-            assert sites.text_of(reply) == sites.right_answer("stop", 60)
-            assert await asyncio.to_thread(process.wait, 20) == 0
+    async def beside(session, fleet):
+        sites.start_runner(fleet, "runner-1", "z1")
+        await fleet.wait_targets(session, 1)
+        url = fleet.entries["z1-1"].url
+        call = asyncio.create_task(
+            sites.complete(session, url, prompt="stop", tokens=tokens)
+        )
+        await asyncio.sleep(0.3)
+        process = fleet.process("z1-1")
+        process.send_signal(signal.SIGTERM)
+        await scenario(session, fleet, process, call)
 
-    asyncio.run(main())
+    sites.play(tmp_path, beside, voters=1, zones=["z1"])
 
 
-def test_a_second_signal_says_what_it_cuts(tmp_path):
-    fleet = sites.make_fleet(tmp_path, voters=1, zones=["z1"], per_zone=1)
+def test_a_planned_stop_cuts_no_request(tmp_path):
+    async def scenario(session, fleet, process, call):
+        await asyncio.sleep(0.1)
+        url = fleet.entries["z1-1"].url
+        async with session.get(f"{url}/ready") as response:
+            assert response.status == 503
+        status, reply, _ = await call
+        assert status == 200
+        assert sites.text_of(reply) == sites.right_answer("stop", 60)
+        assert await asyncio.to_thread(process.wait, 20) == 0
 
-    async def main():
-        async with sites.running(fleet) as session:
-            sites.start_entries(fleet)
-            sites.start_runner(fleet, "runner-1", "z1")
-            await fleet.wait_ready(session)
-            await fleet.wait_targets(session, 1)
-            url = fleet.entries["z1-1"].url
-            call = asyncio.create_task(
-                sites.complete(session, url, prompt="stop", tokens=600)
-            )
-            await asyncio.sleep(0.3)
-            process = fleet.process("z1-1")
-            process.send_signal(signal.SIGTERM)
-            await asyncio.sleep(0.6)
-            process.send_signal(signal.SIGTERM)
-            assert await asyncio.to_thread(process.wait, 20) == 3
-            with pytest.raises(Exception):  # noqa: B017
-                await call
-            log = (fleet.folder / "z1-1.log").read_text()
-            assert '"cut": 1' in log
+    play_stop(tmp_path, 60, scenario)
 
-    asyncio.run(main())
+
+def test_a_second_signal_says_what_it_cuts(tmp_path):
+    async def scenario(session, fleet, process, call):
+        await asyncio.sleep(0.6)
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.to_thread(process.wait, 20) == 3
+        with pytest.raises(Exception):  # noqa: B017
+            await call
+        log = (fleet.folder / "z1-1.log").read_text()
+        assert '"cut": 1' in log
+
+    play_stop(tmp_path, 600, scenario)
