Document: routes, engines and stores; replacement by the highest number

Cause: the users' platform speaks of routes with weighted splits, of whole documents whose highest number wins, and of weight versions named apart from the document. The product had none of these. Change: Route, Share, Engine and Store in the document with their checks, Register.replace and name_weights, idempotent commands in the log, and a voter's start as a setting.

--- a/packages/chivelb-core/chivelb_core/document/changes.py
+++ b/packages/chivelb-core/chivelb_core/document/changes.py
@@ -42,6 +42,20 @@
     author: str = ""
 
 
+class Replacement(msgspec.Struct, frozen=True):
+    """A whole document under the operator's own number.
+
+    Attributes:
+        number: The operator's number; the highest wins.
+        document: The document.
+        source: The same as the operator sent it, for reading it back.
+    """
+
+    number: int
+    document: model_lib.Document
+    source: bytes
+
+
 def apply_operations(
     document: model_lib.Document,
     operations: list[Operation],
--- a/packages/chivelb-core/chivelb_core/document/checks.py
+++ b/packages/chivelb-core/chivelb_core/document/checks.py
@@ -58,6 +58,27 @@
         *_workspace_problems(document),
         *_model_problems(document),
         *_rule_problems(document),
+        *_route_problems(document),
+        *_limit_problems(document),
+    ]
+    return sorted(found, key=lambda problem: problem.path)
+
+
+def find_route_problems(document: model_lib.Document) -> list[Problem]:
+    """Checks what requests are served by: routes, workspaces and limits.
+
+    Names are taken as they are: a document that an operator replaces as a
+    whole may come from a tool with naming rules of its own.
+
+    Args:
+        document: A type-checked document.
+
+    Returns:
+        All problems, in order of their paths; empty when it is valid.
+    """
+    found = [
+        *_workspace_problems(document),
+        *_route_problems(document),
         *_limit_problems(document),
     ]
     return sorted(found, key=lambda problem: problem.path)
@@ -84,7 +105,11 @@
                     suggest(str(service.model), list(document.models)),
                 )
         elif service.model is not None:
-            yield Problem(f"{path}/model", "a plain service has no model")
+            yield Problem(
+                f"{path}/model", f"a {service.kind} service has no model"
+            )
+        if service.kind == "store" and service.store is None:
+            yield Problem(f"{path}/store", "a store service needs a store")
         if service.policy not in POLICIES:
             yield Problem(
                 f"{path}/policy", suggest(service.policy, list(POLICIES))
@@ -165,6 +190,36 @@
             yield Problem(f"{path}/path", "must start with '/'")
 
 
+def _route_problems(document: model_lib.Document) -> Iterator[Problem]:
+    places: dict[tuple[str, str], str] = {}
+    for name, route in document.routes.items():
+        path = f"routes/{name}"
+        for share in route.split:
+            if share.service not in document.services:
+                yield Problem(
+                    f"{path}/split",
+                    suggest(share.service, list(document.services)),
+                )
+            if share.weight < 0:
+                yield Problem(
+                    f"{path}/split", f"{share.weight} must not be negative"
+                )
+        if sum(share.weight for share in route.split) <= 0:
+            yield Problem(f"{path}/split", "the weights add up to 0")
+        if route.timeout_s <= 0:
+            yield Problem(f"{path}/timeout_s", "must be above 0")
+        if route.path_prefix[:1] != "/" or route.path_prefix[-1:] != "/":
+            yield Problem(
+                f"{path}/path_prefix", "must start and end with '/'"
+            )
+        place = (route.host, route.path_prefix)
+        if places.setdefault(place, name) != name:
+            yield Problem(
+                f"{path}/path_prefix",
+                f"route {places[place]!r} has the same host and prefix",
+            )
+
+
 def _limit_problems(document: model_lib.Document) -> Iterator[Problem]:
     limits = document.limits
     if not 1024 <= limits.max_body_bytes <= 67_108_864:
--- a/packages/chivelb-core/chivelb_core/document/model.py
+++ b/packages/chivelb-core/chivelb_core/document/model.py
@@ -5,25 +5,74 @@
 import msgspec
 
 
+class Engine(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """What all runners of a model service have in common.
+
+    Attributes:
+        slots: Requests that a runner batches at once.
+        kv_tokens: Tokens of KV cache that a runner's memory holds.
+        bytes_per_token: Size of one token's KV cache.
+        link_bytes_per_s: Rate of a runner's link for KV cache.
+        max_event_polls: Cache event polls that a runner holds at once.
+        models: Names of the models that the runners serve.
+    """
+
+    slots: int
+    kv_tokens: int
+    bytes_per_token: int = 1_024
+    link_bytes_per_s: float = 100e6
+    max_event_polls: int = 1
+    models: list[str] = []
+
+
+class Store(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """An instance that keeps KV cache for runners.
+
+    Attributes:
+        address: ``host:port`` of the store.
+        zone: Its availability zone.
+        kv_tokens: Tokens of KV cache that it holds.
+        link_bytes_per_s: Rate of its link.
+        setup_s: Seconds that each transfer waits in addition.
+        max_event_polls: Cache event polls that it holds at once.
+        managed: Whether it drops nothing unless told to.
+    """
+
+    address: str
+    zone: str
+    kv_tokens: int
+    link_bytes_per_s: float = 100e6
+    setup_s: float = 0.0
+    max_event_polls: int = 1
+    managed: bool = False
+
+
 class Service(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """A service that workspaces may call.
 
     Attributes:
-        kind: ``model`` for model engines, ``plain`` for other services.
+        kind: ``model`` for model engines, ``store`` for stores of KV cache,
+            ``plain`` for other services.
         model: Name of the model in ``models``; required for kind ``model``.
         goal: ``latency`` weighs time to first token most, ``reuse`` weighs
             recomputed prompt work and link use most.
         policy: Name of the routing policy.
         timeout_s: Seconds until a call is given up.
         repeatable: Whether calls may be sent again after an unknown outcome.
+        max_connections: Connections that a target takes from all instances.
+        engine: What the runners have in common; None for other services.
+        store: The store; None for other services.
     """
 
-    kind: Literal["model", "plain"] = "model"
+    kind: Literal["model", "plain", "store"] = "model"
     model: str | None = None
     goal: Literal["latency", "reuse"] = "latency"
     policy: str = "expected_cost"
     timeout_s: float = 60.0
     repeatable: bool = True
+    max_connections: int = 1_000
+    engine: Engine | None = None
+    store: Store | None = None
 
 
 class Workspace(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -35,6 +84,8 @@
         services: Names of the services that it may call.
         weight: Share relative to other workspaces of its class.
         max_queued: Most requests that wait at one instance.
+        priority: Rank of its requests, 0 first; None leaves it to the route.
+        isolated: Whether it shares no cached prompt with any other one.
     """
 
     key_hashes: list[str]
@@ -42,6 +93,8 @@
     services: list[str]
     weight: float = 1.0
     max_queued: int = 256
+    priority: int | None = None
+    isolated: bool = True
 
 
 class Model(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -78,10 +131,58 @@
     class_name: str = "interactive"
 
 
+class Share(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Part of a route's requests that goes to one service."""
+
+    service: str
+    weight: float = 1.0
+
+
+class Route(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Ties requests of a host and path to services.
+
+    Attributes:
+        host: Host that the request names, in lower case.
+        path_prefix: Start of the paths, with a slash at both ends.
+        split: Services and their weights.
+        kind: ``safe`` requests may run more than once, ``unsafe`` ones at
+            most once, ``streaming`` ones too unless they may be resumed.
+        timeout_s: Longest time that a caller is kept waiting.
+        target_latency_s: Latency objective; for streams, of the first event.
+        target_gap_s: Longest pause between events on time; 0 for none.
+        priority: Rank of the requests; 0 is first.
+        max_attempts: Most targets that one request is sent to.
+        public: Whether requests need no key.
+        resumable: Whether a stream may go on at another runner.
+    """
+
+    host: str
+    path_prefix: str
+    split: list[Share]
+    kind: Literal["safe", "unsafe", "streaming"]
+    timeout_s: float
+    target_latency_s: float = 1.0
+    target_gap_s: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind == "safe" or (
+            self.kind == "streaming" and self.resumable
+        )
+
+
 class Limits(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Bounds that hold for the whole site.
 
     Attributes:
+        max_header_bytes: Largest head of a request.
+        header_timeout_s: Longest time that the head of a request may take.
+        idle_timeout_s: Longest time that a caller's connection may be idle.
         max_body_bytes: Largest request body.
         max_queue: Most requests that wait at one instance.
         queue_deadline_s: Longest wait of an interactive request.
@@ -91,6 +192,9 @@
             by last use, ``none`` nothing.
     """
 
+    max_header_bytes: int = 16_384
+    header_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
     max_body_bytes: int = 1_048_576
     max_queue: int = 2_000
     queue_deadline_s: float = 10.0
@@ -113,6 +217,7 @@
     workspaces: dict[str, Workspace] = {}
     models: dict[str, Model] = {}
     rules: dict[str, Rule] = {}
+    routes: dict[str, Route] = {}
     limits: Limits = msgspec.field(default_factory=Limits)
 
 
@@ -121,6 +226,7 @@
     "workspaces": Workspace,
     "models": Model,
     "rules": Rule,
+    "routes": Route,
 }
 
 
--- a/packages/chivelb-core/chivelb_core/document/register.py
+++ b/packages/chivelb-core/chivelb_core/document/register.py
@@ -32,12 +32,23 @@
 
 
 class Delta(msgspec.Struct, frozen=True):
-    """One link of the version chain: takes ``version - 1`` to ``version``."""
+    """One link of the version chain: takes ``version - 1`` to ``version``.
+
+    Attributes:
+        version: Version that it makes.
+        change_id: Id of the change.
+        author: Who asked for it.
+        operations: What it does to the document.
+        number: The operator's number of the document after it.
+        weights: Newest weight versions named by then, by model.
+    """
 
     version: int
     change_id: str
     author: str
     operations: list[changes.Operation]
+    number: int = 0
+    weights: dict[str, int] = {}
 
 
 class Register(msgspec.Struct, kw_only=True):
@@ -51,6 +62,11 @@
         history: The newest links of the version chain, oldest first.
         fencing: Highest fencing token minted.
         leases: Holder and token of each named lease.
+        number: The operator's own number of the document; 0 before the
+            first replacement.
+        source: The document as the operator sent it, for reading it back;
+            empty in the copies of instances that only follow.
+        weights: Newest weight version that was named, by model.
     """
 
     document: model_lib.Document = msgspec.field(
@@ -62,6 +78,37 @@
     history: list[Delta] = []
     fencing: int = 0
     leases: dict[str, tuple[str, int]] = {}
+    number: int = 0
+    source: bytes = b""
+    weights: dict[str, int] = {}
+
+    def replace(self, replacement: changes.Replacement) -> bool:
+        """Applies a committed replacement of the whole document.
+
+        The highest number wins; one that is not higher changes nothing.
+
+        Args:
+            replacement: A replacement in the order of the log.
+
+        Returns:
+            True when it is in force now.
+        """
+        if replacement.number <= self.number:
+            return False
+        operations = changes.diff_documents(self.document, replacement.document)
+        self.document = replacement.document
+        self.number = replacement.number
+        self.source = replacement.source
+        self._append_link(f"replacement-{replacement.number}", "", operations)
+        return True
+
+    def name_weights(self, model: str, version: int) -> bool:
+        """Names a weight version; a lower one than known changes nothing."""
+        if version <= self.weights.get(model, 0):
+            return False
+        self.weights[model] = version
+        self._append_link(f"weights-{model}-{version}", "", [])
+        return True
 
     def apply_change(self, change: changes.Change) -> Answer:
         """Applies a committed change by compare-and-set.
@@ -116,14 +163,24 @@
     def _advance(
         self, document: model_lib.Document, change: changes.Change
     ) -> None:
-        before = self.version
         self.document = document
+        self._append_link(change.change_id, change.author, change.operations)
+
+    def _append_link(
+        self, change_id: str, author: str, operations: list[changes.Operation]
+    ) -> None:
+        before = self.version
         self.version += 1
-        for operation in change.operations:
+        for operation in operations:
             self.part_versions[operation.path] = self.version
         self.history.append(
             Delta(
-                self.version, change.change_id, change.author, change.operations
+                self.version,
+                change_id,
+                author,
+                operations,
+                self.number,
+                dict(self.weights),
             )
         )
         del self.history[:-HISTORY_LENGTH]
@@ -185,6 +242,8 @@
             history=[*self.history, *deltas][-REPLICA_HISTORY:],
             fencing=self.fencing,
             leases=self.leases,
+            number=deltas[-1].number if deltas else self.number,
+            weights=deltas[-1].weights if deltas else self.weights,
         )
 
     def replica(self) -> "Register":
@@ -196,6 +255,8 @@
             history=self.history[-REPLICA_HISTORY:],
             fencing=self.fencing,
             leases=dict(self.leases),
+            number=self.number,
+            weights=dict(self.weights),
         )
 
     def deltas_since(self, version: int) -> list[Delta] | None:
--- a/packages/chivelb-node/chivelb_node/control/commands.py
+++ b/packages/chivelb-node/chivelb_node/control/commands.py
@@ -18,11 +18,28 @@
     expected: int
 
 
+class WeightsCommand(msgspec.Struct, frozen=True):
+    """Names a weight version of a model.
+
+    Attributes:
+        model: Name of the model.
+        version: The version; the highest named one is wanted.
+    """
+
+    model: str
+    version: int
+
+
+Command = (
+    document.Change | document.Replacement | LeaseCommand | WeightsCommand
+)
 _change_decoder = msgspec.msgpack.Decoder(document.Change)
 _lease_decoder = msgspec.msgpack.Decoder(LeaseCommand)
+_replacement_decoder = msgspec.msgpack.Decoder(document.Replacement)
+_weights_decoder = msgspec.msgpack.Decoder(WeightsCommand)
 
 
-def encode(command: document.Change | LeaseCommand) -> bytes:
+def encode(command: Command) -> bytes:
     """Encodes a command for an entry."""
     return msgspec.msgpack.encode(command)
 
@@ -35,3 +52,13 @@
 def decode_lease(data: bytes) -> LeaseCommand:
     """Decodes a lease command from an entry."""
     return _lease_decoder.decode(data)
+
+
+def decode_replacement(data: bytes) -> document.Replacement:
+    """Decodes a replacement of the document from an entry."""
+    return _replacement_decoder.decode(data)
+
+
+def decode_weights(data: bytes) -> WeightsCommand:
+    """Decodes a weights command from an entry."""
+    return _weights_decoder.decode(data)
--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -169,6 +169,29 @@
             return codes.Fault(codes.CHANGE_UNKNOWN)
         return codes.Fault(codes.NO_QUORUM)
 
+    async def submit(self, kind: str, payload: bytes, timeout_s: float) -> bool:
+        """Asks the voters to append an idempotent command.
+
+        Args:
+            kind: Kind of the entry: ``replace`` or ``weights``.
+            payload: The encoded command.
+            timeout_s: Longest time to go on asking.
+
+        Returns:
+            True when it is committed; otherwise it may be, now or later.
+        """
+        request = messages.CommandRequest(kind, payload)
+        deadline = context_lib.monotonic() + timeout_s
+        while context_lib.monotonic() < deadline:
+            for name in self._by_hope():
+                _, reply = await self._ask(name, request)
+                if isinstance(reply, messages.CommandReply):
+                    self._leader = reply.leader
+                    if reply.applied:
+                        return True
+            await asyncio.sleep(ASK_PAUSE_S)
+        return False
+
     def _by_hope(self) -> list[str]:
         names = self.voters()
         return sorted(names, key=lambda name: name != self._leader)
--- a/packages/chivelb-node/chivelb_node/control/voting.py
+++ b/packages/chivelb-node/chivelb_node/control/voting.py
@@ -32,6 +32,7 @@
 APPLY_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 1.0
 JOIN_PERIOD_S = 0.5
+IDEMPOTENT_KINDS = frozenset({"replace", "weights"})
 _log = logs.get_logger("voter")
 _KINDS = (
     consensus_messages.VoteRequest,
@@ -87,6 +88,7 @@
         hub.handle(messages.VoterHello, self._on_hello)
         hub.handle(messages.JoinRequest, self._on_join)
         hub.handle(messages.ChangeRequest, self._on_change)
+        hub.handle(messages.CommandRequest, self._on_command)
         hub.handle(messages.LeaseRequest, self._on_lease)
         hub.handle(messages.ReadRequest, self._on_read)
 
@@ -130,7 +132,10 @@
         settings = self.context.settings.control
         names = settings.voters or [self.name]
         first = _first_group(names)
-        if names == [self.name]:
+        if settings.start == "join":
+            await self._join(names)
+            return
+        if names == [self.name] or settings.start == "found":
             self._create(f"{self.name}/1", first)
             return
         while not self.should_stop:
@@ -140,7 +145,7 @@
             if any(self._is_not_first(s) for s in joined):
                 # This instance voted before and its disk was lost, or the
                 # group was restored without it.
-                await self._come_back(joined)
+                await self._join([s.name for s in joined])
                 return
             if len(states) == others:
                 self._create(f"{self.name}/1", first)
@@ -183,10 +188,14 @@
             self.leader_name(),
         )
 
-    async def _come_back(self, joined: list[messages.VoterState]) -> None:
+    async def _join(self, names: list[str]) -> None:
+        """Joins an existing group under a new member id.
+
+        Args:
+            names: Names of instances that may lead it.
+        """
         member_id = f"{self.name}/{secrets.token_hex(4)}"
-        _log.warning("disk was lost; joining anew", member=member_id)
-        names = [s.name for s in joined]
+        _log.warning("no state on the disk; joining anew", member=member_id)
         while not self.should_stop:
             for name in names:
                 reply = await self.hub.request(
@@ -316,6 +325,14 @@
                 result = self.machine.grant_lease(
                     lease.lease, lease.holder, lease.expected
                 )
+            elif entry.kind == "replace":
+                replacement = commands.decode_replacement(entry.data)
+                result = self.machine.replace(replacement)
+            elif entry.kind == "weights":
+                weights = commands.decode_weights(entry.data)
+                result = self.machine.name_weights(
+                    weights.model, weights.version
+                )
             future = self._applied.pop((entry.index, entry.term), None)
             if future is not None and not future.done():
                 future.set_result(result)
@@ -397,6 +414,16 @@
             number, version, self.leader_name(), payload, appended
         )
 
+    async def _on_command(
+        self, peer: str, request: messages.CommandRequest
+    ) -> messages.CommandReply:
+        applied = None
+        if self.is_leader and request.kind in IDEMPOTENT_KINDS:
+            _, applied = await self.propose(request.kind, request.payload)
+        return messages.CommandReply(
+            applied is not None, self.machine.version, self.leader_name()
+        )
+
     async def _on_lease(
         self, peer: str, request: messages.LeaseRequest
     ) -> messages.LeaseReply:
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -67,6 +67,8 @@
         voters: Names of the instances that vote on changes at first start.
         keepers: Names of the instances that keep claims.
         member_id: Id of this voter; a new one after a lost disk.
+        start: What a voter with an empty disk does: ``ask`` the others,
+            ``found`` the group with them, or ``join`` the group they have.
         election_timeout_s: Silence after which an election may start.
         heartbeat_s: Period of the leader's heartbeats.
         claim_ttl_s: Seconds that a settled claim is kept.
@@ -75,6 +77,7 @@
     voters: list[str] = []
     keepers: list[str] = []
     member_id: str = ""
+    start: typing.Literal["ask", "found", "join"] = "ask"
     election_timeout_s: float = 1.0
     heartbeat_s: float = 0.15
     claim_ttl_s: float = 86_400.0
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -54,6 +54,8 @@
     joinRequest @48 :JoinRequest;
     joinReply @49 :JoinReply;
     refusal @50 :Refusal;
+    commandRequest @51 :CommandRequest;
+    commandReply @52 :CommandReply;
   }
 }
 
@@ -157,6 +159,17 @@
   outcome @2 :Data;
 }
 
+struct CommandReply {
+  applied @0 :Bool;
+  version @1 :Int64;
+  leader @2 :Text;
+}
+
+struct CommandRequest {
+  kind @0 :Text;
+  payload @1 :Data;
+}
+
 struct Deltas {
   base @0 :Int64;
   payload @1 :Data;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -55,6 +55,32 @@
     appended: bool
 
 
+class CommandRequest(msgspec.Struct, rename="camel", frozen=True):
+    """Asks a voter to append an idempotent command.
+
+    Attributes:
+        kind: Kind of the entry: ``replace`` or ``weights``.
+        payload: The encoded command.
+    """
+
+    kind: str
+    payload: bytes
+
+
+class CommandReply(msgspec.Struct, rename="camel", frozen=True):
+    """A voter's answer to a command.
+
+    Attributes:
+        applied: Whether it was committed and applied.
+        version: Version of the register after it.
+        leader: Name of the leading instance if the asked one does not lead.
+    """
+
+    applied: bool
+    version: int
+    leader: str
+
+
 class LeaseRequest(msgspec.Struct, rename="camel", frozen=True):
     """Asks for a named lease under a new fencing token.
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -59,6 +59,8 @@
     messages.JoinRequest,
     messages.JoinReply,
     messages.Refusal,
+    messages.CommandRequest,
+    messages.CommandReply,
 )
 
 
