--- a/packages/chivelb-core/chivelb_core/calls/attempt.py
+++ b/packages/chivelb-core/chivelb_core/calls/attempt.py
@@ -32,6 +32,19 @@
     target_died: bool = False
 
 
+class AttemptError(Exception):
+    """Ends an attempt that is not done.
+
+    Attributes:
+        outcome: How it ended.
+    """
+
+    def __init__(self, outcome: Outcome) -> None:
+        """Creates the end of an attempt."""
+        super().__init__(outcome.detail)
+        self.outcome = outcome
+
+
 def may_retry(
     outcome: Outcome,
     *,
--- a/packages/chivelb-core/chivelb_core/document/__init__.py
+++ b/packages/chivelb-core/chivelb_core/document/__init__.py
@@ -6,9 +6,9 @@
 from chivelb_core.document.checks import find_problems
 from chivelb_core.document.checks import find_route_problems
 from chivelb_core.document.model import Document
+from chivelb_core.document.model import Engine
 from chivelb_core.document.model import Limits
 from chivelb_core.document.model import Model
-from chivelb_core.document.model import Engine
 from chivelb_core.document.model import Route
 from chivelb_core.document.model import Rule
 from chivelb_core.document.model import Service
--- a/packages/chivelb-core/chivelb_core/document/checks.py
+++ b/packages/chivelb-core/chivelb_core/document/checks.py
@@ -209,9 +209,7 @@
         if route.timeout_s <= 0:
             yield Problem(f"{path}/timeout_s", "must be above 0")
         if route.path_prefix[:1] != "/" or route.path_prefix[-1:] != "/":
-            yield Problem(
-                f"{path}/path_prefix", "must start and end with '/'"
-            )
+            yield Problem(f"{path}/path_prefix", "must start and end with '/'")
         place = (route.host, route.path_prefix)
         if places.setdefault(place, name) != name:
             yield Problem(
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -0,0 +1,86 @@
+"""A caller's request as the decisions see it."""
+
+import dataclasses
+
+from chivelb_core.document import model as model_lib
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Part:
+    """A stretch of a prompt that other prompts may share.
+
+    Attributes:
+        key: Id of the stretch.
+        tokens: Its length.
+    """
+
+    key: str
+    tokens: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Prompt:
+    """What a model request says of its prompt.
+
+    Attributes:
+        model: Name of the model.
+        parts: Stretches in order; the last one is the request's own or its
+            session's.
+        tokens: Length of the prompt.
+        max_output: Most tokens that the answer may have.
+    """
+
+    model: str
+    parts: tuple[Part, ...]
+    tokens: int
+    max_output: int
+
+    @property
+    def total(self) -> int:
+        """Tokens that the request may fill in a runner's memory."""
+        return self.tokens + self.max_output
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One request of a caller.
+
+    Attributes:
+        request_id: The caller's id of this request.
+        route_name: Name of the route.
+        route: The route as the document had it on arrival.
+        service: Service that the route's split chose.
+        workspace: The caller's workspace; empty on public routes.
+        isolated: Whether its cached prompts are its own.
+        priority: Rank; 0 is first.
+        prompt: What it says of its prompt, or None.
+        arrived_at: Monotonic time of arrival, in seconds.
+        deadline: Monotonic time after which nobody waits, in seconds.
+        fingerprint: Digest of workspace, path and body.
+        attempts: Times that it was sent to a target.
+        tried: Identities of the targets that it was sent to.
+    """
+
+    request_id: str
+    route_name: str
+    route: model_lib.Route
+    service: str
+    workspace: str
+    isolated: bool
+    priority: int
+    prompt: Prompt | None
+    arrived_at: float
+    deadline: float
+    fingerprint: str = ""
+    attempts: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Length of the prompt; 0 without one."""
+        return 0 if self.prompt is None else self.prompt.tokens
+
+    @property
+    def total_tokens(self) -> int:
+        """Tokens that it may fill in memory; 0 without a prompt."""
+        return 0 if self.prompt is None else self.prompt.total
--- a/packages/chivelb-core/chivelb_core/targets/record.py
+++ b/packages/chivelb-core/chivelb_core/targets/record.py
@@ -28,7 +28,8 @@
         link_rate: Bytes a second over its link for kept cache.
         bytes_per_token: Size of one token's KV cache.
         checks_fencing: Whether it refuses old fencing tokens.
-        lease_s: Seconds until the announcement lapses.
+        lease_s: Seconds until the announcement lapses; 0 when it holds until
+            the target leaves or another one has its address.
     """
 
     identity: str
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import dataclasses
+import math
 
 from chivelb_core.targets import record as record_lib
 
@@ -65,11 +66,23 @@
         failed_at = None
         if known and known.record.incarnation == record.incarnation:
             failed_at = known.failed_at
+        expires_at = now + record.lease_s if record.lease_s else math.inf
         self.entries[record.identity] = TargetEntry(
-            record, now, now + record.lease_s, left, failed_at
+            record, now, expires_at, left, failed_at
         )
+        self._retire_at(record)
         return True
 
+    def _retire_at(self, record: record_lib.TargetRecord) -> None:
+        """Retires older targets whose address a newer one has taken."""
+        for other in self.entries.values():
+            if (
+                other.record.address == record.address
+                and other.record.identity != record.identity
+                and other.record.incarnation < record.incarnation
+            ):
+                other.left = True
+
     def take_leaving(self, identity: str, incarnation: int) -> bool:
         """Notes that a target's incarnation is leaving; True when news."""
         known = self.entries.get(identity)
--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -65,6 +65,8 @@
         ring = None
         if settings.peers.keys_file:
             ring = sealing.KeyRing(settings.peers.keys_file)
+        elif not settings.peers.authenticated:
+            ring = sealing.KeyRing(None)
         self.hub = hub_lib.Hub(self.context, ring)
         self.gossip = gossip_lib.Gossip(self.context, self.hub)
         self.replica = replica_lib.ReplicaService(
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -44,6 +44,7 @@
         register: Document and version chain in force.
         version: Version in force; it never decreases. -1 before the first.
         keys: Index of workspace keys.
+        routes: Index of the document's routes.
         targets: Targets under their leases.
         load: Load of targets.
         directory: This instance's shard of the kept-cache directory.
@@ -67,6 +68,7 @@
         self.register = document_lib.Register()
         self.version = -1
         self.keys = KeyTable(self.register.document)
+        self.routes = document_lib.RouteTable(self.register.document)
         self.targets = targets.TargetTable()
         self.load = routing.LoadView()
         self.directory = kept.Directory()
@@ -103,6 +105,7 @@
 
     def _note_version(self) -> None:
         self.keys = KeyTable(self.document)
+        self.routes = document_lib.RouteTable(self.document)
         self.metrics.version.set(self.version)
         for queue in self.queues.values():
             self._weigh(queue)
--- a/packages/chivelb-node/chivelb_node/control/commands.py
+++ b/packages/chivelb-node/chivelb_node/control/commands.py
@@ -30,9 +30,7 @@
     version: int
 
 
-Command = (
-    document.Change | document.Replacement | LeaseCommand | WeightsCommand
-)
+Command = document.Change | document.Replacement | LeaseCommand | WeightsCommand
 _change_decoder = msgspec.msgpack.Decoder(document.Change)
 _lease_decoder = msgspec.msgpack.Decoder(LeaseCommand)
 _replacement_decoder = msgspec.msgpack.Decoder(document.Replacement)
--- a/packages/chivelb-node/chivelb_node/edge/model_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/model_calls.py
@@ -104,7 +104,7 @@
                     yield batch
                 self._clear_suspect(call)
                 return
-            except runners.AttemptError as ended:
+            except attempt_lib.AttemptError as ended:
                 outcome = ended.outcome
             self._note_failure(call, grant, outcome, progress)
             if not self._goes_on(call, outcome, progress):
--- a/packages/chivelb-node/chivelb_node/edge/plain_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/plain_calls.py
@@ -20,7 +20,6 @@
 from chivelb_node.edge import outcomes
 from chivelb_node.edge import parsing
 from chivelb_node.edge import responses
-from chivelb_node.links import runners
 from chivelb_node.links import services
 from chivelb_node.telemetry import logs
 
@@ -190,7 +189,7 @@
                 )
                 self.context.targets.note_success(record.identity)
                 return answer
-            except runners.AttemptError as ended:
+            except attempt_lib.AttemptError as ended:
                 outcome = ended.outcome
             finally:
                 load.note_end(record.identity, 0)
--- a/packages/chivelb-node/chivelb_node/edge/resume.py
+++ b/packages/chivelb-node/chivelb_node/edge/resume.py
@@ -6,6 +6,7 @@
 from chivelb_core import codes
 from chivelb_core import document
 from chivelb_core import targets
+from chivelb_core.calls import attempt as attempt_lib
 
 from chivelb_node import context as context_lib
 from chivelb_node.edge import model_calls
@@ -75,7 +76,7 @@
                     progress.batches.append(batch.data)
                 if not batch.beat:
                     yield batch
-        except runners.AttemptError as ended:
+        except attempt_lib.AttemptError as ended:
             raise responses.CodedError(
                 codes.OUTCOME_UNKNOWN, ended.outcome.detail
             ) from None
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that are passed on to targets byte by byte."""
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -51,6 +51,17 @@
             raise StreamError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
 
 
+def last_id(run: bytes) -> str:
+    """Returns the id of the last event in a run of events, or empty."""
+    start = run.rfind(b"id:")
+    while start > 0 and run[start - 1 : start] != b"\n":
+        start = run.rfind(b"id:", 0, start)
+    if start < 0:
+        return ""
+    line = run[start + 3 : run.find(b"\n", start)]
+    return line.strip().decode("ascii", "replace")
+
+
 async def check_events(
     runs: AsyncIterator[bytes], attempt_id: str, offset: int
 ) -> AsyncIterator[Batch]:
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/links/fleet.py
@@ -0,0 +1,146 @@
+"""Spreads what changes of the targets, and repairs what was missed."""
+
+import zlib
+
+from chivelb_core import targets
+import mode
+import msgspec
+
+from chivelb_node import context as context_lib
+from chivelb_node.links import gossip as gossip_lib
+from chivelb_node.links import hub as hub_lib
+from chivelb_node.telemetry import logs
+from chivelb_node.wire import messages
+
+REPAIR_PERIOD_S = 0.5
+PULL_TIMEOUT_S = 1.0
+MAX_RECORDS = 500
+_log = logs.get_logger("fleet")
+
+
+class FleetService(mode.Service):
+    """Tells the region's instances of targets that come, change and leave.
+
+    A target that only renews its announcement causes no message.
+
+    Attributes:
+        context: Aggregates of the instance.
+        hub: Links to peers.
+        gossip: Membership.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        hub: hub_lib.Hub,
+        gossip: gossip_lib.Gossip,
+    ) -> None:
+        """Creates the service."""
+        super().__init__()
+        self.context = context
+        self.hub = hub
+        self.gossip = gossip
+        hub.handle(messages.TargetNews, self._on_news)
+        hub.handle(messages.TargetDigest, self._on_digest)
+
+    def take_announcement(self, record: targets.TargetRecord) -> bool:
+        """Takes a target's own word; True when it was spread further."""
+        known = self.context.targets.entries.get(record.identity)
+        before = None if known is None else _salient(known.record)
+        if not self._take(record):
+            return False
+        if before == _salient(record):
+            return False
+        self.hub.send_all(
+            self.gossip.peers_in_region(), messages.TargetNews([record])
+        )
+        return True
+
+    def take_leaving(self, identity: str) -> None:
+        """Takes a target's word that it leaves for good, and spreads it."""
+        known = self.context.targets.entries.get(identity)
+        if known is None or known.record.state == "leaving":
+            return
+        gone = msgspec.structs.replace(
+            known.record, state="leaving", sequence=known.record.sequence + 1
+        )
+        self.take_announcement(gone)
+
+    def _take(self, record: targets.TargetRecord) -> bool:
+        now = context_lib.monotonic()
+        known = self.context.targets.entries.get(record.identity)
+        before = None if known is None else _salient(known.record)
+        if not self.context.targets.announce(record, now):
+            return False
+        if before != _salient(record):
+            _log.info(
+                "target changed",
+                target=record.identity,
+                service=record.service,
+                address=record.address,
+                state=record.state,
+                weight_version=record.weight_version,
+                incarnation=record.incarnation,
+                sequence=record.sequence,
+            )
+        return True
+
+    def _on_news(self, peer: str, news: messages.TargetNews) -> None:
+        for record in news.records:
+            self._take(record)
+
+    def _digest(self) -> int:
+        """Returns a digest of all that is known of targets."""
+        words = [
+            _salient(entry.record)
+            for entry in self.context.targets.entries.values()
+        ]
+        return zlib.crc32(msgspec.msgpack.encode(sorted(words)))
+
+    def _on_digest(
+        self, peer: str, word: messages.TargetDigest
+    ) -> messages.TargetNews:
+        """Answers with all that is known if the asker knows otherwise."""
+        if word.digest == self._digest():
+            return messages.TargetNews([])
+        records = [e.record for e in self.context.targets.entries.values()]
+        return messages.TargetNews(records[:MAX_RECORDS])
+
+    @mode.Service.task
+    async def _repair(self) -> None:
+        while not self.should_stop:
+            await self.sleep(REPAIR_PERIOD_S)
+            peers = self._sources()
+            if not peers:
+                continue
+            peer = self.context.rng.choice(peers)
+            reply = await self.hub.request(
+                peer, messages.TargetDigest(self._digest()), PULL_TIMEOUT_S
+            )
+            if isinstance(reply, messages.TargetNews):
+                self._on_news(peer, reply)
+
+    def _sources(self) -> list[str]:
+        """Returns instances that targets announce themselves to."""
+        swim = self.gossip.swim
+        alive = set(swim.alive(swim.me.region))
+        anchors = [
+            name
+            for name, state in swim.members.items()
+            if state.member.anchor and name in alive
+        ]
+        return anchors or sorted(alive)
+
+
+def _salient(record: targets.TargetRecord) -> tuple:
+    """Returns what others must know of a target at once."""
+    return (
+        record.identity,
+        record.incarnation,
+        record.state,
+        record.address,
+        record.zone,
+        record.service,
+        record.slots,
+        record.weight_version,
+    )
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -50,7 +50,8 @@
                 settings.instance.zone,
                 settings.peers.listen,
                 int(time.time()),
-                anchor=settings.instance.name in anchors,
+                anchor=settings.instance.name in anchors
+                or bool(settings.instance.data_dir),
             ),
             random.Random(context.rng.random()),
             context_lib.monotonic(),
--- a/packages/chivelb-node/chivelb_node/links/runners.py
+++ b/packages/chivelb-node/chivelb_node/links/runners.py
@@ -22,19 +22,6 @@
 MAX_RESUMES = 3
 
 
-class AttemptError(Exception):
-    """Ends an attempt that is not done.
-
-    Attributes:
-        outcome: How it ended.
-    """
-
-    def __init__(self, outcome: attempt_lib.Outcome) -> None:
-        """Creates the end of an attempt."""
-        super().__init__(outcome.detail)
-        self.outcome = outcome
-
-
 @dataclasses.dataclass(slots=True)
 class RunnerAttempt:
     """One dispatch of a call to a runner.
@@ -105,8 +92,10 @@
     detail: str,
     *,
     died: bool = False,
-) -> AttemptError:
-    return AttemptError(attempt_lib.Outcome(kind, code, detail, died))
+) -> attempt_lib.AttemptError:
+    return attempt_lib.AttemptError(
+        attempt_lib.Outcome(kind, code, detail, died)
+    )
 
 
 _KIND = attempt_lib.OutcomeKind
@@ -129,7 +118,7 @@
         dispatched: Whether it was dispatched before and is only resumed.
 
     Raises:
-        AttemptError: It ended in any other way.
+        attempt_lib.AttemptError: It ended in any other way.
     """
     resumes = 0
     if dispatched:
--- a/packages/chivelb-node/chivelb_node/links/services.py
+++ b/packages/chivelb-node/chivelb_node/links/services.py
@@ -81,7 +81,7 @@
         The answer.
 
     Raises:
-        runners.AttemptError: The attempt ended without its own answer.
+        attempt_lib.AttemptError: The attempt ended without its own answer.
     """
     # A fresh connection: on a reused one that its target closed meanwhile,
     # a loss could not be told from a request that ran.
@@ -142,6 +142,6 @@
 
 def _ended(
     kind: attempt_lib.OutcomeKind, code: codes.ResultCode, detail
-) -> runners.AttemptError:
+) -> attempt_lib.AttemptError:
     text = str(detail) or type(detail).__name__
-    return runners.AttemptError(attempt_lib.Outcome(kind, code, text))
+    return attempt_lib.AttemptError(attempt_lib.Outcome(kind, code, text))
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -53,11 +53,14 @@
         listen: ``host:port`` for TCP and UDP; empty for a single instance.
         seeds: ``name@zone@host:port`` of instances to join by.
         keys_file: File of ``id = hex`` lines; read again when it changes.
+        authenticated: Whether links need a key; without it anyone who can
+            reach this instance may act as a peer.
     """
 
     listen: str = ""
     seeds: list[str] = []
     keys_file: str = ""
+    authenticated: bool = True
 
 
 class Control(msgspec.Struct, kw_only=True):
@@ -280,7 +283,8 @@
             faults.append(f"[peers] seeds: {error}")
     if settings.peers.seeds and not settings.peers.listen:
         faults.append("[peers] seeds: need [peers] listen")
-    if settings.peers.listen and not settings.peers.keys_file:
+    peers = settings.peers
+    if peers.listen and peers.authenticated and not peers.keys_file:
         faults.append("[peers] listen: needs [peers] keys_file")
     for key in ("voters", "keepers"):
         members = getattr(settings.control, key)
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -56,6 +56,7 @@
     refusal @50 :Refusal;
     commandRequest @51 :CommandRequest;
     commandReply @52 :CommandReply;
+    targetDigest @53 :TargetDigest;
   }
 }
 
@@ -365,6 +366,10 @@
   nothing @0 :Bool;
 }
 
+struct TargetDigest {
+  digest @0 :Int64;
+}
+
 struct TargetLeaving {
   identity @0 :Text;
   incarnation @1 :Int64;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -124,6 +124,12 @@
     records: list[targets.TargetRecord]
 
 
+class TargetDigest(msgspec.Struct, rename="camel", frozen=True):
+    """Asks for all targets if the receiver knows others than the sender."""
+
+    digest: int
+
+
 class TargetLeaving(msgspec.Struct, rename="camel", frozen=True):
     """A target is leaving; goes ahead of all else."""
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -61,6 +61,7 @@
     messages.Refusal,
     messages.CommandRequest,
     messages.CommandReply,
+    messages.TargetDigest,
 )
 
 
--- a/packages/chivelb-node/chivelb_node/wire/sealing.py
+++ b/packages/chivelb-node/chivelb_node/wire/sealing.py
@@ -29,23 +29,28 @@
     are rotated without a restart.
 
     Attributes:
-        path: The file, with lines ``id = hex``.
+        path: The file, with lines ``id = hex``; None for a network whose
+            instances are trusted.
         keys: Keys by id.
         newest: Id of the key that seals.
     """
 
     __slots__ = ("path", "keys", "newest", "_stamp")
 
-    def __init__(self, path: str | pathlib.Path) -> None:
+    def __init__(self, path: str | pathlib.Path | None) -> None:
         """Reads the file.
 
+        Args:
+            path: The file. Without one all instances use a key that is no
+                secret: frames are checked for damage, not for their sender.
+
         Raises:
             SealError: It has no usable key.
             OSError: It can't be read.
         """
-        self.path = pathlib.Path(path)
-        self.keys: dict[str, bytes] = {}
-        self.newest = ""
+        self.path = None if path is None else pathlib.Path(path)
+        self.keys: dict[str, bytes] = {"open": bytes(MIN_KEY_BYTES)}
+        self.newest = "open"
         self._stamp: tuple | None = None
         self.refresh()
 
@@ -58,6 +63,8 @@
             SealError: The file has no usable key.
             OSError: It can't be read.
         """
+        if self.path is None:
+            return False
         stat = self.path.stat()
         stamp = (stat.st_mtime_ns, stat.st_size, stat.st_ino)
         if stamp == self._stamp:
