--- a/packages/chivelb-cli/chivelb_cli/bench/soak.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/soak.py
@@ -12,6 +12,10 @@
 NAMES = [f"n{number}" for number in range(7)]
 
 
+class SoakError(Exception):
+    """A round that failed; the text names its seed."""
+
+
 def run(*, seed: int, minutes: float) -> dict[str, int]:
     """Runs rounds until the time is over.
 
@@ -23,15 +27,16 @@
         Steps taken by aggregate.
 
     Raises:
-        AssertionError: An invariant did not hold; the text names the seed.
+        SoakError: A round ended with any exception.
     """
     steps = {"control group": 0, "claims": 0, "membership": 0, "rounds": 0}
     deadline = time.monotonic() + minutes * 60
     while time.monotonic() < deadline:
         try:
             _run_round(seed, steps)
-        except AssertionError as error:
-            raise AssertionError(f"seed {seed}: {error}") from error
+        except Exception as error:
+            kind = type(error).__name__
+            raise SoakError(f"seed {seed}: {kind}: {error}") from error
         steps["rounds"] += 1
         seed += 1
     return steps
--- a/packages/chivelb-cli/chivelb_cli/commands/bench.py
+++ b/packages/chivelb-cli/chivelb_cli/commands/bench.py
@@ -105,7 +105,7 @@
     """Runs the soak and prints the steps taken."""
     try:
         steps = soak.run(seed=arguments.seed, minutes=arguments.minutes)
-    except AssertionError as error:
+    except soak.SoakError as error:
         print(f"VIOLATION: {error}")
         return EXIT_VIOLATION
     for name, count in steps.items():
--- a/packages/chivelb-core/chivelb_core/consensus/elections.py
+++ b/packages/chivelb-core/chivelb_core/consensus/elections.py
@@ -44,7 +44,7 @@
     """Asks all other voters for their vote."""
     voter.votes = {voter.member_id}
     voter.deadline = now + election_delay(voter)
-    for member_id in voter.group.voters - {voter.member_id}:
+    for member_id in sorted(voter.group.voters - {voter.member_id}):
         voter.send(
             messages.VoteRequest(
                 member_id,
--- a/packages/chivelb-core/chivelb_core/consensus/following.py
+++ b/packages/chivelb-core/chivelb_core/consensus/following.py
@@ -106,6 +106,10 @@
         reply_part(voter, part, 0)
         return
     follow(voter, part, now)
+    if voter.log.term_at(part.index) == part.index_term:
+        # The log holds what the snapshot covers, and maybe acknowledged
+        # entries after it, which must stay.
+        voter.commit_index = max(voter.commit_index, part.index)
     if part.index <= voter.commit_index:
         reply_part(voter, part, part.total)
         return
--- a/packages/chivelb-core/chivelb_core/consensus/voter.py
+++ b/packages/chivelb-core/chivelb_core/consensus/voter.py
@@ -275,9 +275,11 @@
         assert index <= self.applied_index, "snapshot of unapplied entries"
         self.log.compact(index)
         self.snapshot_data = data
-        self.group_history = [
-            (at, group) for at, group in self.group_history if at > index
-        ] or [(index, self.group)]
+        # The newest group that the snapshot covers stays: an entry above it
+        # may still be replaced.
+        covered = [group for at, group in self.group_history if at <= index]
+        above = [(at, group) for at, group in self.group_history if at > index]
+        self.group_history = [(index, covered[-1]), *above]
 
     def committed_group(self) -> group_lib.Group:
         """Returns the group of the newest committed membership entry."""
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -198,6 +198,15 @@
     assert not progress.rolled_back
 
 
+def make_group():
+    return control_group.group_lib.Group(
+        {
+            f"{n}/1": control_group.group_lib.Member(f"{n}/1", n, True)
+            for n in NAMES
+        }
+    )
+
+
 def make_leader(entries):
     """Returns a leader of term 3 whose log has entries of older terms."""
     log = control_group.log_lib.Log()
@@ -207,15 +216,9 @@
                 log.last_index + 1, term, "change", data
             )
         )
-    group = control_group.group_lib.Group(
-        {
-            f"{n}/1": control_group.group_lib.Member(f"{n}/1", n, True)
-            for n in NAMES
-        }
-    )
     voter = voter_lib.Voter(
         "a/1",
-        group,
+        make_group(),
         timing=states.Timing(),
         rng=random.Random(1),
         now=0.0,
@@ -289,3 +292,63 @@
     group.lose_disk(lost)
     assert group.settle() in NAMES
     assert b"kept" in {entry.data for entry in group.ledger.values()}
+
+
+def make_follower(entries, commit):
+    """Returns a follower of a/1 in term 3 that has acknowledged entries."""
+    voter = voter_lib.Voter(
+        "b/1",
+        make_group(),
+        timing=states.Timing(),
+        rng=random.Random(1),
+        now=0.0,
+        hard=states.HardState(3, "a/1"),
+    )
+    append(voter, 0, 0, entries, commit)
+    return voter
+
+
+def append(voter, prev, prev_term, entries, commit, term=3):
+    voter.receive(
+        consensus_messages.Append(
+            "b/1", "a/1", term, prev, prev_term, entries, commit, 1
+        ),
+        1.0,
+    )
+    effects = voter.take_effects()
+    if effects.entries:
+        voter.note_synced(effects.entries[-1].index, 1.0)
+    return effects
+
+
+def make_entry(index, kind="change", data=b"x", term=3):
+    return control_group.log_lib.Entry(index, term, kind, data)
+
+
+def test_a_snapshot_never_drops_acknowledged_entries_after_it():
+    voter = make_follower([make_entry(n) for n in (1, 2, 3)], commit=1)
+    data = control_group.snapshots.encode_snapshot(voter.group, b"")
+    part = consensus_messages.SnapshotPart(
+        "b/1", "a/1", 3, 2, 3, 0, len(data), data
+    )
+    voter.receive(part, 1.1)
+    assert voter.log.last_index == 3
+    assert voter.commit_index == 2
+    reply = voter.take_effects().outgoing[-1]
+    assert reply.offset == len(data)
+
+
+def test_a_compacted_member_can_drop_a_pending_change_of_the_group():
+    voter = make_follower([make_entry(1)], commit=1)
+    before = voter.group
+    learner = control_group.joining.admit_learner(before, "c/2", "c")
+    pending = make_entry(
+        2, "members", control_group.snapshots.encode_group(learner)
+    )
+    append(voter, 1, 3, [pending], commit=1)
+    assert voter.group == learner
+    voter.compact(1, b"snapshot")
+    assert voter.committed_group() == before
+    # Another leader never heard of the change.
+    append(voter, 1, 3, [make_entry(2, term=4)], commit=1, term=4)
+    assert voter.group == before
