Platform: orders for new weights, retry budgets over all entries, leaving confirmed

Cause: nothing brought runners to a named version, retries had no shared bound, and a leaving target was acknowledged before other instances knew of it.

--- a/packages/chivelb-core/chivelb_core/calls/__init__.py
+++ b/packages/chivelb-core/chivelb_core/calls/__init__.py
@@ -1,15 +1,21 @@
 """One call: its attempts, their outcomes and what may be tried again."""
 
+from chivelb_core.calls.attempt import AttemptError
 from chivelb_core.calls.attempt import Outcome
 from chivelb_core.calls.attempt import OutcomeKind
+from chivelb_core.calls.budget import BudgetTerms
 from chivelb_core.calls.budget import RetryBudget
+from chivelb_core.calls.budget import WindowBudget
 from chivelb_core.calls.suspects import fingerprint
 from chivelb_core.calls.suspects import SuspectTable
 
 __all__ = [
+    "AttemptError",
+    "BudgetTerms",
     "Outcome",
     "OutcomeKind",
     "RetryBudget",
     "SuspectTable",
+    "WindowBudget",
     "fingerprint",
 ]
--- a/packages/chivelb-core/chivelb_core/codes.py
+++ b/packages/chivelb-core/chivelb_core/codes.py
@@ -133,6 +133,23 @@
     "This prompt was in flight on targets that crashed; it is refused.",
 )
 
+TARGET_UNREACHABLE = _code(
+    2009,
+    "target_unreachable",
+    503,
+    _NOT,
+    Retry.LATER,
+    "No connection to a target could be opened.",
+)
+
+CALLER_LEFT = _code(
+    3004,
+    "caller_left",
+    499,
+    _MAYBE,
+    Retry.NO,
+    "The caller closed its connection before the answer was complete.",
+)
 OUTCOME_UNKNOWN = _code(
     3001,
     "outcome_unknown",
--- a/packages/chivelb-core/chivelb_core/forwarding/__init__.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/__init__.py
@@ -1,7 +1,8 @@
 """Decisions on requests that are passed on to targets byte by byte."""
 
+from chivelb_core.forwarding.call import cache_salt
 from chivelb_core.forwarding.call import Call
 from chivelb_core.forwarding.call import Part
 from chivelb_core.forwarding.call import Prompt
 
-__all__ = ["Call", "Part", "Prompt"]
+__all__ = ["Call", "Part", "Prompt", "cache_salt"]
--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -84,3 +84,20 @@
     def total_tokens(self) -> int:
         """Tokens that it may fill in memory; 0 without a prompt."""
         return 0 if self.prompt is None else self.prompt.total
+
+
+def cache_salt(weight_version: str, call: Call) -> str:
+    """Returns the scope within which a call may share cached prompts.
+
+    Cached prompts of another weight version, or of an isolated workspace,
+    have another scope: none of them can be found.
+
+    Args:
+        weight_version: Version of the target's weights.
+        call: The call.
+
+    Returns:
+        Text that names version and, for isolated ones, workspace.
+    """
+    scope = f"only:{call.workspace}" if call.isolated else "shared"
+    return f"{weight_version or 'unknown'}:{scope}"
--- a/packages/chivelb-core/chivelb_core/rollout/lease.py
+++ b/packages/chivelb-core/chivelb_core/rollout/lease.py
@@ -4,10 +4,22 @@
 that targets which ignore fencing tokens get no order from two controllers.
 """
 
-LEASE_S = 4.0
-STOP_EARLY_S = 1.5
-RENEW_BEFORE_S = 1.2
-GRACE_S = 0.5
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeaseTiming:
+    """Periods of a controller's lease, in seconds.
+
+    Attributes:
+        window_s: Time after its request in which a holder may order.
+        gap_s: Time without any order between two holders.
+        renew_s: Time after which a holder renews.
+    """
+
+    window_s: float = 2.5
+    gap_s: float = 2.0
+    renew_s: float = 1.2
 
 
 class ControllerLease:
@@ -22,15 +34,20 @@
         holder: Who holds it.
     """
 
-    __slots__ = ("me", "token", "holder", "_seen_at", "_asked_at")
+    __slots__ = ("me", "token", "holder", "timing", "_seen_at", "_asked_at")
 
-    def __init__(self, me: str, now: float) -> None:
+    def __init__(
+        self, me: str, now: float, timing: LeaseTiming | None = None
+    ) -> None:
         """Creates a candidate that assumes a lease in force until proved.
 
         Args:
             me: Holder string of this candidate.
-            now: Monotonic time in seconds.
+            now: Time in seconds, by a clock that counts a suspension of the
+                machine as well.
+            timing: Periods, the same for all candidates.
         """
+        self.timing = timing or LeaseTiming()
         self.me = me
         self.token = 0
         self.holder = ""
@@ -47,8 +64,9 @@
     def may_ask(self, now: float) -> bool:
         """Tells whether this candidate may ask for the lease now."""
         if self.holder == self.me:
-            return now >= self._asked_at + RENEW_BEFORE_S
-        return now >= self._seen_at + LEASE_S + GRACE_S
+            return now >= self._asked_at + self.timing.renew_s
+        lapses_s = self.timing.window_s + self.timing.gap_s
+        return now >= self._seen_at + lapses_s
 
     def note_granted(self, token: int, asked_at: float) -> None:
         """Takes a grant.
@@ -65,4 +83,4 @@
     def may_order(self, now: float) -> bool:
         """Tells whether an order may be sent at this moment."""
         held = self.holder == self.me
-        return held and now < self._asked_at + LEASE_S - STOP_EARLY_S
+        return held and now < self._asked_at + self.timing.window_s
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -4,6 +4,8 @@
 import dataclasses
 import math
 
+import msgspec
+
 from chivelb_core.targets import record as record_lib
 
 FORGET_AFTER_S = 300.0
@@ -19,6 +21,8 @@
         expires_at: Monotonic time when the lease lapses, in seconds.
         left: Whether its incarnation has announced that it is leaving.
         failed_at: When this instance saw it fail, or None.
+        held_until: Monotonic time until which it takes no new work because
+            its weights change, in seconds.
     """
 
     record: record_lib.TargetRecord
@@ -26,6 +30,7 @@
     expires_at: float
     left: bool = False
     failed_at: float | None = None
+    held_until: float = -math.inf
 
 
 class TargetTable:
@@ -60,16 +65,14 @@
             return False
         if known is not None and record.order <= known.record.order:
             return False
+        expires_at = now + record.lease_s if record.lease_s else math.inf
         left = record.state == "leaving"
+        entry = TargetEntry(record, now, expires_at, left)
         if known and known.record.incarnation == record.incarnation:
-            left = left or known.left
-        failed_at = None
-        if known and known.record.incarnation == record.incarnation:
-            failed_at = known.failed_at
-        expires_at = now + record.lease_s if record.lease_s else math.inf
-        self.entries[record.identity] = TargetEntry(
-            record, now, expires_at, left, failed_at
-        )
+            entry.left = left or known.left
+            entry.failed_at = known.failed_at
+            entry.held_until = known.held_until
+        self.entries[record.identity] = entry
         self._retire_at(record)
         return True
 
@@ -92,6 +95,20 @@
         known.left = True
         return news
 
+    def hold(self, identity: str, incarnation: int, until: float) -> None:
+        """Stops new work to a target until a time; an early one ends it."""
+        known = self.entries.get(identity)
+        if known is not None and known.record.incarnation == incarnation:
+            known.held_until = until
+
+    def note_version(self, identity: str, incarnation: int, version: str):
+        """Takes the word that a target's weights have another version."""
+        known = self.entries.get(identity)
+        if known is not None and known.record.incarnation == incarnation:
+            known.record = msgspec.structs.replace(
+                known.record, weight_version=version
+            )
+
     def is_eligible(self, identity: str, now: float) -> bool:
         """Tells whether a target may receive new work at this moment."""
         known = self.entries.get(identity)
@@ -99,7 +116,7 @@
             known is not None
             and not known.left
             and known.record.state == "ready"
-            and now < known.expires_at
+            and known.held_until <= now < known.expires_at
         )
 
     def eligible(
--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -30,6 +30,7 @@
 from chivelb_node.links import cache as cache_lib
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.links import loads as loads_lib
 from chivelb_node.links import runners
 from chivelb_node.links import sharing as sharing_lib
 from chivelb_node.links import store_owner
@@ -73,8 +74,9 @@
             self.context, self.hub, self.gossip
         )
         self.claims = claiming.ClaimClient(self.context, self.hub)
+        self.loads = loads_lib.LoadSharing(self.context, self.hub, self.gossip)
         self.sharing = sharing_lib.SharingService(
-            self.context, self.hub, self.gossip
+            self.context, self.hub, self.gossip, self.loads
         )
         self.voting: voting.VotingService | None = None
         self.keeping: keeping.KeeperService | None = None
@@ -104,7 +106,7 @@
             dispatcher,
             session,
             cache,
-            self.sharing.spread_sighting,
+            self.loads.spread_sighting,
         )
         claimed_calls = claimed.ClaimedCalls(self.claims, runner)
         plain = plain_calls.PlainCalls(self.context, self.claims, session)
@@ -134,6 +136,7 @@
             self.voting,
             self.replica,
             self.claims,
+            self.loads,
             self.sharing,
             owner,
             cache,
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -18,6 +18,11 @@
 monotonic = time.monotonic
 
 
+def boottime() -> float:
+    """Returns seconds by a clock that counts suspensions of the machine."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class KeyTable:
     """Workspaces by the hash of their keys, rebuilt with each version.
 
--- a/packages/chivelb-node/chivelb_node/control/rollout.py
+++ b/packages/chivelb-node/chivelb_node/control/rollout.py
@@ -1,7 +1,6 @@
 """Drives swaps of weight versions from the leading voter's instance."""
 
 import asyncio
-import secrets
 
 import aiohttp
 from chivelb_core import rollout
@@ -11,13 +10,12 @@
 import msgspec
 
 from chivelb_node import context as context_lib
-from chivelb_node.control import commands
+from chivelb_node.control import controller
 from chivelb_node.control import voting as voting_lib
 from chivelb_node.telemetry import logs
 
 PERIOD_S = 0.2
 ORDER_TIMEOUT_S = 1.0
-LEASE_NAME = "controller"
 _log = logs.get_logger("rollout")
 
 
@@ -38,7 +36,7 @@
     Attributes:
         context: Aggregates of the instance.
         voting: This instance's voter.
-        lease: The controller's lease.
+        seat: The controller's lease.
         rollouts: Swaps by model.
     """
 
@@ -53,22 +51,17 @@
         self.context = context
         self.voting = voting
         self.session = session
-        self.lease = rollout.ControllerLease(
-            f"{context.settings.instance.name}/{secrets.token_hex(4)}",
-            context_lib.monotonic(),
-        )
+        self.seat = controller.ControllerSeat(context, voting)
         self.rollouts: dict[str, rollout.Rollout] = {}
 
     @mode.Service.task
     async def _run(self) -> None:
         while not self.should_stop:
             await self.sleep(PERIOD_S)
-            now = context_lib.monotonic()
-            holder, token = self.voting.machine.leases.get(LEASE_NAME, ("", 0))
-            self.lease.observe(holder.rpartition("#")[0], token, now)
+            self.seat.observe()
             if not self.voting.is_leader or not self._has_work():
                 continue
-            await self._hold_lease()
+            await self.seat.hold()
             for model in list(self.context.document.models):
                 await self._advance(model)
 
@@ -90,21 +83,6 @@
             for record in self._records(name)
         )
 
-    async def _hold_lease(self) -> None:
-        asked_at = context_lib.monotonic()
-        if not self.lease.may_ask(asked_at):
-            return
-        # Each grant has a holder of its own, so that a renewal is told
-        # from a resend.
-        command = commands.LeaseCommand(
-            LEASE_NAME,
-            f"{self.lease.me}#{secrets.token_hex(4)}",
-            self.lease.token,
-        )
-        _, token = await self.voting.propose("lease", commands.encode(command))
-        if token:
-            self.lease.note_granted(token, asked_at)
-
     async def _advance(self, model: str) -> None:
         swap = self.rollouts.setdefault(model, rollout.Rollout(model))
         wanted = self.context.document.models[model]
@@ -120,7 +98,7 @@
             )
         by_identity = {record.identity: record for record in records}
         for order in orders:
-            if not self.lease.may_order(context_lib.monotonic()):
+            if not self.seat.may_order():
                 return
             await self._send(swap, order, by_identity[order.identity])
 
@@ -131,7 +109,7 @@
         record: targets.TargetRecord,
     ) -> None:
         body = {
-            "token": self.lease.token,
+            "token": self.seat.token,
             "order_id": order.order_id,
             "kind": "swap",
             "version": order.version,
@@ -165,7 +143,7 @@
             "order sent",
             target=order.identity,
             version=order.version,
-            token=self.lease.token,
+            token=self.seat.token,
             status=status,
             state=state,
         )
--- a/packages/chivelb-node/chivelb_node/links/fleet.py
+++ b/packages/chivelb-node/chivelb_node/links/fleet.py
@@ -1,5 +1,7 @@
 """Spreads what changes of the targets, and repairs what was missed."""
 
+import asyncio
+from typing import Any
 import zlib
 
 from chivelb_core import targets
@@ -14,6 +16,7 @@
 
 REPAIR_PERIOD_S = 0.5
 PULL_TIMEOUT_S = 1.0
+CONFIRM_TIMEOUT_S = 0.4
 MAX_RECORDS = 500
 _log = logs.get_logger("fleet")
 
@@ -27,6 +30,7 @@
         context: Aggregates of the instance.
         hub: Links to peers.
         gossip: Membership.
+        is_synced: Whether what others know of targets was taken once.
     """
 
     def __init__(
@@ -40,31 +44,50 @@
         self.context = context
         self.hub = hub
         self.gossip = gossip
+        self.is_synced = False
         hub.handle(messages.TargetNews, self._on_news)
         hub.handle(messages.TargetDigest, self._on_digest)
+        hub.handle(messages.TargetHold, self._on_hold)
 
-    def take_announcement(self, record: targets.TargetRecord) -> bool:
-        """Takes a target's own word; True when it was spread further."""
+    # What reaches this instance first.
+
+    async def take_announcement(self, record: targets.TargetRecord) -> None:
+        """Takes a target's own word, and returns when peers know the news."""
         known = self.context.targets.entries.get(record.identity)
         before = None if known is None else _salient(known.record)
-        if not self._take(record):
-            return False
-        if before == _salient(record):
-            return False
-        self.hub.send_all(
-            self.gossip.peers_in_region(), messages.TargetNews([record])
-        )
-        return True
+        if self._take(record) and before != _salient(record):
+            await self._tell(messages.TargetNews([record]))
 
-    def take_leaving(self, identity: str) -> None:
-        """Takes a target's word that it leaves for good, and spreads it."""
+    async def take_leaving(self, identity: str) -> None:
+        """Takes a target's word that it leaves for good."""
         known = self.context.targets.entries.get(identity)
-        if known is None or known.record.state == "leaving":
+        if known is None or known.left:
             return
         gone = msgspec.structs.replace(
             known.record, state="leaving", sequence=known.record.sequence + 1
         )
-        self.take_announcement(gone)
+        await self.take_announcement(gone)
+
+    async def hold(
+        self, record: targets.TargetRecord, hold_s: float, version: str
+    ) -> None:
+        """Stops new work to a target, or ends that with its new version."""
+        word = messages.TargetHold(
+            record.identity, record.incarnation, hold_s, version
+        )
+        self._on_hold("", word)
+        await self._tell(word)
+
+    async def _tell(self, word: Any) -> None:
+        """Tells all peers and waits a while for their confirmations."""
+        await asyncio.gather(
+            *(
+                self.hub.request(peer, word, CONFIRM_TIMEOUT_S)
+                for peer in self.gossip.peers_in_region()
+            )
+        )
+
+    # What peers tell.
 
     def _take(self, record: targets.TargetRecord) -> bool:
         now = context_lib.monotonic()
@@ -85,9 +108,30 @@
             )
         return True
 
-    def _on_news(self, peer: str, news: messages.TargetNews) -> None:
+    def _on_news(
+        self, peer: str, news: messages.TargetNews
+    ) -> messages.Confirmed:
         for record in news.records:
             self._take(record)
+        return messages.Confirmed()
+
+    def _on_hold(
+        self, peer: str, word: messages.TargetHold
+    ) -> messages.Confirmed:
+        until = context_lib.monotonic() + word.hold_s
+        table = self.context.targets
+        table.hold(word.identity, word.incarnation, until)
+        if word.version:
+            table.note_version(word.identity, word.incarnation, word.version)
+        _log.info(
+            "target held" if word.hold_s else "target released",
+            target=word.identity,
+            hold_s=word.hold_s,
+            weight_version=word.version,
+        )
+        return messages.Confirmed()
+
+    # Repair.
 
     def _digest(self) -> int:
         """Returns a digest of all that is known of targets."""
@@ -109,16 +153,18 @@
     @mode.Service.task
     async def _repair(self) -> None:
         while not self.should_stop:
-            await self.sleep(REPAIR_PERIOD_S)
             peers = self._sources()
-            if not peers:
-                continue
-            peer = self.context.rng.choice(peers)
-            reply = await self.hub.request(
-                peer, messages.TargetDigest(self._digest()), PULL_TIMEOUT_S
-            )
-            if isinstance(reply, messages.TargetNews):
-                self._on_news(peer, reply)
+            if peers:
+                await self._pull(self.context.rng.choice(peers))
+            await self.sleep(REPAIR_PERIOD_S)
+
+    async def _pull(self, peer: str) -> None:
+        reply = await self.hub.request(
+            peer, messages.TargetDigest(self._digest()), PULL_TIMEOUT_S
+        )
+        if isinstance(reply, messages.TargetNews):
+            self._on_news(peer, reply)
+            self.is_synced = True
 
     def _sources(self) -> list[str]:
         """Returns instances that targets announce themselves to."""
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -80,6 +80,21 @@
         """Returns the living other instances of this region."""
         return self.swim.alive(self.swim.me.region)
 
+    def entry_count(self) -> int:
+        """Returns how many instances of the region serve callers.
+
+        Those out of reach count as well: they may go on serving.
+        """
+        me = self.swim.me
+        others = sum(
+            1
+            for state in self.swim.members.values()
+            if state.member.region == me.region
+            and not state.member.anchor
+            and state.member.status != "left"
+        )
+        return others + (0 if me.anchor else 1)
+
     def region_members(self) -> list[str]:
         """Returns the living instances of this region, with this one."""
         return sorted([*self.peers_in_region(), self.swim.me.name])
--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import itertools
+import socket
 from typing import Any
 
 import mode
@@ -28,6 +29,11 @@
 IDLE_CLOSE_S = 60.0
 SWEEP_PERIOD_S = 0.5
 MAX_STRANGERS = 64
+# A path that goes silent without a reset is found out by these.
+USER_TIMEOUT_MS = 1_000
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 
 Handler = Callable[[str, Any], Awaitable[Any] | Any]
 _log = logs.get_logger("hub")
@@ -322,6 +328,7 @@
         # With two links between the same peers both are read, and the
         # newest one is written to.
         self.links[link.peer] = link
+        _watch_path(link.writer)
         task = asyncio.create_task(self._read(link, reader))
         self._readers.add(task)
         task.add_done_callback(self._readers.discard)
@@ -433,6 +440,22 @@
                     self._drop(link, "cut by the test hook")
 
 
+def _watch_path(writer: asyncio.StreamWriter) -> None:
+    """Lets the kernel close a connection whose path has gone silent."""
+    sock = writer.get_extra_info("socket")
+    if sock is None:
+        return
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, option, value in options:
+        sock.setsockopt(level, option, value)
+
+
 def _write_greeting(
     writer: asyncio.StreamWriter, greeting: sealing.Greeting
 ) -> None:
--- a/packages/chivelb-node/chivelb_node/links/sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/sharing.py
@@ -1,28 +1,27 @@
-"""Spreads announcements, loads and sightings among the instances."""
+"""Spreads the targets' announcements among the instances."""
 
-from chivelb_core import routing
 from chivelb_core import targets
-from chivelb_core.calls import suspects as suspects_lib
 import mode
 
 from chivelb_node import context as context_lib
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.links import loads as loads_lib
 from chivelb_node.wire import messages
 
 NEWS_PERIOD_S = 0.05
-SENDS_PERIOD_S = 0.1
 MAX_RECORDS = 500
 FORGET_PERIOD_S = 10.0
 
 
 class SharingService(mode.Service):
-    """Tells the region's instances what this one heard and sent.
+    """Tells the region's instances of the announcements it heard.
 
     Attributes:
         context: Aggregates of the instance.
         hub: Links to peers.
         gossip: Membership.
+        loads: Told of targets that are gone.
     """
 
     def __init__(
@@ -30,18 +29,17 @@
         context: context_lib.InstanceContext,
         hub: hub_lib.Hub,
         gossip: gossip_lib.Gossip,
+        loads: loads_lib.LoadSharing,
     ) -> None:
         """Creates the service."""
         super().__init__()
         self.context = context
         self.hub = hub
         self.gossip = gossip
+        self.loads = loads
         self._news: dict[str, targets.TargetRecord] = {}
-        self._told: dict[str, tuple[int, ...]] = {}
         hub.handle(messages.TargetNews, self._on_news)
         hub.handle(messages.TargetLeaving, self._on_leaving)
-        hub.handle(messages.Sends, self._on_sends)
-        hub.handle(messages.SightingNews, self._on_sightings)
 
     def take_announcement(self, record: targets.TargetRecord) -> bool:
         """Takes an announcement that reached this instance; True when news.
@@ -63,12 +61,6 @@
             messages.TargetLeaving(identity, incarnation),
         )
 
-    def spread_sighting(self, sighting: suspects_lib.Sighting) -> None:
-        """Tells all instances of a sighting."""
-        self.hub.send_all(
-            self.gossip.peers_in_region(), messages.SightingNews([sighting])
-        )
-
     def _take(self, record: targets.TargetRecord) -> bool:
         now = context_lib.monotonic()
         if not self.context.targets.announce(record, now):
@@ -89,26 +81,6 @@
     def _on_leaving(self, peer: str, news: messages.TargetLeaving) -> None:
         self.context.targets.take_leaving(news.identity, news.incarnation)
 
-    def _on_sends(self, peer: str, sends: messages.Sends) -> None:
-        now = context_lib.monotonic()
-        for entry in sends.entries:
-            self.context.load.take_peer(
-                peer,
-                entry.identity,
-                routing.PeerShare(
-                    now,
-                    entry.running,
-                    entry.pending,
-                    entry.tokens,
-                    entry.suspects,
-                ),
-            )
-
-    def _on_sightings(self, peer: str, news: messages.SightingNews) -> None:
-        now = context_lib.monotonic()
-        for sighting in news.sightings:
-            self.context.suspects.take(sighting, now)
-
     @mode.Service.task
     async def _spread_news(self) -> None:
         while not self.should_stop:
@@ -120,27 +92,11 @@
                 batch = records[start : start + MAX_RECORDS]
                 self.hub.send_all(peers, messages.TargetNews(batch))
 
-    @mode.Service.task
-    async def _spread_sends(self) -> None:
-        while not self.should_stop:
-            await self.sleep(SENDS_PERIOD_S)
-            entries = []
-            for identity in self.context.targets.entries:
-                share = self.context.load.own_share(identity)
-                if any(share) or self._told.get(identity, share) != share:
-                    entries.append(messages.SendEntry(identity, *share))
-                    self._told[identity] = share
-            if entries:
-                self.hub.send_all(
-                    self.gossip.peers_in_region(), messages.Sends(entries)
-                )
-
     @mode.Service.task
     async def _forget(self) -> None:
         while not self.should_stop:
             await self.sleep(FORGET_PERIOD_S)
             now = context_lib.monotonic()
             for identity in self.context.targets.forget_lapsed(now):
-                self._told.pop(identity, None)
-                self.context.load.loads.pop(identity, None)
+                self.loads.forget(identity)
                 self.context.directory.forget(identity)
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -86,6 +86,25 @@
     claim_ttl_s: float = 86_400.0
 
 
+class Forwarding(msgspec.Struct, kw_only=True):
+    """How requests are passed on to targets.
+
+    Attributes:
+        retry_ratio: Further attempts for each request to a service.
+        retry_slack: Further attempts that all instances together may always
+            make in a window.
+        retry_window_s: Length of the window.
+        drain_s: Time in which no new work goes to a target that leaves.
+        order_gap_s: Time without orders between two controllers.
+    """
+
+    retry_ratio: float = 0.1
+    retry_slack: float = 20.0
+    retry_window_s: float = 10.0
+    drain_s: float = 2.0
+    order_gap_s: float = 3.0
+
+
 class DocumentFile(msgspec.Struct, kw_only=True):
     """Where the first document comes from.
 
@@ -128,6 +147,7 @@
     http: Http = msgspec.field(default_factory=Http)
     peers: Peers = msgspec.field(default_factory=Peers)
     control: Control = msgspec.field(default_factory=Control)
+    forwarding: Forwarding = msgspec.field(default_factory=Forwarding)
     document: DocumentFile = msgspec.field(default_factory=DocumentFile)
     operators: Operators = msgspec.field(default_factory=Operators)
     faults: Faults = msgspec.field(default_factory=Faults)
@@ -138,6 +158,7 @@
     "http": Http,
     "peers": Peers,
     "control": Control,
+    "forwarding": Forwarding,
     "document": DocumentFile,
     "operators": Operators,
     "faults": Faults,
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -57,6 +57,8 @@
     commandRequest @51 :CommandRequest;
     commandReply @52 :CommandReply;
     targetDigest @53 :TargetDigest;
+    targetHold @54 :TargetHold;
+    confirmed @55 :Confirmed;
   }
 }
 
@@ -171,6 +173,10 @@
   payload @1 :Data;
 }
 
+struct Confirmed {
+  nothing @0 :Bool;
+}
+
 struct Deltas {
   base @0 :Int64;
   payload @1 :Data;
@@ -370,6 +376,13 @@
   digest @0 :Int64;
 }
 
+struct TargetHold {
+  identity @0 :Text;
+  incarnation @1 :Int64;
+  holdS @2 :Float64;
+  version @3 :Text;
+}
+
 struct TargetLeaving {
   identity @0 :Text;
   incarnation @1 :Int64;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -130,6 +130,28 @@
     digest: int
 
 
+class TargetHold(msgspec.Struct, rename="camel", frozen=True):
+    """No new work goes to a target while its weights change.
+
+    Attributes:
+        identity: The target.
+        incarnation: Its life.
+        hold_s: Seconds that the hold lasts; 0 ends it.
+        version: Version of its weights when the hold ends; empty before.
+    """
+
+    identity: str
+    incarnation: int
+    hold_s: float
+    version: str
+
+
+class Confirmed(msgspec.Struct, rename="camel", frozen=True):
+    """Answers a word that the receiver acts on from now on."""
+
+    nothing: bool = True
+
+
 class TargetLeaving(msgspec.Struct, rename="camel", frozen=True):
     """A target is leaving; goes ahead of all else."""
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -62,6 +62,8 @@
     messages.CommandRequest,
     messages.CommandReply,
     messages.TargetDigest,
+    messages.TargetHold,
+    messages.Confirmed,
 )
 
 
