Kept work: parts followed by events in each zone, fetched and saved by plan

Change: PartDirectory over runners and stores, one follower a source and zone that passes events on, placements that price what must be read, fetched and what is ahead, parts saved once at a store with room, log lines that never wait for their reader (stdout, bounded).

--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -9,12 +9,17 @@
 from chivelb_core import targets
 from chivelb_core.document import model as model_lib
 from chivelb_core.forwarding import call as call_lib
+from chivelb_core.forwarding import sourcing as sourcing_lib
 
 # Share of a runner's memory that running requests may fill by prediction.
 MEMORY_SHARE = 0.9
 PREFILL_TOKENS_PER_S = 100_000.0
 OTHER_ZONE_S = 0.002
 SLOT_S = 0.05
+# A token that is computed again weighs as much as this time until the first
+# event, and one that is moved as much as that; moves are far cheaper.
+READ_WEIGHT_S = 50e-6
+MOVE_WEIGHT_S = 1e-6
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,57 +28,53 @@
 
     Attributes:
         record: The target.
-        prefill_tokens: Prompt tokens that it is expected to compute.
+        sourcing: How it comes to the prompt; None without one.
+        salt: Scope within which the prompt's parts are shared.
+        ahead_tokens: Prompt tokens to be computed there before.
+        running: Requests in progress there.
+        filled_tokens: Tokens that these may fill.
         expected_s: Expected seconds to the first byte.
     """
 
     record: targets.TargetRecord
-    prefill_tokens: int
-    expected_s: float
+    sourcing: sourcing_lib.Sourcing | None = None
+    salt: str = ""
+    ahead_tokens: int = 0
+    running: int = 0
+    filled_tokens: int = 0
+    expected_s: float = 0.0
 
+    @property
+    def read_tokens(self) -> int:
+        """Prompt tokens that the target is expected to compute."""
+        return 0 if self.sourcing is None else self.sourcing.read_tokens
 
-def place_on_runner(
+
+def has_room(
     call: call_lib.Call,
-    records: Iterable[targets.TargetRecord],
     *,
+    running: int,
+    filled: int,
     engine: model_lib.Engine,
-    load: routing.LoadView,
-    held: dict[str, int],
-    zone: str,
-    now: float,
-) -> Placement | None:
-    """Chooses the runner with the earliest expected first event.
-
-    Args:
-        call: A call with a prompt.
-        records: Runners that may take it.
-        engine: What the runners have in common.
-        load: Load of the runners.
-        held: Leading prompt tokens that each is expected to hold.
-        zone: Zone of this instance.
-        now: Monotonic time in seconds.
-
-    Returns:
-        The placement, or None when no runner has room.
-    """
-    best = None
-    for record in records:
-        identity = record.identity
-        filled = load.filled(identity, now)
-        if filled and filled + call.total_tokens > (
-            MEMORY_SHARE * engine.kv_tokens
-        ):
-            continue
-        if load.running(identity, now) >= engine.slots:
-            continue
-        rest = max(0, call.prompt_tokens - held.get(identity, 0))
-        ahead = load.pending(identity, now)
-        expected = (ahead + rest) / PREFILL_TOKENS_PER_S
-        if record.zone != zone:
-            expected += OTHER_ZONE_S
-        if best is None or expected < best.expected_s:
-            best = Placement(record, rest, expected)
-    return best
+) -> bool:
+    """Tells whether a runner has room for a call by prediction."""
+    if running >= engine.slots:
+        return False
+    if not filled:
+        return True
+    return filled + call.total_tokens <= MEMORY_SHARE * engine.kv_tokens
+
+
+def price_runner(placement: Placement, zone: str) -> float:
+    """Returns the weighted seconds of a placement; the lowest wins."""
+    plan = placement.sourcing
+    compute = placement.ahead_tokens + plan.read_tokens
+    expected = compute / PREFILL_TOKENS_PER_S + plan.fetch_s
+    if placement.record.zone != zone:
+        expected += OTHER_ZONE_S
+    placement.expected_s = expected
+    moved = plan.fetch_tokens + plan.far_tokens
+    return expected + plan.read_tokens * READ_WEIGHT_S + moved * MOVE_WEIGHT_S
 
 
 def place_on_service(
@@ -107,13 +108,17 @@
         )
         if best_key is None or key < best_key:
             waiting = max(0, running + 1 - record.slots)
-            best = Placement(record, 0, waiting * SLOT_S / record.slots)
+            best = Placement(
+                record,
+                running=running,
+                expected_s=waiting * SLOT_S / record.slots,
+            )
             best_key = key
     return best
 
 
 def rank_homes(key: str, identities: Iterable[str]) -> list[str]:
-    """Orders targets for a prompt by rendezvous hashing.
+    """Orders targets or instances for a key by rendezvous hashing.
 
     All instances get the same order without talking to each other.
     """
--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -243,7 +243,7 @@
             print(fault, file=sys.stderr)
         return EXIT_SETTINGS
     settings = result.ok
-    logs.configure(settings.instance.name, settings.instance.log_level)
+    writer = logs.configure(settings.instance.name, settings.instance.log_level)
     logging.getLogger("mode").setLevel(logging.CRITICAL)
     try:
         return asyncio.run(serve(settings))
@@ -251,6 +251,8 @@
         # A port in use, unreadable keys or a damaged file.
         print(f"{arguments.settings}: can't start: {error}", file=sys.stderr)
         return EXIT_START
+    finally:
+        writer.flush()
 
 
 if __name__ == "__main__":
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -154,9 +154,12 @@
             left_s=call.deadline - context_lib.monotonic(),
             resume_after=delivery.last_event,
         )
-        if call.prompt is not None:
+        placement = room.placement
+        if placement.sourcing is not None:
             assignment.weight_version = int(record.weight_version or 0)
-            assignment.salt = forwarding.cache_salt(record.weight_version, call)
+            assignment.salt = placement.salt
+            assignment.fetches = placement.sourcing.fetches
+            assignment.saves = room.saves
         reply = await self.target_port.send(call, message, assignment)
         call.attempts += 1
         try:
--- a/packages/chivelb-node/chivelb_node/forwarding/gate.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/gate.py
@@ -7,15 +7,16 @@
 from chivelb_core import forwarding
 from chivelb_core import targets
 from chivelb_core.forwarding import choice as choice_lib
-from chivelb_core.forwarding import held as held_lib
 from chivelb_core.forwarding import waiting
 import mode
 
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
+from chivelb_node.forwarding import placing
+from chivelb_node.telemetry import logs
 
 PUMP_PERIOD_S = 0.03
-FAILED_AVOID_S = 1.0
+_log = logs.get_logger("gate")
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,11 +25,13 @@
 
     Attributes:
         placement: The decision.
+        saves: Store for each part of the prompt; empty for none.
         total_tokens: Tokens counted against the target's memory.
         pending_tokens: Prompt tokens that still await the first event.
     """
 
     placement: choice_lib.Placement
+    saves: list[str]
     total_tokens: int
     pending_tokens: int
 
@@ -43,16 +46,18 @@
 
     Attributes:
         context: Aggregates of the instance.
+        placer: Chooses targets.
         lists: Waiting calls by service.
-        sent: What runners were sent, by service.
     """
 
-    def __init__(self, context: context_lib.InstanceContext) -> None:
+    def __init__(
+        self, context: context_lib.InstanceContext, placer: placing.Placer
+    ) -> None:
         """Creates a gate without waiting calls."""
         super().__init__()
         self.context = context
+        self.placer = placer
         self.lists: dict[str, waiting.WaitingList] = {}
-        self.sent: dict[str, held_lib.SentPrompts] = {}
 
     async def enter(self, call: forwarding.Call) -> Room:
         """Waits for room at a target.
@@ -74,7 +79,7 @@
             room = self._find_room(call, now)
             if room is not None:
                 return room
-        if not any(self._eligible(call, now)):
+        if not self.placer.eligible(call, now):
             raise responses.CodedError(codes.NO_TARGET)
         future = asyncio.get_running_loop().create_future()
         ticket = waiting_list.join(call, future)
@@ -86,8 +91,6 @@
             raise responses.CodedError(codes.QUEUE_DEADLINE) from None
         finally:
             waiting_list.leave(ticket)
-            if future.done() and not future.cancelled():
-                pass
 
     def pump(self, service: str) -> None:
         """Starts waiting calls while there is room."""
@@ -105,54 +108,45 @@
             waiting_list.leave(ticket)
             ticket.item.set_result(room)
 
-    def _eligible(self, call: forwarding.Call, now: float):
-        context = self.context
-        records = [
-            record
-            for record in context.targets.eligible(call.service, now)
-            if record.identity not in call.tried
-        ]
-        failing = set(context.targets.newest_failures(now, FAILED_AVOID_S))
-        healthy = [r for r in records if r.identity not in failing]
-        return healthy or records
-
     def _find_room(self, call: forwarding.Call, now: float) -> Room | None:
-        context = self.context
-        zone = context.settings.instance.zone
-        records = self._eligible(call, now)
-        service = context.document.services.get(call.service)
-        if service is None:
-            return None
-        if service.engine is None or call.prompt is None:
-            placement = choice_lib.place_on_service(
-                records, load=context.load, zone=zone, now=now, rng=context.rng
-            )
-        else:
-            sent = self.sent.setdefault(
-                call.service, held_lib.SentPrompts(service.engine.kv_tokens)
-            )
-            placement = choice_lib.place_on_runner(
-                call,
-                records,
-                engine=service.engine,
-                load=context.load,
-                held=sent.held("", call.prompt),
-                zone=zone,
-                now=now,
-            )
-            if placement is not None:
-                sent.note_sent(placement.record.identity, "", call.prompt)
+        placement = self.placer.place(call, now)
         if placement is None:
             return None
-        room = Room(placement, call.total_tokens, placement.prefill_tokens)
-        context.load.note_send(
+        saves = self.placer.note_placed(call, placement, now)
+        room = Room(placement, saves, call.total_tokens, placement.read_tokens)
+        self.context.load.note_send(
             placement.record.identity,
             now,
             room.pending_tokens,
             room.total_tokens,
         )
+        self._log_placement(call, placement, now)
         return room
 
+    def _log_placement(
+        self,
+        call: forwarding.Call,
+        placement: choice_lib.Placement,
+        now: float,
+    ) -> None:
+        plan = placement.sourcing
+        _log.info(
+            "call placed",
+            request_id=call.request_id,
+            target=placement.record.identity,
+            weight_version=placement.record.weight_version,
+            waited_ms=round((now - call.arrived_at) * 1000),
+            running=placement.running,
+            filled=placement.filled_tokens,
+            ahead=placement.ahead_tokens,
+            expected_ms=round(placement.expected_s * 1000),
+            total=call.total_tokens,
+            held=0 if plan is None else plan.held_tokens,
+            fetch=0 if plan is None else plan.fetch_tokens,
+            read=placement.read_tokens,
+            document=self.context.register.number,
+        )
+
     def note_first_event(self, room: Room) -> None:
         """Counts the prompt of a call as read."""
         if room.pending_tokens:
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/forwarding/placing.py
@@ -0,0 +1,179 @@
+"""Chooses targets from what this instance knows of them."""
+
+from chivelb_core import document
+from chivelb_core import forwarding
+from chivelb_core import targets
+from chivelb_core.forwarding import choice as choice_lib
+from chivelb_core.forwarding import sourcing as sourcing_lib
+from chivelb_core.kept import parts as parts_lib
+
+from chivelb_node import context as context_lib
+
+FAILED_AVOID_S = 1.0
+# A part that a runner was sent to read is there by then, or never.
+EXPECT_HELD_S = 2.0
+STORE_FULL_SHARE = 0.97
+
+
+class Placer:
+    """Joins targets, load and kept parts into decisions.
+
+    Attributes:
+        context: Aggregates of the instance.
+        directory: What sources hold.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        directory: parts_lib.PartDirectory,
+    ) -> None:
+        """Creates a placer."""
+        self.context = context
+        self.directory = directory
+
+    def eligible(
+        self, call: forwarding.Call, now: float
+    ) -> list[targets.TargetRecord]:
+        """Returns the targets that may take a call."""
+        table = self.context.targets
+        records = [
+            record
+            for record in table.eligible(call.service, now)
+            if record.identity not in call.tried
+        ]
+        failing = set(table.newest_failures(now, FAILED_AVOID_S))
+        healthy = [r for r in records if r.identity not in failing]
+        return healthy or records
+
+    def place(
+        self, call: forwarding.Call, now: float
+    ) -> choice_lib.Placement | None:
+        """Returns the best placement, or None when there is no room."""
+        service = self.context.document.services.get(call.service)
+        if service is None:
+            return None
+        records = self.eligible(call, now)
+        if service.engine is None or call.prompt is None:
+            return choice_lib.place_on_service(
+                records,
+                load=self.context.load,
+                zone=self.context.settings.instance.zone,
+                now=now,
+                rng=self.context.rng,
+            )
+        return self._place_on_runner(call, records, service.engine, now)
+
+    def _place_on_runner(
+        self,
+        call: forwarding.Call,
+        records: list[targets.TargetRecord],
+        engine: document.Engine,
+        now: float,
+    ) -> choice_lib.Placement | None:
+        links = self.links(call.service, engine, now)
+        zone = self.context.settings.instance.zone
+        load = self.context.load
+        best = None
+        best_price = 0.0
+        for record in records:
+            identity = record.identity
+            running = load.running(identity, now)
+            filled = load.filled(identity, now)
+            if not choice_lib.has_room(
+                call, running=running, filled=filled, engine=engine
+            ):
+                continue
+            salt = forwarding.cache_salt(record.weight_version, call)
+            placement = choice_lib.Placement(
+                record,
+                salt=salt,
+                ahead_tokens=load.pending(identity, now),
+                running=running,
+                filled_tokens=filled,
+                sourcing=sourcing_lib.plan_sourcing(
+                    call.prompt,
+                    salt,
+                    address=record.address,
+                    zone=record.zone,
+                    engine=engine,
+                    directory=self.directory,
+                    links=links,
+                    now=now,
+                ),
+            )
+            price = choice_lib.price_runner(placement, zone)
+            if best is None or price < best_price:
+                best, best_price = placement, price
+        return best
+
+    def links(
+        self, service: str, engine: document.Engine, now: float
+    ) -> dict[str, sourcing_lib.Link]:
+        """Returns the sources that runners of a service may fetch from."""
+        found = {}
+        for entry in self.context.targets.entries.values():
+            record = entry.record
+            if record.service != service or entry.left:
+                continue
+            if self._is_heard(record.address, now):
+                found[record.address] = sourcing_lib.Link(
+                    record.address,
+                    record.zone,
+                    engine.link_bytes_per_s,
+                    0.0,
+                    False,
+                )
+        for link in self.stores(now):
+            found[link.address] = link
+        return found
+
+    def stores(self, now: float) -> list[sourcing_lib.Link]:
+        """Returns the stores that were heard lately."""
+        return [
+            sourcing_lib.Link(
+                service.store.address,
+                service.store.zone,
+                service.store.link_bytes_per_s,
+                service.store.setup_s,
+                True,
+            )
+            for service in self.context.document.services.values()
+            if service.store is not None
+            and self._is_heard(service.store.address, now)
+        ]
+
+    def _is_heard(self, address: str, now: float) -> bool:
+        source = self.directory.sources.get(address)
+        if source is None:
+            return False
+        return now - source.heard_at < sourcing_lib.SOURCE_SILENT_S
+
+    def note_placed(
+        self, call: forwarding.Call, placement: choice_lib.Placement, now: float
+    ) -> list[str]:
+        """Notes what a placement changes, and returns where to save parts."""
+        if placement.sourcing is None:
+            return []
+        for part in call.prompt.parts:
+            self.directory.note_expected(
+                placement.record.address,
+                parts_lib.part_key(placement.salt, part.key),
+                now + EXPECT_HELD_S,
+            )
+        return sourcing_lib.plan_saves(
+            call.prompt,
+            placement.salt,
+            directory=self.directory,
+            stores=self.stores(now),
+            room=self._store_room,
+            zone=placement.record.zone,
+        )
+
+    def _store_room(self, address: str) -> int:
+        for service in self.context.document.services.values():
+            store = service.store
+            if store is not None and store.address == address:
+                held = self.directory.source(address).total
+                return int(store.kv_tokens * STORE_FULL_SHARE) - held
+        return 0
--- a/packages/chivelb-node/chivelb_node/forwarding/ports.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/ports.py
@@ -35,6 +35,9 @@
         left_s: Seconds that the target may take.
         weight_version: Version that its weights must have; 0 for any.
         salt: Scope of cached prompts; empty without a prompt.
+        fetches: Address to fetch each part of the prompt from; empty for
+            none.
+        saves: Address of the store to keep each part at; empty for none.
         resume_after: Id of the last event that the caller has; empty
             leaves what the caller asked for.
         fresh: Whether to use a new connection.
@@ -44,6 +47,8 @@
     left_s: float
     weight_version: int = 0
     salt: str = ""
+    fetches: list[str] = dataclasses.field(default_factory=list)
+    saves: list[str] = dataclasses.field(default_factory=list)
     resume_after: str = ""
     fresh: bool = False
 
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -80,6 +80,13 @@
         """Returns the living other instances of this region."""
         return self.swim.alive(self.swim.me.region)
 
+    def is_anchor(self, name: str) -> bool:
+        """Tells whether an instance has a disk for the control group."""
+        if name == self.swim.me.name:
+            return self.swim.me.anchor
+        state = self.swim.members.get(name)
+        return state is not None and state.member.anchor
+
     def entry_count(self) -> int:
         """Returns how many instances of the region serve callers.
 
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -377,3 +377,26 @@
             for connection in connections:
                 connection.abort()
         self.idle.clear()
+
+
+async def fetch(pool: HttpPool, address: str, data: bytes) -> tuple[int, bytes]:
+    """Sends a request and returns status and whole body of its answer.
+
+    Args:
+        pool: Connections to use.
+        address: ``host:port``.
+        data: The whole request.
+
+    Raises:
+        NotSentError: No connection could be opened.
+        BrokenAnswerError: The answer broke off.
+    """
+    exchange = await pool.send(address, data)
+    try:
+        head = await exchange.start(lambda head: True)
+        chunks = []
+        while chunk := await exchange.read():
+            chunks.append(chunk)
+    finally:
+        exchange.close()
+    return head.status, b"".join(chunks)
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -59,6 +59,8 @@
     targetDigest @53 :TargetDigest;
     targetHold @54 :TargetHold;
     confirmed @55 :Confirmed;
+    partNews @56 :PartNews;
+    partPull @57 :PartPull;
   }
 }
 
@@ -275,6 +277,24 @@
   anchor @6 :Bool;
 }
 
+struct PartEvent {
+  key @0 :Text;
+  tokens @1 :Int64;
+}
+
+struct PartNews {
+  source @0 :Text;
+  epoch @1 :Int64;
+  since @2 :Int64;
+  until @3 :Int64;
+  events @4 :List(PartEvent);
+  listing @5 :Bool;
+}
+
+struct PartPull {
+  source @0 :Text;
+}
+
 struct Ping {
   sequence @0 :Int64;
   version @1 :Int64;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -2,6 +2,7 @@
 
 from chivelb_core import targets
 from chivelb_core.calls import suspects
+from chivelb_core.kept import parts
 import msgspec
 
 
@@ -175,6 +176,32 @@
     entries: list[SendEntry]
 
 
+class PartNews(msgspec.Struct, rename="camel", frozen=True):
+    """What a follower heard of a source of cached parts.
+
+    Attributes:
+        source: Address of the source.
+        epoch: Its life.
+        since: Number of the first event.
+        until: Number after the last one.
+        events: The events, in order.
+        listing: Whether they are all that the source holds.
+    """
+
+    source: str
+    epoch: int
+    since: int
+    until: int
+    events: list[parts.PartEvent]
+    listing: bool
+
+
+class PartPull(msgspec.Struct, rename="camel", frozen=True):
+    """Asks for all that is known of a source."""
+
+    source: str
+
+
 class SightingNews(msgspec.Struct, rename="camel", frozen=True):
     """Sightings of suspects for all instances."""
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -64,6 +64,8 @@
     messages.TargetDigest,
     messages.TargetHold,
     messages.Confirmed,
+    messages.PartNews,
+    messages.PartPull,
 )
 
 
