--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -59,6 +59,7 @@
         policies: Routing policies by name.
         metrics: Prometheus series.
         draining: Whether a stop was asked for.
+        closed: Whether new requests are refused, because the stop is near.
         ready: Whether a document in force allows serving.
         in_progress: Number of requests in progress.
         stop_asked: Set when the process shall stop gracefully.
@@ -83,6 +84,7 @@
         self.policies = policies.make_policies()
         self.metrics = metrics_lib.Metrics()
         self.draining = False
+        self.closed = False
         self.ready = False
         self.in_progress = 0
         self.stop_asked = asyncio.Event()
--- a/packages/chivelb-node/chivelb_node/forwarding/intake.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/intake.py
@@ -50,6 +50,8 @@
     """
     if context.version < 1 or not context.ready:
         raise responses.CodedError(codes.NOT_READY)
+    if context.closed:
+        raise responses.CodedError(codes.STOPPING)
     found = context.routes.match(arrival.host, arrival.path)
     if found is None:
         raise responses.CodedError(
