Forwarding: load without reports counts what is in progress; tests without a network

Cause: tests of forwarding over fakes showed that a call waited until its deadline though its target was idle: without reports the load view counted all sends of the last five seconds as running. Also, a refused send did not count for the route's bound. Change: reports older than two seconds are not used; an attempt counts when it is sent, unless nothing reached the target.

--- a/packages/chivelb-core/chivelb_core/routing/load.py
+++ b/packages/chivelb-core/chivelb_core/routing/load.py
@@ -134,6 +134,8 @@
         known = load.own_running
         for peer in self._fresh(load, now):
             known += peer.running
+        if now - load.measured_at > PEER_FRESH_S:
+            return known
         return max(known, load.running + len(load.sends))
 
     def pending(self, identity: str, now: float) -> int:
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -160,8 +160,8 @@
             assignment.salt = placement.salt
             assignment.fetches = placement.sourcing.fetches
             assignment.saves = room.saves
-        reply = await self.target_port.send(call, message, assignment)
         call.attempts += 1
+        reply = await self.target_port.send(call, message, assignment)
         try:
             if reply.is_stream and reply.status == 200:
                 await self._stream(reply, caller, delivery, room)
@@ -257,6 +257,7 @@
             return False
         if outcome.code is codes.TARGET_UNREACHABLE:
             # Nothing reached the target: no attempt was made there.
+            call.attempts -= 1
             return len(call.tried) <= MAX_UNREACHABLE
         may = attempt_lib.may_retry(
             outcome,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,11 +1,17 @@
 """Builders of test data."""
 
+import hashlib
+import random
+
 from chivelb_cli import samples
 from chivelb_core import document
+from chivelb_core import forwarding
 from chivelb_core import targets
 from chivelb_core.document import changes
 from chivelb_core.document import model as model_lib
 from chivelb_core.kept import messages as kept_messages
+from chivelb_node import context as context_lib
+from chivelb_node import settings as settings_lib
 import msgspec
 
 
@@ -63,3 +69,120 @@
 
 def make_lease(keys, reader="r"):
     return kept_messages.LeaseBlocks("s", reader, list(keys))
+
+
+def make_route(**options) -> document.Route:
+    values = {
+        "host": "a.example",
+        "path_prefix": "/x/",
+        "split": [document.Share("lm")],
+        "kind": "streaming",
+        "timeout_s": 5.0,
+    }
+    return document.Route(**{**values, **options})
+
+
+def make_engine(**options) -> document.Engine:
+    values = {
+        "slots": 8,
+        "kv_tokens": 100_000,
+        "bytes_per_token": 1_000,
+        "link_bytes_per_s": 1e9,
+        "models": ["m"],
+    }
+    return document.Engine(**{**values, **options})
+
+
+def make_store(**options) -> document.Service:
+    values = {
+        "address": "127.0.0.1:7001",
+        "zone": "z1",
+        "kv_tokens": 50_000,
+        "link_bytes_per_s": 1e9,
+        "managed": True,
+    }
+    return document.Service(
+        kind="store", store=document.Store(**{**values, **options})
+    )
+
+
+def make_routed_document(**options) -> document.Document:
+    """Returns a document with a model service, a plain one and two routes."""
+    values = {
+        "services": {
+            "lm": document.Service(kind="model", engine=make_engine()),
+            "web": document.Service(kind="plain"),
+        },
+        "workspaces": {
+            "w": document.Workspace(
+                key_hashes=[hashlib.sha256(b"key-w").hexdigest()],
+                cache_secret="ab" * 16,
+                services=[],
+                isolated=False,
+            )
+        },
+        "routes": {
+            "quote": make_route(max_attempts=2, resumable=True),
+            "once": make_route(path_prefix="/once/"),
+            "pdf": make_route(
+                path_prefix="/pdf/",
+                kind="unsafe",
+                split=[document.Share("web")],
+            ),
+            "status": make_route(
+                path_prefix="/status/",
+                kind="safe",
+                split=[document.Share("web")],
+                max_attempts=2,
+            ),
+        },
+    }
+    return document.Document(**{**values, **options})
+
+
+def make_prompt(*sizes, tokens=None, **options) -> forwarding.Prompt:
+    """Returns a prompt whose parts are p0, p1 and so on of given sizes."""
+    parts = tuple(
+        forwarding.Part(f"p{number}", size) for number, size in enumerate(sizes)
+    )
+    values = {
+        "model": "m",
+        "parts": parts,
+        "tokens": tokens or sum(sizes),
+        "max_output": 100,
+    }
+    return forwarding.Prompt(**{**values, **options})
+
+
+def make_call(route=None, **options) -> forwarding.Call:
+    route = route or make_route()
+    values = {
+        "request_id": "r-1",
+        "route_name": "quote",
+        "route": route,
+        "service": route.split[0].service,
+        "workspace": "w",
+        "isolated": False,
+        "priority": 0,
+        "prompt": make_prompt(100, 200),
+        "arrived_at": 0.0,
+        "deadline": 10.0,
+    }
+    return forwarding.Call(**{**values, **options})
+
+
+def make_context(routed=None, **records) -> context_lib.InstanceContext:
+    """Returns an instance's aggregates with a document in force."""
+    settings = settings_lib.Settings(
+        instance=settings_lib.Instance(name="i1", zone="z1")
+    )
+    context = context_lib.InstanceContext(settings, random.Random(1))
+    register = document.Register(
+        document=routed or make_routed_document(), version=1, number=1
+    )
+    context.put_in_force(register)
+    context.ready = True
+    for identity, options in records.items():
+        record = make_record(identity, lease_s=0.0, **options)
+        context.targets.announce(record, context_lib.monotonic())
+    return context
--- /dev/null
+++ b/tests/fake_ports.py
@@ -0,0 +1,132 @@
+"""Callers and targets in memory, for tests of forwarding."""
+
+import asyncio
+
+from chivelb_core import calls
+from chivelb_core import codes
+from chivelb_core.calls import attempt as attempt_lib
+from chivelb_core.kept import parts as parts_lib
+from chivelb_node.forwarding import forwarder as forwarder_lib
+from chivelb_node.forwarding import gate as gate_lib
+from chivelb_node.forwarding import placing
+from chivelb_node.forwarding import ports
+
+
+def not_run(code=codes.TARGET_REFUSED, died=False):
+    return calls.AttemptError(
+        attempt_lib.Outcome(calls.OutcomeKind.NOT_RUN, code, "", died)
+    )
+
+
+def unknown(died=True):
+    return calls.AttemptError(
+        attempt_lib.Outcome(
+            calls.OutcomeKind.UNKNOWN, codes.OUTCOME_UNKNOWN, "", died
+        )
+    )
+
+
+class FakeReply:
+    """An answer: chunks, seconds to wait, and errors to raise."""
+
+    def __init__(self, *steps, status=200, is_stream=False, headers=()):
+        self.steps = steps
+        self.status = status
+        self.is_stream = is_stream
+        self.headers = list(headers)
+        self.length = None
+        self.closed = False
+
+    async def chunks(self):
+        for step in self.steps:
+            if isinstance(step, Exception):
+                raise step
+            if isinstance(step, bytes):
+                yield step
+            else:
+                await asyncio.sleep(step)
+
+    def close(self):
+        self.closed = True
+
+
+class FakeTargets:
+    """Answers each send with the next reply, or raises it."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+        self.sent = []
+
+    async def send(self, call, message, assignment):
+        self.sent.append(assignment)
+        reply = self.replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+class FakeCaller:
+    """Records what a caller gets."""
+
+    def __init__(self):
+        self.status = None
+        self.body = b""
+        self.end = ""
+        self.fault = None
+
+    async def begin(self, reply):
+        assert self.status is None, "two heads"
+        self.status = reply.status
+
+    async def write(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.end = "finished"
+
+    def cut(self):
+        self.end = "cut"
+
+    async def refuse(self, fault):
+        assert self.status is None, "a refusal after a head"
+        self.end = "refused"
+        self.fault = fault
+
+
+class ForwardingSite:
+    """A forwarder over fakes.
+
+    Attributes:
+        forwarder: The forwarder.
+        sightings: What peers were told of crashes.
+    """
+
+    def __init__(self, context, *replies):
+        self.context = context
+        self.targets = FakeTargets(*replies)
+        self.sightings = []
+        self.directory = parts_lib.PartDirectory()
+        placer = placing.Placer(context, self.directory)
+        self.gate = gate_lib.Gate(context, placer)
+        self.forwarder = forwarder_lib.Forwarder(
+            context,
+            self.gate,
+            self.targets,
+            spread_sighting=self.sightings.append,
+            count_entries=lambda: 1,
+        )
+
+    async def serve(self, call):
+        caller = FakeCaller()
+        message = ports.Message("POST", "/x/", [], b"body")
+        await self.forwarder.serve(call, message, caller)
+        return caller
+
+    def play(self, call):
+        """Serves one call and returns its caller."""
+        return asyncio.run(self.serve(call))
+
+    def running(self):
+        """Returns the number of requests counted at targets."""
+        loads = self.context.load.loads.values()
+        return sum(load.own_running for load in loads)
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,106 @@
+"""A target of which a test says byte by byte what it answers."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+RESET = object()
+CLOSE = object()
+
+
+class ScriptedTarget:
+    """Answers each request on a connection with the next script.
+
+    A script is a list of bytes to send, seconds to wait, and how to end.
+
+    Attributes:
+        scripts: What to answer, in order.
+        requests: What was received, by connection.
+        port: Where it listens.
+    """
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.requests = []
+        self.port = 0
+        self.connections = 0
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+    @contextlib.asynccontextmanager
+    async def serve(self):
+        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        try:
+            yield self
+        finally:
+            server.close()
+
+    async def _accept(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while self.scripts:
+                self.requests.append(await self._read(reader))
+                await self._play(writer, self.scripts.pop(0))
+            await reader.read()
+        writer.close()
+
+    async def _read(self, reader):
+        head = await reader.readuntil(b"\r\n\r\n")
+        size = 0
+        for line in head.split(b"\r\n"):
+            name, _, value = line.partition(b":")
+            if name.lower() == b"content-length":
+                size = int(value)
+        return head + await reader.readexactly(size)
+
+    async def _play(self, writer, script):
+        for step in script:
+            if step is RESET:
+                # Without lingering, closing sends a reset.
+                sock = writer.get_extra_info("socket")
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+                raise ConnectionError
+            if step is CLOSE:
+                writer.close()
+                raise ConnectionError
+            if isinstance(step, bytes):
+                writer.write(step)
+                await writer.drain()
+            else:
+                await asyncio.sleep(step)
+
+
+def answer(body=b"hello", status=200, **headers):
+    """Returns an answer with a length."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{n.replace('_', '-')}: {v}" for n, v in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def stream(*events, **headers):
+    """Returns the steps of a stream in chunks, without its end."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        "Content-Type: text/event-stream",
+        "Transfer-Encoding: chunked",
+        *(f"{n.replace('_', '-')}: {v}" for n, v in headers.items()),
+    ]
+    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    return [head, *(chunk(event) for event in events)]
+
+
+def event(number, text="x"):
+    return f"id: {number}\ndata: {text}\n\n".encode()
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+END = b"0\r\n\r\n"
--- /dev/null
+++ b/tests/test_http_pool.py
@@ -0,0 +1,215 @@
+"""Bytes from targets that break off, send too much or fall silent."""
+
+import asyncio
+
+from chivelb_node.links import http_pool
+import pytest
+import scripted
+
+REQUEST = b"GET /a//b?x=%2f HTTP/1.1\r\nHost: t\r\n\r\n"
+
+
+def play(target, scenario):
+    async def run():
+        pool = http_pool.HttpPool()
+        async with target.serve():
+            try:
+                async with asyncio.timeout(10):
+                    await scenario(pool)
+            finally:
+                pool.close()
+
+    asyncio.run(run())
+
+
+async def fetch(pool, target, accepts=lambda head: True):
+    exchange = await pool.send(target.address, REQUEST)
+    try:
+        await exchange.start(accepts)
+        body = b""
+        while data := await exchange.read():
+            body += data
+        return exchange.head.status, body
+    finally:
+        exchange.close()
+
+
+def test_a_request_is_written_as_it_is_given():
+    target = scripted.ScriptedTarget([scripted.answer()])
+
+    async def scenario(pool):
+        assert await fetch(pool, target) == (200, b"hello")
+        assert target.requests == [REQUEST]
+
+    play(target, scenario)
+
+
+def test_a_whole_answer_leaves_its_connection_for_the_next_request():
+    target = scripted.ScriptedTarget(
+        [scripted.answer(b"one")], [scripted.answer(b"two")]
+    )
+
+    async def scenario(pool):
+        assert await fetch(pool, target) == (200, b"one")
+        assert await fetch(pool, target) == (200, b"two")
+        assert target.connections == 1
+
+    play(target, scenario)
+
+
+@pytest.mark.parametrize("how", [scripted.RESET, scripted.CLOSE])
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhell",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    ],
+)
+def test_an_answer_that_breaks_off_is_not_complete(sent, how):
+    target = scripted.ScriptedTarget([sent, 0.05, how])
+
+    async def scenario(pool):
+        with pytest.raises(http_pool.BrokenAnswerError):
+            await fetch(pool, target)
+
+    play(target, scenario)
+
+
+def test_an_answer_without_a_length_ends_with_its_connection():
+    target = scripted.ScriptedTarget(
+        [b"HTTP/1.1 200 OK\r\n\r\nhello", 0.05, scripted.CLOSE]
+    )
+
+    async def scenario(pool):
+        assert await fetch(pool, target) == (200, b"hello")
+
+    play(target, scenario)
+
+
+def test_an_answer_without_a_length_that_is_reset_is_not_complete():
+    target = scripted.ScriptedTarget(
+        [b"HTTP/1.1 200 OK\r\n\r\nhello", 0.1, scripted.RESET]
+    )
+
+    async def scenario(pool):
+        exchange = await pool.send(target.address, REQUEST)
+        await exchange.start(lambda head: True)
+        with pytest.raises(http_pool.BrokenAnswerError):
+            while await exchange.read():
+                pass
+        exchange.close()
+
+    play(target, scenario)
+
+
+def test_an_extra_answer_never_reaches_the_next_request():
+    target = scripted.ScriptedTarget(
+        [scripted.answer(b"mine") + scripted.answer(b"extra")],
+        [scripted.answer(b"next")],
+    )
+
+    async def scenario(pool):
+        assert await fetch(pool, target) == (200, b"mine")
+        assert await fetch(pool, target) == (200, b"next")
+        assert target.connections == 2
+
+    play(target, scenario)
+
+
+def test_a_late_extra_answer_ends_its_idle_connection():
+    target = scripted.ScriptedTarget(
+        [scripted.answer(b"mine"), 0.05, scripted.answer(b"late")],
+        [scripted.answer(b"next")],
+    )
+
+    async def scenario(pool):
+        assert await fetch(pool, target) == (200, b"mine")
+        await asyncio.sleep(0.2)
+        assert await fetch(pool, target) == (200, b"next")
+        assert target.connections == 2
+
+    play(target, scenario)
+
+
+def test_an_answer_to_another_request_is_skipped():
+    target = scripted.ScriptedTarget(
+        [
+            scripted.answer(b"foreign", X_Request_Id="a"),
+            0.02,
+            scripted.answer(b"mine", X_Request_Id="b"),
+        ]
+    )
+
+    async def scenario(pool):
+        got = await fetch(
+            pool, target, lambda head: head.get(b"x-request-id") == b"b"
+        )
+        assert got == (200, b"mine")
+
+    play(target, scenario)
+
+
+def test_bytes_that_are_no_answer_are_an_error():
+    target = scripted.ScriptedTarget([b"\x00\x01garbage\r\n\r\n"])
+
+    async def scenario(pool):
+        with pytest.raises(http_pool.BrokenAnswerError):
+            await fetch(pool, target)
+
+    play(target, scenario)
+
+
+def test_a_connection_that_the_target_closes_is_not_used_again():
+    target = scripted.ScriptedTarget(
+        [scripted.answer(b"one", Connection="close")],
+        [scripted.answer(b"two")],
+    )
+
+    async def scenario(pool):
+        assert await fetch(pool, target) == (200, b"one")
+        assert await fetch(pool, target) == (200, b"two")
+        assert target.connections == 2
+
+    play(target, scenario)
+
+
+def test_a_connection_is_idle_no_longer_than_half_of_what_the_target_keeps():
+    target = scripted.ScriptedTarget(
+        [scripted.answer(b"one", Keep_Alive="timeout=1")],
+        [scripted.answer(b"two")],
+    )
+
+    async def scenario(pool):
+        assert await fetch(pool, target) == (200, b"one")
+        await asyncio.sleep(0.6)
+        assert await fetch(pool, target) == (200, b"two")
+        assert target.connections == 2
+
+    play(target, scenario)
+
+
+def test_a_target_that_does_not_listen_got_nothing():
+    target = scripted.ScriptedTarget()
+
+    async def scenario(pool):
+        port = target.port
+        target.port = 1
+        with pytest.raises(http_pool.NotSentError):
+            await fetch(pool, target)
+        target.port = port
+
+    play(target, scenario)
+
+
+def test_an_abandoned_exchange_ends_its_connection():
+    target = scripted.ScriptedTarget([b"HTTP/1.1 200 OK\r\n", 5.0])
+
+    async def scenario(pool):
+        exchange = await pool.send(target.address, REQUEST)
+        exchange.close()
+        assert not exchange.connection.is_open
+        assert not pool.idle
+
+    play(target, scenario)
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,205 @@
+"""What is known of kept parts, and how a runner comes to a prompt."""
+
+import builders
+from chivelb_core import forwarding
+from chivelb_core.forwarding import sourcing
+from chivelb_core.kept import parts as parts_lib
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+SALT = "1:shared"
+
+
+def key(number):
+    return parts_lib.part_key(SALT, f"p{number}")
+
+
+def make_directory(**held):
+    """Returns a directory; each source's parts by number, or tokens."""
+    directory = parts_lib.PartDirectory()
+    for address, parts in held.items():
+        events = [parts_lib.PartEvent(key(n), t) for n, t in parts.items()]
+        apply(directory, address, events)
+    return directory
+
+
+def apply(directory, address, events, epoch=1, since=0, now=0.0):
+    whole = directory.apply_events(
+        address,
+        epoch=epoch,
+        since=since,
+        until=since + len(events),
+        events=events,
+        now=now,
+    )
+    directory.check_invariants()
+    return whole
+
+
+def event(number, tokens):
+    return parts_lib.PartEvent(key(number), tokens)
+
+
+def test_only_leading_parts_count():
+    prompt = builders.make_prompt(100, 200, 300)
+    directory = make_directory(a={0: 100, 2: 300}, b={0: 100, 1: 150})
+    assert directory.held_parts("a", SALT, prompt, 0.0) == (1, 100)
+    assert directory.held_parts("b", SALT, prompt, 0.0) == (1, 250)
+    assert directory.held_parts("c", SALT, prompt, 0.0) == (0, 0)
+    assert directory.held_parts("a", "2:shared", prompt, 0.0) == (0, 0)
+
+
+def test_a_dropped_part_is_gone():
+    directory = make_directory(a={0: 100})
+    apply(directory, "a", [event(0, 0)], since=1)
+    assert directory.whole_at(key(0), 100) == []
+
+
+def test_a_new_life_of_a_source_holds_nothing_of_before():
+    directory = make_directory(a={0: 100, 1: 200})
+    assert apply(directory, "a", [event(5, 10)], epoch=2)
+    assert directory.whole_at(key(0), 100) == []
+    assert directory.whole_at(key(5), 10) == ["a"]
+
+
+def test_a_gap_is_told_and_a_listing_repairs_it():
+    directory = make_directory(a={0: 100})
+    assert not apply(directory, "a", [event(2, 10)], since=5)
+    directory.take_listing("a", epoch=1, until=6, held=[event(2, 10)], now=0.0)
+    directory.check_invariants()
+    assert directory.whole_at(key(0), 100) == []
+    assert directory.whole_at(key(2), 10) == ["a"]
+
+
+def test_an_old_listing_does_not_undo_newer_events():
+    directory = make_directory(a={0: 100, 1: 200})
+    directory.take_listing("a", epoch=1, until=1, held=[], now=0.0)
+    assert directory.whole_at(key(1), 200) == ["a"]
+
+
+def test_what_a_runner_was_just_sent_counts_for_a_while():
+    prompt = builders.make_prompt(100, 200)
+    directory = make_directory(a={})
+    directory.note_expected("a", key(0), until=2.0)
+    assert directory.held_parts("a", SALT, prompt, 1.0) == (1, 100)
+    assert directory.held_parts("a", SALT, prompt, 2.5) == (0, 0)
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from("ab"),
+            strategies.integers(1, 3),
+            strategies.integers(0, 4),
+            strategies.integers(0, 3),
+        ),
+        max_size=40,
+    )
+)
+def test_any_events_keep_both_sides_of_the_directory_equal(steps):
+    directory = parts_lib.PartDirectory()
+    for address, epoch, number, tokens in steps:
+        since = directory.source(address).next
+        apply(
+            directory,
+            address,
+            [event(number, tokens)],
+            epoch=epoch,
+            since=since,
+        )
+    directory.forget("a")
+    directory.check_invariants()
+
+
+def link(address, zone="z1", rate=1e9, setup_s=0.0, is_store=False):
+    return sourcing.Link(address, zone, rate, setup_s, is_store)
+
+
+def plan(prompt, directory, links, address="r1"):
+    return sourcing.plan_sourcing(
+        prompt,
+        SALT,
+        address=address,
+        zone="z1",
+        engine=builders.make_engine(),
+        directory=directory,
+        links={link.address: link for link in links},
+        now=0.0,
+    )
+
+
+def test_what_the_runner_lacks_is_fetched_from_the_nearest_source():
+    prompt = builders.make_prompt(100, 200, 50)
+    directory = make_directory(r1={0: 100}, near={1: 200}, far={1: 200})
+    links = [link("far", zone="z2"), link("near", setup_s=0.01)]
+    made = plan(prompt, directory, links)
+    assert made.fetches == ["", "near", ""]
+    assert (made.held_tokens, made.fetch_tokens, made.read_tokens) == (
+        100,
+        200,
+        50,
+    )
+    # 200 tokens of 1,000 bytes at 1 GB/s, after 10 ms.
+    assert made.fetch_s == pytest.approx(0.0102)
+    assert made.far_tokens == 0
+
+
+def test_a_part_behind_a_gap_is_not_fetched():
+    prompt = builders.make_prompt(100, 200, 50)
+    directory = make_directory(near={1: 200})
+    made = plan(prompt, directory, [link("near")])
+    assert made.fetches == ["", "", ""]
+    assert made.read_tokens == 350
+
+
+def test_a_source_that_is_not_relied_on_is_not_used():
+    prompt = builders.make_prompt(100, 200)
+    directory = make_directory(near={0: 100})
+    assert plan(prompt, directory, []).fetch_tokens == 0
+
+
+def test_another_zone_costs_twice():
+    prompt = builders.make_prompt(1_000, 10)
+    directory = make_directory(far={0: 1_000})
+    made = plan(prompt, directory, [link("far", zone="z2")])
+    assert made.fetch_s == pytest.approx(0.002)
+    assert made.far_tokens == 1_000
+
+
+def test_a_shared_part_is_kept_once_where_there_is_room():
+    prompt = builders.make_prompt(100, 200, 300)
+    directory = make_directory(s1={0: 100})
+    stores = [
+        link("s1", zone="z2", is_store=True),
+        link("s2", zone="z1", is_store=True),
+    ]
+    room = {"s1": 1_000, "s2": 150}
+
+    def saves():
+        return sourcing.plan_saves(
+            prompt,
+            SALT,
+            directory=directory,
+            stores=stores,
+            room=room.__getitem__,
+            zone="z1",
+        )
+
+    assert saves() == ["", "s1", ""]
+    room["s2"] = 200
+    assert saves() == ["", "s2", ""]
+    room.update(s1=0, s2=0)
+    assert saves() == ["", "", ""]
+
+
+def test_scopes_keep_versions_and_isolated_workspaces_apart():
+    shared = builders.make_call(isolated=False)
+    alone = builders.make_call(isolated=True, workspace="x")
+    scopes = {
+        forwarding.cache_salt("1", shared),
+        forwarding.cache_salt("2", shared),
+        forwarding.cache_salt("1", alone),
+        forwarding.cache_salt("1", builders.make_call(isolated=True)),
+    }
+    assert len(scopes) == 4
