Swaps in time, load news at once in the zone, stores before runners as sources

(2) Traces of first events showed several entries of a zone choosing one runner within 10 ms of each other, and parts fetched from runners that had dropped them meanwhile.

--- a/packages/chivelb-core/chivelb_core/forwarding/sourcing.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/sourcing.py
@@ -129,7 +129,14 @@
         link = links.get(other)
         if link is None or other == address:
             continue
-        rank = (link.zone != zone, link.setup_s, -link.bytes_per_s, other)
+        # A runner may drop a part before it is asked for it; stores do not.
+        rank = (
+            not link.is_store,
+            link.zone != zone,
+            link.setup_s,
+            -link.bytes_per_s,
+            other,
+        )
         if best_rank is None or rank < best_rank:
             best, best_rank = link, rank
     return best
--- a/packages/chivelb-core/chivelb_core/rollout/swap.py
+++ b/packages/chivelb-core/chivelb_core/rollout/swap.py
@@ -13,6 +13,8 @@
 LOADING_SHARE = 1 / 3
 ASK_PERIOD_S = 0.25
 SETTLE_S = 0.1
+# Time that runs in progress have to end before the weights change.
+DRAIN_S = 0.8
 # Reports tell of a state that is some hundred milliseconds old.
 REPORT_LAG_S = 0.8
 # A runner that says nothing for so long no longer keeps others waiting.
@@ -42,11 +44,14 @@
         identity: The runner.
         version: The version.
         expected: Number of orders that it must have accepted so far.
+        cuts_across: Whether runs in progress go on under the new version,
+            instead of ending first.
     """
 
     identity: str
     version: int
     expected: int
+    cuts_across: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -169,21 +174,38 @@
         return waiting[: max(0, limit - held)]
 
     def to_order(
-        self, behind: list[targets.TargetRecord], wanted: int, now: float
+        self,
+        behind: list[targets.TargetRecord],
+        wanted: int,
+        load: dict[str, int],
+        now: float,
     ) -> list[Order]:
-        """Returns the orders to send now."""
+        """Returns the orders to send now.
+
+        A runner gets its order when it is idle. After a while it gets one
+        that changes the weights under the runs that are left, since waiting
+        for the longest of them costs all others more.
+
+        Args:
+            behind: Runners that are behind.
+            wanted: The version that they are to serve.
+            load: Requests in progress by identity.
+            now: Time in seconds.
+        """
         orders = []
         for record in behind:
             state = self.runners[record.identity]
             if state.held_at is None or state.report is None or state.ordered:
                 continue
-            if (
-                state.waiting
-                or state.report.busy
-                or now - state.held_at < SETTLE_S
-            ):
+            held_s = now - state.held_at
+            if state.waiting or state.report.busy or held_s < SETTLE_S:
+                continue
+            left = load.get(record.identity, 0)
+            if left and held_s < DRAIN_S:
                 continue
-            orders.append(Order(record.identity, wanted, state.report.accepted))
+            orders.append(
+                Order(record.identity, wanted, state.report.accepted, left > 0)
+            )
         return orders
 
     def note_asked(self, identity: str, now: float) -> None:
--- a/packages/chivelb-core/chivelb_core/routing/load.py
+++ b/packages/chivelb-core/chivelb_core/routing/load.py
@@ -1,6 +1,7 @@
 """Aggregate of the targets' load: late reports corrected by known sends."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -67,13 +68,15 @@
 
     Attributes:
         loads: Load by target identity.
+        on_change: Called when the load that this instance causes changes.
     """
 
-    __slots__ = ("loads",)
+    __slots__ = ("loads", "on_change")
 
     def __init__(self) -> None:
         """Creates a view without targets."""
         self.loads: dict[str, TargetLoad] = {}
+        self.on_change: Callable[[], None] = _ignore
 
     def load(self, identity: str) -> TargetLoad:
         """Returns a target's load, created when it is new."""
@@ -116,10 +119,12 @@
         load.sends.append((now, prompt))
         load.sent_tokens += prompt
         _forget_sends(load, now - SENDS_KEPT_S)
+        self.on_change()
 
     def note_first_token(self, identity: str, prompt: int) -> None:
         """Counts the prefill of a request of this instance as over."""
         self.load(identity).own_pending -= prompt
+        self.on_change()
 
     def note_end(self, identity: str, total: int) -> None:
         """Counts a request of this instance as ended."""
@@ -127,6 +132,7 @@
         load.own_running -= 1
         load.own_tokens -= total
         assert load.own_running >= 0, "more ends than sends"
+        self.on_change()
 
     def running(self, identity: str, now: float) -> int:
         """Returns the estimated number of requests in progress."""
@@ -185,6 +191,10 @@
         ]
 
 
+def _ignore() -> None:
+    """Takes a change that nobody asked to hear of."""
+
+
 def _forget_sends(load: TargetLoad, until: float) -> None:
     while load.sends and load.sends[0][0] <= until:
         _, tokens = load.sends.popleft()
--- a/packages/chivelb-node/chivelb_node/control/weights.py
+++ b/packages/chivelb-node/chivelb_node/control/weights.py
@@ -92,15 +92,24 @@
         if not await self.seat.hold():
             return
         self._ask(swap, records, wanted)
-        self._hold(swap, records, wanted)
+        load = self._load(records)
+        self._hold(swap, records, wanted, load)
         behind = swap.observe(records, wanted)
         by_identity = {record.identity: record for record in records}
         now = context_lib.monotonic()
-        for order in swap.to_order(behind, wanted, now):
+        for order in swap.to_order(behind, wanted, load, now):
             swap.note_ordered(order, now)
             record = by_identity[order.identity]
             self.add_future(self._order(swap, record, order))
 
+    def _load(self, records: list[targets.TargetRecord]) -> dict[str, int]:
+        """Returns the requests in progress that entry instances told of."""
+        now = context_lib.monotonic()
+        return {
+            record.identity: self.context.load.running(record.identity, now)
+            for record in records
+        }
+
     def _ask(
         self,
         swap: rollout.Swap,
@@ -136,12 +145,9 @@
         swap: rollout.Swap,
         records: list[targets.TargetRecord],
         wanted: int,
+        load: dict[str, int],
     ) -> None:
         now = context_lib.monotonic()
-        load = {
-            record.identity: self.context.load.running(record.identity, now)
-            for record in records
-        }
         chosen = set(swap.to_hold(swap.observe(records, wanted), load, now))
         for identity in chosen:
             swap.note_held(identity, now)
@@ -170,6 +176,7 @@
             model=swap.model,
             version=order.version,
             expected=order.expected,
+            cuts_across=order.cuts_across,
             token=self.seat.token,
             result=result,
         )
--- a/packages/chivelb-node/chivelb_node/links/loads.py
+++ b/packages/chivelb-node/chivelb_node/links/loads.py
@@ -1,5 +1,7 @@
 """Tells the other entry instances what this one has in progress."""
 
+import asyncio
+import contextlib
 import dataclasses
 
 from chivelb_core import routing
@@ -11,9 +13,9 @@
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.wire import messages
 
-SENDS_PERIOD_S = 0.05
-# Instances of other zones are told every so many periods.
-FAR_PERIODS = 3
+# Instances of the zone are told of a change after this, all of them together.
+NEAR_DELAY_S = 0.005
+FAR_PERIOD_S = 0.1
 REFRESH_S = 1.0
 
 
@@ -51,6 +53,8 @@
         self.hub = hub
         self.gossip = gossip
         self._told: dict[str, dict[str, Told]] = {"near": {}, "far": {}}
+        self._changed = asyncio.Event()
+        context.load.on_change = self._changed.set
         hub.handle(messages.Sends, self._on_sends)
         hub.handle(messages.SightingNews, self._on_sightings)
 
@@ -87,15 +91,20 @@
             self.context.suspects.take(sighting, now)
 
     @mode.Service.task
-    async def _spread_sends(self) -> None:
-        periods = 0
+    async def _spread_near(self) -> None:
         while not self.should_stop:
-            await self.sleep(SENDS_PERIOD_S)
-            periods += 1
-            near, far = self._audiences()
-            self._spread(near, self._told["near"])
-            if periods % FAR_PERIODS == 0:
-                self._spread(far, self._told["far"])
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REFRESH_S):
+                    await self._changed.wait()
+            await self.sleep(NEAR_DELAY_S)
+            self._changed.clear()
+            self._spread(self._audiences()[0], self._told["near"])
+
+    @mode.Service.task
+    async def _spread_far(self) -> None:
+        while not self.should_stop:
+            await self.sleep(FAR_PERIOD_S)
+            self._spread(self._audiences()[1], self._told["far"])
 
     def _audiences(self) -> tuple[list[str], list[str]]:
         """Returns the peers of this zone and those of other zones."""
--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+from typing import Any
 from typing import Protocol
 
 from chivelb_core.forwarding import choice
@@ -88,6 +89,7 @@
         self._pulling: set[str] = set()
         hub.handle(messages.PartNews, self._on_news)
         hub.handle(messages.PartPull, self._on_pull)
+        hub.handle(messages.PartSilence, self._on_silence)
 
     def sources(self) -> dict[str, str]:
         """Returns the life of each source that is to be followed."""
@@ -174,6 +176,11 @@
     def _set_silent(self, address: str) -> None:
         """Notes that a source can't be reached: nothing is fetched there."""
         self.directory.source(address).heard_at = float("-inf")
+        self._tell(messages.PartSilence(address))
+
+    def _on_silence(self, peer: str, word: messages.PartSilence) -> None:
+        if word.source not in self.following:
+            self.directory.source(word.source).heard_at = float("-inf")
 
     def _take(
         self, address: str, page: EventPage, since: int, now: float
@@ -201,7 +208,7 @@
         self._tell(news)
         _log.info("source listed", source=address, parts=len(page.events))
 
-    def _tell(self, news: messages.PartNews) -> None:
+    def _tell(self, news: Any) -> None:
         me = self.context.settings.instance
         peers = [
             name
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -61,6 +61,7 @@
     confirmed @55 :Confirmed;
     partNews @56 :PartNews;
     partPull @57 :PartPull;
+    partSilence @58 :PartSilence;
   }
 }
 
@@ -295,6 +296,10 @@
   source @0 :Text;
 }
 
+struct PartSilence {
+  source @0 :Text;
+}
+
 struct Ping {
   sequence @0 :Int64;
   version @1 :Int64;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -196,6 +196,12 @@
     listing: bool
 
 
+class PartSilence(msgspec.Struct, rename="camel", frozen=True):
+    """A source can't be reached by who follows it."""
+
+    source: str
+
+
 class PartPull(msgspec.Struct, rename="camel", frozen=True):
     """Asks for all that is known of a source."""
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -66,6 +66,7 @@
     messages.Confirmed,
     messages.PartNews,
     messages.PartPull,
+    messages.PartSilence,
 )
 
 
--- a/tests/test_swap.py
+++ b/tests/test_swap.py
@@ -26,8 +26,9 @@
     return held
 
 
-def order_all(swap, records, now, wanted=2):
-    orders = swap.to_order(swap.observe(records, wanted), wanted, now)
+def order_all(swap, records, now, wanted=2, load=None):
+    behind = swap.observe(records, wanted)
+    orders = swap.to_order(behind, wanted, load or {}, now)
     for order in orders:
         swap.note_ordered(order, now)
         swap.note_answered(order.identity)
@@ -108,3 +109,16 @@
     order_all(swap, records, 0.3)
     reborn = [builders.make_record("r0", weight_version="1", incarnation=9)]
     assert swap.to_ask(swap.observe(reborn, 2), 0.4) == ["r0"]
+
+
+def test_runs_in_progress_have_a_while_to_end():
+    records = make_records(3)
+    swap = rollout.Swap("lm")
+    make_held(swap, records)
+    busy = {"r0": 2}
+    assert order_all(swap, records, 0.7, load=busy) == []
+    behind = swap.observe(records, 2)
+    (order,) = swap.to_order(behind, 2, busy, 1.0)
+    assert order.cuts_across
+    (order,) = swap.to_order(behind, 2, {}, 1.0)
+    assert not order.cuts_across
