Targets: an address belongs to who announced last; a 421 retires a target

Change: the target that announced last has the address (by start, where both tell it; a late word of a gone one holds only until the next of the living); a refusal that names another instance retires the record and is spread. Ruled out: a lease on records, as entries that are cut from control must keep the last known targets.

--- a/packages/chivelb-core/chivelb_core/codes.py
+++ b/packages/chivelb-core/chivelb_core/codes.py
@@ -142,6 +142,14 @@
     "No connection to a target could be opened.",
 )
 
+TARGET_REPLACED = _code(
+    2010,
+    "target_replaced",
+    503,
+    _NOT,
+    Retry.LATER,
+    "Another target has the address; it did not run the request.",
+)
 CALLER_LEFT = _code(
     3004,
     "caller_left",
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -21,6 +21,8 @@
         expires_at: Monotonic time when the lease lapses, in seconds.
         left: Whether its incarnation has announced that it is leaving.
         failed_at: When this instance saw it fail, or None.
+        replaced: Whether another target has announced itself at its address
+            since.
         held_until: Monotonic time until which it takes no new work because
             its weights change, in seconds.
     """
@@ -30,6 +32,7 @@
     expires_at: float
     left: bool = False
     failed_at: float | None = None
+    replaced: bool = False
     held_until: float = -math.inf
 
 
@@ -73,18 +76,24 @@
             entry.failed_at = known.failed_at
             entry.held_until = known.held_until
         self.entries[record.identity] = entry
-        self._retire_at(record)
+        self._replace_at(entry)
         return True
 
-    def _retire_at(self, record: record_lib.TargetRecord) -> None:
-        """Retires older targets whose address a newer one has taken."""
+    def _replace_at(self, entry: TargetEntry) -> None:
+        """Lets one target have an address: the one that announced last.
+
+        Late words of a target that is gone may come after those of its
+        successor, which takes the address back with its next one. Where both
+        tell their starts, the younger one has it.
+        """
+        record = entry.record
         for other in self.entries.values():
-            if (
-                other.record.address == record.address
-                and other.record.identity != record.identity
-                and other.record.incarnation < record.incarnation
-            ):
-                other.left = True
+            if other is entry or other.record.address != record.address:
+                continue
+            if other.record.incarnation > record.incarnation > 0:
+                entry.replaced = True
+            else:
+                other.replaced = True
 
     def take_leaving(self, identity: str, incarnation: int) -> bool:
         """Notes that a target's incarnation is leaving; True when news."""
@@ -115,6 +124,7 @@
         return (
             known is not None
             and not known.left
+            and not known.replaced
             and known.record.state == "ready"
             and known.held_until <= now < known.expires_at
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -49,6 +49,7 @@
         target_port: Sends requests to targets.
         spread_sighting: Tells peers of a request seen at a crash.
         count_entries: Returns how many instances share the retry budgets.
+        retire: Takes the proof that a target is gone.
         budgets: Retry budgets by service.
     """
 
@@ -60,8 +61,10 @@
         *,
         spread_sighting: Callable[[suspects_lib.Sighting], None],
         count_entries: Callable[[], int],
+        retire: Callable[[targets.TargetRecord], None],
     ) -> None:
         """Creates a forwarder."""
+        self.retire = retire
         self.context = context
         self.gate = gate
         self.target_port = target_port
@@ -299,6 +302,8 @@
         now = context_lib.monotonic()
         if outcome.target_died:
             self.context.targets.note_failure(record.identity, now)
+        if outcome.code is codes.TARGET_REPLACED:
+            self.retire(record)
         ran = outcome.kind is not calls.OutcomeKind.NOT_RUN
         if outcome.target_died and ran:
             life = f"{record.identity}/{record.incarnation}"
--- a/packages/chivelb-node/chivelb_node/links/fleet.py
+++ b/packages/chivelb-node/chivelb_node/links/fleet.py
@@ -48,14 +48,14 @@
         hub.handle(messages.TargetNews, self._on_news)
         hub.handle(messages.TargetDigest, self._on_digest)
         hub.handle(messages.TargetHold, self._on_hold)
+        hub.handle(messages.TargetLeaving, self._on_leaving)
 
     # What reaches this instance first.
 
     async def take_announcement(self, record: targets.TargetRecord) -> None:
         """Takes a target's own word, and returns when peers know the news."""
-        known = self.context.targets.entries.get(record.identity)
-        before = None if known is None else _salient(known.record)
-        if self._take(record) and before != _salient(record):
+        before = self._known(record.identity)
+        if self._take(record) and before != self._known(record.identity):
             await self._tell(messages.TargetNews([record]))
 
     async def take_leaving(self, identity: str) -> None:
@@ -68,6 +68,12 @@
         )
         await self.take_announcement(gone)
 
+    def retire(self, record: targets.TargetRecord) -> None:
+        """Takes the proof that a target is gone, and spreads it."""
+        word = messages.TargetLeaving(record.identity, record.incarnation)
+        if self._on_leaving("", word):
+            self.hub.send_all(self.gossip.peers_in_region(), word)
+
     async def hold(
         self, record: targets.TargetRecord, hold_s: float, version: str
     ) -> None:
@@ -91,11 +97,10 @@
 
     def _take(self, record: targets.TargetRecord) -> bool:
         now = context_lib.monotonic()
-        known = self.context.targets.entries.get(record.identity)
-        before = None if known is None else _salient(known.record)
+        before = self._known(record.identity)
         if not self.context.targets.announce(record, now):
             return False
-        if before != _salient(record):
+        if before != self._known(record.identity):
             _log.info(
                 "target changed",
                 target=record.identity,
@@ -115,6 +120,14 @@
             self._take(record)
         return messages.Confirmed()
 
+    def _on_leaving(self, peer: str, word: messages.TargetLeaving) -> bool:
+        news = self.context.targets.take_leaving(
+            word.identity, word.incarnation
+        )
+        if news:
+            _log.info("target gone", target=word.identity, told_by=peer)
+        return news
+
     def _on_hold(
         self, peer: str, word: messages.TargetHold
     ) -> messages.Confirmed:
@@ -135,10 +148,7 @@
 
     def _digest(self) -> int:
         """Returns a digest of all that is known of targets."""
-        words = [
-            _salient(entry.record)
-            for entry in self.context.targets.entries.values()
-        ]
+        words = [self._known(i) for i in self.context.targets.entries]
         return zlib.crc32(msgspec.msgpack.encode(sorted(words)))
 
     def _on_digest(
@@ -166,6 +176,13 @@
             self._on_news(peer, reply)
             self.is_synced = True
 
+    def _known(self, identity: str) -> tuple | None:
+        """Returns what peers must know of a target at once."""
+        entry = self.context.targets.entries.get(identity)
+        if entry is None:
+            return None
+        return (*_salient(entry.record), entry.left, entry.replaced)
+
     def _sources(self) -> list[str]:
         """Returns instances that targets announce themselves to."""
         swim = self.gossip.swim
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -99,12 +99,14 @@
     Attributes:
         forwarder: The forwarder.
         sightings: What peers were told of crashes.
+        retired: Records of targets that were proved to be gone.
     """
 
     def __init__(self, context, *replies):
         self.context = context
         self.targets = FakeTargets(*replies)
         self.sightings = []
+        self.retired = []
         self.directory = parts_lib.PartDirectory()
         placer = placing.Placer(context, self.directory)
         self.gate = gate_lib.Gate(context, placer)
@@ -114,6 +116,7 @@
             self.targets,
             spread_sighting=self.sightings.append,
             count_entries=lambda: 1,
+            retire=self.retired.append,
         )
 
     async def serve(self, call):
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -209,3 +209,13 @@
 
     asyncio.run(scenario())
     assert ended == ["running", "urgent", "later"]
+
+
+def test_a_target_whose_address_another_one_has_is_retired():
+    site = make_site(
+        fake_ports.not_run(codes.TARGET_REPLACED), fake_ports.FakeReply()
+    )
+    assert site.play(make_call("once")).fault.code.status == 503
+    assert [r.identity for r in site.retired] == [
+        site.targets.sent[0].record.identity
+    ]
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -63,3 +63,62 @@
 def test_a_bad_announcement_is_explained(options):
     record = builders.make_record(**options)
     assert targets.find_record_faults(record)
+
+
+def announce(table, identity, incarnation=0, sequence=1, address="h:1"):
+    record = builders.make_record(
+        identity,
+        incarnation=incarnation,
+        sequence=sequence,
+        address=address,
+        lease_s=0.0,
+    )
+    return table.announce(record, 0.0)
+
+
+def eligible(table):
+    return {r.identity for r in table.eligible("estimator-lm", 1.0)}
+
+
+def test_an_address_belongs_to_the_target_that_announced_last():
+    table = targets.TargetTable()
+    announce(table, "old", sequence=9)
+    announce(table, "new")
+    assert eligible(table) == {"new"}
+
+
+def test_a_late_word_of_a_target_that_is_gone_holds_only_until_the_next():
+    table = targets.TargetTable()
+    announce(table, "new")
+    announce(table, "ghost", sequence=4)
+    assert eligible(table) == {"ghost"}
+    announce(table, "new", sequence=2)
+    assert eligible(table) == {"new"}
+    assert not announce(table, "ghost", sequence=4)
+    assert eligible(table) == {"new"}
+
+
+def test_the_younger_of_two_that_tell_their_starts_has_the_address():
+    table = targets.TargetTable()
+    announce(table, "new", incarnation=2_000)
+    announce(table, "old", incarnation=1_000)
+    assert eligible(table) == {"new"}
+
+
+def test_a_target_without_a_lease_stays_until_it_leaves():
+    table = targets.TargetTable()
+    announce(table, "a")
+    assert table.is_eligible("a", 1e9)
+    assert table.take_leaving("a", 0)
+    assert not table.is_eligible("a", 1e9)
+
+
+def test_a_held_target_takes_no_work_until_its_weights_are_in_force():
+    table = targets.TargetTable()
+    announce(table, "a")
+    table.hold("a", 0, until=5.0)
+    assert not table.is_eligible("a", 4.0)
+    table.hold("a", 0, until=4.0)
+    table.note_version("a", 0, "8")
+    assert table.is_eligible("a", 4.0)
+    assert table.entries["a"].record.weight_version == "8"
