Sourcing: a store is named for held parts too

Cause: under load a quarter of the fetched tokens were read again (predicted 9.3 M, read 11.0 M) though reads matched prediction at low load. The hot first part of a prompt yields under memory pressure between decision and use, and without it nothing that follows counts. Change: the plan names a store for each leading part, held or not; a part that is held is not fetched. Calls wait at the entry while much waits at a runner.

--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -14,6 +14,10 @@
 # Share of a runner's memory that running requests may fill by prediction,
 # by priority; what is more urgent finds room that the others leave.
 MEMORY_SHARES = (1.0, 0.97, 0.9)
+# Prompt tokens that may await their reading at a runner before a call, by
+# priority. More wait at the entry: what a runner fetched for a call that
+# waits there yields to other work before it is used.
+AHEAD_LIMITS = (24_000, 16_000, 12_000)
 # Runners that are looked at for a call, beside those that hold its prompt:
 # instances that all took the best of all would meet at one runner.
 SAMPLE_SIZE = 4
@@ -60,14 +64,25 @@
     *,
     running: int,
     filled: int,
+    ahead: int,
     engine: model_lib.Engine,
 ) -> bool:
-    """Tells whether a runner has room for a call by prediction."""
+    """Tells whether a runner has room for a call by prediction.
+
+    Args:
+        call: The call.
+        running: Requests in progress at the runner.
+        filled: Tokens that these fill.
+        ahead: Prompt tokens that await their reading there.
+        engine: What runners have in common.
+    """
     if running >= engine.slots:
         return False
     if not filled:
         return True
     level = min(max(call.priority, 0), len(MEMORY_SHARES) - 1)
+    if ahead > AHEAD_LIMITS[level]:
+        return False
     limit = MEMORY_SHARES[level] * engine.kv_tokens
     return filled + call.fill_tokens <= limit
 
--- a/packages/chivelb-core/chivelb_core/forwarding/sourcing.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/sourcing.py
@@ -79,32 +79,41 @@
         now: Monotonic time in seconds.
     """
     whole, held = directory.held_parts(address, salt, prompt, now)
-    plan = Sourcing(held, [""] * len(prompt.parts), 0, 0.0, 0, 0)
-    missing = sum(p.tokens for p in prompt.parts[:whole])
-    partial = held - missing
-    for number in range(whole, len(prompt.parts)):
-        part = prompt.parts[number]
-        rest = part.tokens - partial
-        partial = 0
-        link = _best_link(
-            parts_lib.part_key(salt, part.key),
-            part.tokens,
-            address,
-            zone,
-            directory,
-            links,
-        )
+    plan = Sourcing(held, [], 0, 0.0, 0, 0)
+    partial = held - sum(part.tokens for part in prompt.parts[:whole])
+    for number, part in enumerate(prompt.parts):
+        key = parts_lib.part_key(salt, part.key)
+        link = _best_link(key, part.tokens, address, zone, directory, links)
+        if number < whole:
+            # What is held may yield before it is used; naming a store for
+            # it costs nothing unless it did.
+            is_store = link is not None and link.is_store
+            plan.fetches.append(link.address if is_store else "")
+            continue
         if link is None:
             break
-        plan.fetches[number] = link.address
-        plan.fetch_tokens += rest
-        plan.fetch_s += transfer_s(rest, link, zone, engine)
-        if link.zone != zone:
-            plan.far_tokens += rest
+        plan.fetches.append(link.address)
+        _add_transfer(plan, part.tokens - partial, link, zone, engine)
+        partial = 0
+    missing = len(prompt.parts) - len(plan.fetches)
+    plan.fetches += [""] * missing
     plan.read_tokens = max(0, prompt.tokens - held - plan.fetch_tokens)
     return plan
 
 
+def _add_transfer(
+    plan: Sourcing,
+    tokens: int,
+    link: Link,
+    zone: str,
+    engine: model_lib.Engine,
+) -> None:
+    plan.fetch_tokens += tokens
+    plan.fetch_s += transfer_s(tokens, link, zone, engine)
+    if link.zone != zone:
+        plan.far_tokens += tokens
+
+
 def transfer_s(
     tokens: int, link: Link, zone: str, engine: model_lib.Engine
 ) -> float:
--- a/packages/chivelb-node/chivelb_node/forwarding/placing.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placing.py
@@ -80,15 +80,20 @@
             identity = record.identity
             running = load.running(identity, now)
             filled = load.filled(identity, now)
+            ahead = load.pending(identity, now)
             if not choice_lib.has_room(
-                call, running=running, filled=filled, engine=engine
+                call,
+                running=running,
+                filled=filled,
+                ahead=ahead,
+                engine=engine,
             ):
                 continue
             salt = forwarding.cache_salt(record.weight_version, call)
             placement = choice_lib.Placement(
                 record,
                 salt=salt,
-                ahead_tokens=load.pending(identity, now),
+                ahead_tokens=ahead,
                 running=running,
                 filled_tokens=filled,
                 sourcing=sourcing_lib.plan_sourcing(
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -203,3 +203,14 @@
         forwarding.cache_salt("1", builders.make_call(isolated=True)),
     }
     assert len(scopes) == 4
+
+
+def test_a_store_is_named_for_what_may_yield_before_it_is_used():
+    prompt = builders.make_prompt(100, 200, 50)
+    directory = make_directory(r1={0: 100}, s={0: 100, 1: 200}, r2={0: 100})
+    links = [link("s", is_store=True), link("r2")]
+    made = plan(prompt, directory, links)
+    assert made.fetches == ["s", "s", ""]
+    assert made.fetch_tokens == 200
+    # Another runner may drop it as well: nothing is gained by naming one.
+    assert plan(prompt, directory, [link("r2")]).fetches == ["", "", ""]
