--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -17,7 +17,7 @@
 # Prompt tokens that may await their reading at a runner before a call, by
 # priority. More wait at the entry: what a runner fetched for a call that
 # waits there yields to other work before it is used.
-AHEAD_LIMITS = (24_000, 16_000, 12_000)
+AHEAD_LIMITS = (16_000, 10_000, 6_000)
 # Runners that are looked at for a call, beside those that hold its prompt:
 # instances that all took the best of all would meet at one runner.
 SAMPLE_SIZE = 4
