Placement: only runners with room are sampled

Cause: four runners were drawn from all of a service and then asked for room; when the four had none, a call waited although others had. The look at a runner (running, filled, ahead) is now taken once, and the sample is drawn from those with room.

Ruled out: more samples (prices of herding of the entries rise first).

Conclusion: kept; it never prices a runner that could not be chosen.

--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -31,60 +31,61 @@
 MOVE_WEIGHT_S = 1e-6
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Look:
+    """A target and its load as this instance sees it.
+
+    Attributes:
+        record: The target.
+        running: Requests in progress.
+        filled: Tokens that these fill.
+        ahead: Prompt tokens that await their reading.
+    """
+
+    record: targets.TargetRecord
+    running: int = 0
+    filled: int = 0
+    ahead: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Placement:
     """A decision: which target serves a call.
 
     Attributes:
-        record: The target.
+        look: The target and its load at the decision.
         sourcing: How it comes to the prompt; None without one.
         salt: Scope within which the prompt's parts are shared.
-        ahead_tokens: Prompt tokens to be computed there before.
-        running: Requests in progress there.
-        filled_tokens: Tokens that these may fill.
         expected_s: Expected seconds to the first byte.
     """
 
-    record: targets.TargetRecord
+    look: Look
     sourcing: sourcing_lib.Sourcing | None = None
     salt: str = ""
-    ahead_tokens: int = 0
-    running: int = 0
-    filled_tokens: int = 0
     expected_s: float = 0.0
 
+    @property
+    def record(self) -> targets.TargetRecord:
+        """The target."""
+        return self.look.record
+
     @property
     def read_tokens(self) -> int:
         """Prompt tokens that the target is expected to compute."""
         return 0 if self.sourcing is None else self.sourcing.read_tokens
 
 
-def has_room(
-    call: call_lib.Call,
-    *,
-    running: int,
-    filled: int,
-    ahead: int,
-    engine: model_lib.Engine,
-) -> bool:
-    """Tells whether a runner has room for a call by prediction.
-
-    Args:
-        call: The call.
-        running: Requests in progress at the runner.
-        filled: Tokens that these fill.
-        ahead: Prompt tokens that await their reading there.
-        engine: What runners have in common.
-    """
-    if running >= engine.slots:
+def has_room(call: call_lib.Call, look: Look, engine: model_lib.Engine) -> bool:
+    """Tells whether a runner has room for a call by prediction."""
+    if look.running >= engine.slots:
         return False
-    if not filled:
+    if not look.filled:
         return True
     level = min(max(call.priority, 0), len(MEMORY_SHARES) - 1)
-    if ahead > AHEAD_LIMITS[level]:
+    if look.ahead > AHEAD_LIMITS[level]:
         return False
     limit = MEMORY_SHARES[level] * engine.kv_tokens
-    return filled + call.fill_tokens <= limit
+    return look.filled + call.fill_tokens <= limit
 
 
 def price_runner(
@@ -92,9 +93,10 @@
 ) -> float:
     """Returns the weighted seconds of a placement; the lowest wins."""
     plan = placement.sourcing
-    compute = placement.ahead_tokens + plan.read_tokens
+    look = placement.look
+    compute = look.ahead + plan.read_tokens
     expected = compute / PREFILL_TOKENS_PER_S + plan.fetch_s
-    if placement.record.zone != zone:
+    if look.record.zone != zone:
         expected += OTHER_ZONE_S
     placement.expected_s = expected
     moved = plan.fetch_tokens + plan.far_tokens
@@ -102,30 +104,28 @@
         expected
         + plan.read_tokens * READ_WEIGHT_S
         + moved * MOVE_WEIGHT_S
-        + FILL_WEIGHT_S * placement.filled_tokens / engine.kv_tokens
+        + FILL_WEIGHT_S * look.filled / engine.kv_tokens
     )
 
 
 def sample_runners(
-    records: list[targets.TargetRecord],
-    holders: set[str],
-    rng: random.Random,
-) -> list[targets.TargetRecord]:
-    """Returns the runners that are looked at for a call.
+    rooms: list[Look], holders: set[str], rng: random.Random
+) -> list[Look]:
+    """Returns the runners that are priced for a call.
 
     Args:
-        records: All runners that may take it.
+        rooms: All runners that have room for it.
         holders: Addresses of those that hold part of its prompt.
         rng: Source of randomness.
     """
-    if len(records) <= SAMPLE_SIZE:
-        return records
-    sample = rng.sample(records, SAMPLE_SIZE)
-    chosen = {record.identity for record in sample}
+    if len(rooms) <= SAMPLE_SIZE:
+        return rooms
+    sample = rng.sample(rooms, SAMPLE_SIZE)
+    chosen = {room.record.identity for room in sample}
     holding = [
-        record
-        for record in records
-        if record.address in holders and record.identity not in chosen
+        room
+        for room in rooms
+        if room.record.address in holders and room.record.identity not in chosen
     ]
     return [*sample, *holding]
 
@@ -162,8 +162,7 @@
         if best_key is None or key < best_key:
             waiting = max(0, running + 1 - record.slots)
             best = Placement(
-                record,
-                running=running,
+                Look(record, running),
                 expected_s=waiting * SLOT_S / record.slots,
             )
             best_key = key
--- a/packages/chivelb-node/chivelb_node/forwarding/placing.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placing.py
@@ -71,59 +71,73 @@
         engine: document.Engine,
         now: float,
     ) -> choice_lib.Placement | None:
+        rooms = [
+            room
+            for record in records
+            if choice_lib.has_room(
+                call, room := self._look(record, now), engine
+            )
+        ]
         links = self.links(call.service, engine, now)
-        zone = self.context.settings.instance.zone
-        load = self.context.load
         best = None
         best_price = 0.0
-        for record in self._sampled(call, records):
-            identity = record.identity
-            running = load.running(identity, now)
-            filled = load.filled(identity, now)
-            ahead = load.pending(identity, now)
-            if not choice_lib.has_room(
-                call,
-                running=running,
-                filled=filled,
-                ahead=ahead,
+        for room in self._sampled(call, rooms):
+            placement = self._plan(call, room, engine, links, now)
+            price = choice_lib.price_runner(
+                placement,
+                zone=self.context.settings.instance.zone,
                 engine=engine,
-            ):
-                continue
-            salt = forwarding.cache_salt(record.weight_version, call)
-            placement = choice_lib.Placement(
-                record,
-                salt=salt,
-                ahead_tokens=ahead,
-                running=running,
-                filled_tokens=filled,
-                sourcing=sourcing_lib.plan_sourcing(
-                    call.prompt,
-                    salt,
-                    address=record.address,
-                    zone=record.zone,
-                    engine=engine,
-                    directory=self.directory,
-                    links=links,
-                    now=now,
-                ),
             )
-            price = choice_lib.price_runner(placement, zone=zone, engine=engine)
             if best is None or price < best_price:
                 best, best_price = placement, price
         return best
 
+    def _look(
+        self, record: targets.TargetRecord, now: float
+    ) -> choice_lib.Look:
+        load = self.context.load
+        identity = record.identity
+        return choice_lib.Look(
+            record,
+            load.running(identity, now),
+            load.filled(identity, now),
+            load.pending(identity, now),
+        )
+
+    def _plan(
+        self,
+        call: forwarding.Call,
+        room: choice_lib.Look,
+        engine: document.Engine,
+        links: dict[str, sourcing_lib.Link],
+        now: float,
+    ) -> choice_lib.Placement:
+        record = room.record
+        salt = forwarding.cache_salt(record.weight_version, call)
+        plan = sourcing_lib.plan_sourcing(
+            call.prompt,
+            salt,
+            address=record.address,
+            zone=record.zone,
+            engine=engine,
+            directory=self.directory,
+            links=links,
+            now=now,
+        )
+        return choice_lib.Placement(room, plan, salt)
+
     def _sampled(
-        self, call: forwarding.Call, records: list[targets.TargetRecord]
-    ) -> list[targets.TargetRecord]:
-        """Returns the runners to look at: a sample, and who holds most."""
-        if len(call.prompt.parts) < 2 or not records:
-            return choice_lib.sample_runners(records, set(), self.context.rng)
+        self, call: forwarding.Call, rooms: list[choice_lib.Look]
+    ) -> list[choice_lib.Look]:
+        """Returns the runners to price: a sample, and who holds most."""
+        if len(call.prompt.parts) < 2 or not rooms:
+            return choice_lib.sample_runners(rooms, set(), self.context.rng)
         # The largest shared part decides how much is there already.
         part = max(call.prompt.parts[:-1], key=lambda part: part.tokens)
-        salt = forwarding.cache_salt(records[0].weight_version, call)
-        key = parts_lib.part_key(salt, part.key)
+        version = rooms[0].record.weight_version
+        key = parts_lib.part_key(forwarding.cache_salt(version, call), part.key)
         holders = set(self.directory.holders.get(key, ()))
-        return choice_lib.sample_runners(records, holders, self.context.rng)
+        return choice_lib.sample_runners(rooms, holders, self.context.rng)
 
     def links(
         self, service: str, engine: document.Engine, now: float
