Entrance: heads bounded in size and time; metrics at an address of their own

Cause: the document's bounds on heads and idle connections were decoded and not kept (a fixed 64 KB and 15 s), a slow head had no end, an unreadable request got the HTTP library's own text and a traceback in the log, and no metrics were served.

--- a/packages/chivelb-core/chivelb_core/codes.py
+++ b/packages/chivelb-core/chivelb_core/codes.py
@@ -88,6 +88,10 @@
     "The request key was used before with another body.",
 )
 
+UNREADABLE = _code(
+    1011, "unreadable", 400, _NOT, Retry.FIX, "The request is not HTTP/1.1."
+)
+
 OVERLOADED = _code(
     2001, "overloaded", 429, _NOT, Retry.LATER, "The queue is full."
 )
@@ -174,6 +178,14 @@
     Retry.WITH_KEY,
     "The target did not answer before the deadline.",
 )
+INTERNAL = _code(
+    3005,
+    "internal",
+    500,
+    _MAYBE,
+    Retry.WITH_KEY,
+    "This instance failed; its log has the cause.",
+)
 CLAIM_IN_PROGRESS = _code(
     3003,
     "claim_in_progress",
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -18,6 +18,7 @@
 from chivelb_node.forwarding import ports
 from chivelb_node.links import events
 from chivelb_node.telemetry import logs
+from chivelb_node.telemetry import metrics as metrics_lib
 
 MAX_BUFFERED_BYTES = 262_144
 _log = logs.get_logger("forwarder")
@@ -304,6 +305,7 @@
             self.context.targets.note_failure(record.identity, now)
         if outcome.code is codes.TARGET_REPLACED:
             self.retire(record)
+        self.context.metrics.attempt_ends.labels(outcome.code.number).inc()
         ran = outcome.kind is not calls.OutcomeKind.NOT_RUN
         if outcome.target_died and ran:
             life = f"{record.identity}/{record.incarnation}"
@@ -324,9 +326,16 @@
         fault: codes.Fault | None,
     ) -> None:
         now = context_lib.monotonic()
+        number = 0 if fault is None else fault.code.number
+        series = self.context.metrics.series(
+            metrics_lib.ALL_WORKSPACES, call.route_name
+        )
+        series.count_outcome(number)
         first_ms = None
         if delivery.first_at is not None:
-            first_ms = round((delivery.first_at - call.arrived_at) * 1000)
+            first_s = delivery.first_at - call.arrived_at
+            series.first_token.observe(first_s)
+            first_ms = round(first_s * 1000)
         _log.info(
             "call ended",
             request_id=call.request_id,
@@ -334,7 +343,7 @@
             workspace=call.workspace,
             attempts=call.attempts,
             status=delivery.status,
-            code=0 if fault is None else fault.code.number,
+            code=number,
             detail="" if fault is None else fault.detail,
             first_ms=first_ms,
             took_ms=round((now - call.arrived_at) * 1000),
--- a/packages/chivelb-node/chivelb_node/forwarding/gate.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/gate.py
@@ -14,6 +14,7 @@
 from chivelb_node.edge import responses
 from chivelb_node.forwarding import placing
 from chivelb_node.telemetry import logs
+from chivelb_node.telemetry import metrics as metrics_lib
 
 PUMP_PERIOD_S = 0.03
 _log = logs.get_logger("gate")
@@ -120,9 +121,25 @@
             room.pending_tokens,
             room.fill_tokens,
         )
+        self._count_placement(call, placement, now)
         self._log_placement(call, placement, now)
         return room
 
+    def _count_placement(
+        self,
+        call: forwarding.Call,
+        placement: choice_lib.Placement,
+        now: float,
+    ) -> None:
+        series = self.context.metrics.series(
+            metrics_lib.ALL_WORKSPACES, call.route_name
+        )
+        series.queue_wait.observe(now - call.arrived_at)
+        plan = placement.sourcing
+        if plan is not None:
+            series.computed_tokens.inc(plan.read_tokens)
+            series.reused_tokens.inc(plan.held_tokens + plan.fetch_tokens)
+
     def _log_placement(
         self,
         call: forwarding.Call,
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -60,7 +60,14 @@
         self._seal: sealing.DatagramSeal | None = None
         if hub.ring is not None:
             self._seal = sealing.DatagramSeal(settings.instance.name, hub.ring)
+        self.join_seeds(settings)
+        self.swim.take_changes()
+
+    def join_seeds(self, settings: settings_lib.Settings) -> None:
+        """Adds the seeds of settings that are not known as members yet."""
+        control = settings.control
         now = context_lib.monotonic()
+        self.hub.learn_seeds(settings.peers.seeds)
         for text in settings.peers.seeds:
             seed = settings_lib.parse_seed(text)
             self.swim.join(
@@ -70,11 +77,10 @@
                     seed.zone,
                     seed.address,
                     0,
-                    anchor=seed.name in anchors,
+                    anchor=seed.name in (*control.voters, *control.keepers),
                 ),
                 now,
             )
-        self.swim.take_changes()
 
     def peers_in_region(self) -> list[str]:
         """Returns the living other instances of this region."""
--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -104,10 +104,15 @@
         self._readers: set[asyncio.Task] = set()
         self._strangers = 0
         self._server: asyncio.Server | None = None
-        for text in context.settings.peers.seeds:
+        self.learn_seeds(context.settings.peers.seeds)
+
+    def learn_seeds(self, seeds: list[str]) -> None:
+        """Takes the addresses of seeds that are not known yet."""
+        for text in seeds:
             seed = settings_lib.parse_seed(text)
             if seed.name != self.name_here:
-                self.addresses[seed.name] = (seed.address, seed.zone)
+                place = (seed.address, seed.zone)
+                self.addresses.setdefault(seed.name, place)
 
     @property
     def name_here(self) -> str:
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/telemetry/exposition.py
@@ -0,0 +1,54 @@
+"""Serves counters and histograms at an address of their own."""
+
+import asyncio
+
+from aiohttp import web
+import mode
+
+from chivelb_node import settings as settings_lib
+from chivelb_node.telemetry import logs
+from chivelb_node.telemetry import metrics as metrics_lib
+
+CONTENT_TYPE = "text/plain; version=0.0.4"
+_log = logs.get_logger("exposition")
+
+
+class Exposition(mode.Service):
+    """Owns the listening socket for readers of metrics.
+
+    Attributes:
+        metrics: What is served.
+        listen: ``host:port``.
+        port: Port that it listens on, once started.
+    """
+
+    def __init__(self, metrics: metrics_lib.Metrics, *, listen: str) -> None:
+        """Creates the service."""
+        super().__init__()
+        self.metrics = metrics
+        self.listen = listen
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def on_start(self) -> None:
+        """Starts to listen; without it the instance still serves."""
+        host, port = settings_lib.split_address(self.listen)
+        loop = asyncio.get_running_loop()
+        server = web.Server(self.render, access_log=None)
+        try:
+            self._server = await loop.create_server(server, host, port)
+        except OSError as error:
+            _log.error("no metrics", listen=self.listen, why=str(error))
+            return
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def on_stop(self) -> None:
+        """Closes the socket."""
+        if self._server is not None:
+            self._server.close()
+
+    async def render(self, request: web.BaseRequest) -> web.Response:
+        """Answers with all series."""
+        return web.Response(
+            body=self.metrics.render(), headers={"Content-Type": CONTENT_TYPE}
+        )
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -4,6 +4,8 @@
 
 MAX_WORKSPACE_LABELS = 200
 OTHER = "other"
+# Where workspaces are too many for series of their own; logs name them.
+ALL_WORKSPACES = "all"
 LATENCY_BUCKETS_S = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.48, 0.7, 1, 2, 5, 10, 30,
 )  # fmt: skip
@@ -129,6 +131,9 @@
             by,
             LATENCY_BUCKETS_S,
         )
+        self.attempt_ends = self._counter(
+            "attempt_ends", "Attempts at targets by result code", ("code",)
+        )
         self.peer_frames = self._counter(
             "peer_frames", "Frames between instances", ("kind",)
         )
--- /dev/null
+++ b/tests/test_entrance.py
@@ -0,0 +1,182 @@
+"""What callers may send to the platform's entrance, and what they get."""
+
+import asyncio
+
+import builders
+from chivelb_core import document
+from chivelb_node.telemetry import exposition
+from chivelb_platform import entrance
+import fake_ports
+import pytest
+
+PDF = {"a": {"service": "web"}}
+HEAD = (
+    b"POST /pdf/a HTTP/1.1\r\nHost: a.example\r\n"
+    b"X-Key: key-w\r\nX-Request-Id: r-1\r\n"
+)
+LIMITS = document.Limits(
+    max_header_bytes=1_000,
+    max_body_bytes=1_000,
+    header_timeout_s=0.2,
+    idle_timeout_s=0.3,
+)
+
+
+def answer():
+    return fake_ports.FakeReply(b"done", status=200)
+
+
+async def exchange(port, *steps):
+    """Sends bytes, sleeps for numbers, and returns all that comes back."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        for step in steps:
+            if isinstance(step, bytes):
+                writer.write(step)
+                await writer.drain()
+            else:
+                await asyncio.sleep(step)
+        async with asyncio.timeout(5):
+            return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+def play(*steps, replies=1):
+    """Returns the bytes that a caller gets, and the requests sent on."""
+
+    async def run():
+        context = builders.make_context(
+            builders.make_routed_document(limits=LIMITS), **PDF
+        )
+        site = fake_ports.ForwardingSite(
+            context, *(answer() for _ in range(replies))
+        )
+        front = entrance.Entrance(
+            context, site.forwarder, front="127.0.0.1:0", ready="127.0.0.1:0"
+        )
+        await front.on_start()
+        port = front.servers[0].sockets[0].getsockname()[1]
+        try:
+            return await exchange(port, *steps), len(site.targets.sent)
+        finally:
+            await front.on_stop()
+
+    return asyncio.run(run())
+
+
+def statuses(received):
+    return [
+        int(line.split()[1])
+        for line in received.split(b"\r\n")
+        if line.startswith(b"HTTP/1.")
+    ]
+
+
+def test_a_whole_request_is_served_and_its_connection_kept():
+    request = HEAD + b"Content-Length: 2\r\n\r\nab"
+    received, sent = play(request, request, replies=2)
+    assert (statuses(received), sent) == ([200, 200], 2)
+
+
+def test_a_body_in_chunks_is_served():
+    request = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
+    assert play(request)[1] == 1
+
+
+@pytest.mark.parametrize(
+    ("lines", "status"),
+    [
+        (b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", 400),
+        (b"Content-Length: 2\r\nContent-Length: 3\r\n", 400),
+        (b"Content-Length: -2\r\n", 400),
+        (b"Content-Length: 2000\r\n", 413),
+        (b"X-Long: " + b"a" * 2_000 + b"\r\nContent-Length: 2\r\n", 431),
+        (b"X-Long: " + b"a" * 90_000 + b"\r\nContent-Length: 2\r\n", 431),
+    ],
+)
+def test_what_must_not_be_passed_on_is_refused_with_a_code(lines, status):
+    received, sent = play(HEAD + lines + b"\r\nab")
+    assert (statuses(received), sent) == ([status], 0)
+    assert b"X-Result-Code" in received
+
+
+@pytest.mark.parametrize(
+    "data", [b"\x16\x03\x01\x02\x00\xff\xfe\r\n\r\n", b"hello\r\n\r\n"]
+)
+def test_bytes_that_are_no_request_are_refused(data):
+    received, sent = play(data)
+    assert (statuses(received), sent) == ([400], 0)
+
+
+def test_a_head_that_does_not_come_ends_after_its_time():
+    received, sent = play(HEAD[:40])
+    assert (statuses(received), sent) == ([408], 0)
+
+
+def test_an_idle_connection_is_closed_without_an_answer():
+    request = HEAD + b"Content-Length: 2\r\n\r\nab"
+    received, sent = play(request, 0.5)
+    assert (statuses(received), sent) == ([200], 1)
+
+
+def test_a_body_that_stops_is_never_passed_on(monkeypatch):
+    monkeypatch.setattr(entrance, "BODY_TIMEOUT_S", 0.2)
+    received, sent = play(HEAD + b"Content-Length: 9\r\n\r\nab")
+    assert (statuses(received), sent) == ([408], 0)
+
+
+def test_a_body_larger_than_its_bound_in_chunks_is_refused():
+    chunk = b"3e8\r\n" + b"a" * 1_000 + b"\r\n"
+    received, sent = play(
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + 3 * chunk
+    )
+    assert (statuses(received), sent) == ([413], 0)
+
+
+def test_a_missing_and_an_unknown_key_get_their_code():
+    for key in (b"", b"X-Key: nobody\r\n"):
+        head = b"POST /pdf/a HTTP/1.1\r\nHost: a.example\r\n" + key
+        received, sent = play(head + b"Content-Length: 0\r\n\r\n", 0.5)
+        assert (statuses(received), sent) == ([401], 0)
+
+
+def test_metrics_are_served_at_their_address():
+    async def run():
+        context = builders.make_context(**PDF)
+        site = fake_ports.ForwardingSite(context, answer())
+        route = builders.make_routed_document().routes["pdf"]
+        call = builders.make_call(route, route_name="pdf", prompt=None)
+        call.deadline = 1e12
+        await site.serve(call)
+        served = exposition.Exposition(context.metrics, listen="127.0.0.1:0")
+        await served.on_start()
+        try:
+            request = b"GET /metrics HTTP/1.1\r\nHost: x\r\n"
+            return await exchange(
+                served.port, request + b"Connection: close\r\n\r\n"
+            )
+        finally:
+            await served.on_stop()
+
+    text = asyncio.run(run()).decode()
+    labels = 'class_name="pdf",code="0",workspace="all"'
+    assert f"chivelb_outcomes_total{{{labels}}} 1.0" in text
+    assert "chivelb_queue_wait_seconds_bucket" in text
+    assert "chivelb_first_token_seconds_bucket" in text
+
+
+def test_a_metrics_address_that_is_taken_does_not_stop_the_instance():
+    async def run():
+        context = builders.make_context()
+        first = exposition.Exposition(context.metrics, listen="127.0.0.1:0")
+        await first.on_start()
+        listen = f"127.0.0.1:{first.port}"
+        second = exposition.Exposition(context.metrics, listen=listen)
+        await second.on_start()
+        assert second.port == 0
+        await first.on_stop()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,191 @@
+"""What the adapter decodes, and what it refuses."""
+
+import json
+
+from chivelb_platform import boot
+from chivelb_platform import control_api
+from chivelb_platform import headers
+from chivelb_platform import manifest
+import multidict
+import pytest
+
+BOOT = {
+    "NodeName": "n1",
+    "Ip": "10.1.0.1",
+    "Zone": "z1",
+    "Region": "r",
+    "Listen": {"Front": "10.1.0.1:80", "ReadyAddr": "10.1.0.1:81"},
+    "InternalPorts": [7700, 7715],
+    "Seeds": ["10.1.0.2:90", "10.2.0.2:90"],
+    "Somebody": {"elses": "field"},
+}
+MANIFEST = {
+    "Version": 3,
+    "Routes": [
+        {
+            "Name": "r",
+            "Host": "h",
+            "PathPrefix": "/a/",
+            "Kind": "safe",
+            "TimeoutMs": 1500,
+            "Service": "s",
+        }
+    ],
+    "Services": [{"Name": "s", "MaxConnections": 9}],
+    "Tenants": [{"Name": "t", "ApiKeys": ["k1", "k2"]}],
+}
+HEARTBEAT = {
+    "Service": "s",
+    "Address": "10.1.0.9:5",
+    "Zone": "z1",
+    "Slots": 4,
+    "State": "ready",
+    "Sequence": 7,
+    "born": 11,
+    "Models": [{"Name": "m", "Version": 2}],
+}
+
+
+def without(record, name):
+    return {key: value for key, value in record.items() if key != name}
+
+
+def read_boot(tmp_path, content):
+    path = tmp_path / "boot.json"
+    path.write_bytes(content)
+    return boot.read_boot(str(path))
+
+
+def test_settings_are_decoded_and_unknown_fields_ignored(tmp_path):
+    result = read_boot(tmp_path, json.dumps(BOOT).encode())
+    settings = boot.make_settings(result.ok)
+    assert settings.instance.name == "10.1.0.1"
+    assert settings.peers.listen == "10.1.0.1:7700"
+    assert settings.peers.seeds[0] == "10.1.0.2@unknown@10.1.0.2:7700"
+    assert settings.control.voters == ["10.1.0.2", "10.2.0.2"]
+
+
+@pytest.mark.parametrize(
+    ("content", "named"),
+    [
+        (json.dumps(without(BOOT, "Zone")).encode(), "Zone"),
+        (json.dumps({**BOOT, "Seeds": "10.1.0.2:90"}).encode(), "Seeds"),
+        (json.dumps({**BOOT, "InternalPorts": [1]}).encode(), "InternalPorts"),
+        (b"{", "truncated"),
+        (b"\xff\xfe\x00", "malformed"),
+        (b"", "truncated"),
+    ],
+)
+def test_settings_that_are_wrong_name_file_and_field(tmp_path, content, named):
+    result = read_boot(tmp_path, content)
+    assert result.is_error()
+    assert named in result.error
+    assert "boot.json" in result.error
+
+
+def test_settings_that_are_not_there_are_an_error(tmp_path):
+    assert boot.read_boot(str(tmp_path / "none")).is_error()
+
+
+def test_a_document_is_decoded_with_all_keys_of_a_workspace():
+    replacement = manifest.decode_replacement(json.dumps(MANIFEST).encode())
+    assert replacement.number == 3
+    decoded = replacement.document
+    assert decoded.routes["r"].timeout_s == 1.5
+    assert len(decoded.workspaces["t"].key_hashes) == 2
+
+
+def changed_route(**fields):
+    route = {**MANIFEST["Routes"][0], **fields}
+    return json.dumps({**MANIFEST, "Routes": [route]}).encode()
+
+
+@pytest.mark.parametrize(
+    ("data", "named"),
+    [
+        (json.dumps(without(MANIFEST, "Version")).encode(), "Version"),
+        (json.dumps({**MANIFEST, "Version": "3"}).encode(), "Version"),
+        (changed_route(Kind="sometimes"), "sometimes"),
+        (changed_route(Service="nobody"), "nobody"),
+        (changed_route(PathPrefix="a"), "path_prefix"),
+        (changed_route(TimeoutMs=-1), "timeout"),
+        (b"\xff", "malformed"),
+        (b"[]", "object"),
+    ],
+)
+def test_a_document_that_is_wrong_is_refused_by_name(data, named):
+    with pytest.raises(manifest.ManifestError, match=named):
+        manifest.decode_replacement(data)
+
+
+def test_an_announcement_is_decoded():
+    record = control_api.decode_record("i", json.dumps(HEARTBEAT).encode())
+    assert record.identity == "i"
+    assert (record.incarnation, record.sequence) == (11, 7)
+    assert record.weight_version == "2"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\xff",
+        b"null",
+        json.dumps(without(HEARTBEAT, "Address")).encode(),
+        json.dumps({**HEARTBEAT, "Slots": "four"}).encode(),
+        json.dumps({**HEARTBEAT, "State": "dancing"}).encode(),
+    ],
+)
+def test_an_announcement_of_another_writer_is_refused(data):
+    assert control_api.decode_record("i", data) is None
+
+
+def make_headers(**fields):
+    return multidict.CIMultiDict(
+        {name.replace("_", "-"): value for name, value in fields.items()}
+    )
+
+
+def test_a_prompt_is_decoded_part_by_part():
+    prompt = headers.decode_prompt(
+        make_headers(
+            X_Model="m", X_Token_Usage="30,8", X_Prefix_Hash="ab:10, cd:20"
+        )
+    )
+    assert [(p.key, p.tokens) for p in prompt.parts] == [
+        ("ab", 10),
+        ("cd", 20),
+    ]
+    assert (prompt.tokens, prompt.max_output) == (30, 8)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"X_Token_Usage": "30,8"},
+        {"X_Model": "m", "X_Token_Usage": "30"},
+        {"X_Model": "m", "X_Token_Usage": "x,y"},
+        {"X_Model": "m", "X_Token_Usage": "30,8", "X_Prefix_Hash": "ab:z"},
+        {"X_Model": "m", "X_Token_Usage": "-30,8"},
+        {"X_Model": "m", "X_Token_Usage": "30,8", "X_Prefix_Hash": "ab:-5"},
+    ],
+)
+def test_a_prompt_that_makes_no_sense_is_not_used(fields):
+    assert headers.decode_prompt(make_headers(**fields)) is None
+
+
+def test_headers_of_one_connection_do_not_pass():
+    raw = (
+        (b"Connection", b"close, X-Private"),
+        (b"X-Private", b"1"),
+        (b"X-Other", b"2"),
+        (b"Transfer-Encoding", b"chunked"),
+    )
+    assert headers.end_to_end(raw) == [(b"X-Other", b"2")]
+
+
+@pytest.mark.parametrize(
+    ("text", "wait_s"),
+    [("1500", 1.5), (None, None), ("", None), ("nan", None), ("soon", None)],
+)
+def test_a_wait_that_makes_no_sense_is_not_used(text, wait_s):
+    assert headers.decode_wait(text) == wait_s
