Gate: calls that can be in time go first; hopeless ones are refused at once

Work for callers who had left kept the lists long.

Ruled out: too few runners (memory filled 0.9 by calls that were late); waiting at the runners (the time to the first server was over half of the objective for 1,422 requests).

Change: among equals, broken-off streams first, then calls that can still meet their objective, one start in four to the oldest late one; a route tells the patience of its callers; who would have left by the expected start (calls before it, at the pace of the last 2 s) is refused at once, with a Retry-After by that backlog; no call waits longer than its caller.

--- a/packages/chivelb-core/chivelb_core/document/model.py
+++ b/packages/chivelb-core/chivelb_core/document/model.py
@@ -150,6 +150,8 @@
         timeout_s: Longest time that a caller is kept waiting.
         target_latency_s: Latency objective; for streams, of the first event.
         target_gap_s: Longest pause between events on time; 0 for none.
+        patience_s: Silence after which callers of a stream leave, also
+            before its first event; 0 when they stay to the end.
         priority: Rank of the requests; 0 is first.
         max_attempts: Most targets that one request is sent to.
         public: Whether requests need no key.
@@ -163,6 +165,7 @@
     timeout_s: float
     target_latency_s: float = 1.0
     target_gap_s: float = 0.0
+    patience_s: float = 0.0
     priority: int = 0
     max_attempts: int = 1
     public: bool = False
--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -84,6 +84,16 @@
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
 
+    def start_by(self, since: float) -> float:
+        """Returns the monotonic time by which it must have a first byte.
+
+        Args:
+            since: When its caller last heard something, or arrived.
+        """
+        if not self.route.patience_s:
+            return self.deadline
+        return min(self.deadline, since + self.route.patience_s)
+
     @property
     def prompt_tokens(self) -> int:
         """Length of the prompt; 0 without one."""
--- a/packages/chivelb-core/chivelb_core/forwarding/waiting.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/waiting.py
@@ -1,5 +1,6 @@
 """Calls of one service that wait for room at a target."""
 
+import collections
 from collections.abc import Iterator
 import dataclasses
 import itertools
@@ -7,6 +8,15 @@
 
 from chivelb_core.forwarding import call as call_lib
 
+# Seconds from a start to the first byte that a call must still have.
+FIRST_BYTE_S = 0.1
+# One start in so many goes to the oldest late call, so that none starves.
+LATE_TURN = 4
+# Starts of this span of time tell how fast the list gets shorter.
+PACE_WINDOW_S = 2.0
+# Fewer starts tell nothing.
+PACE_MIN_STARTS = 5
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Ticket:
@@ -26,15 +36,24 @@
 class WaitingList:
     """Waiting calls in the order in which they are to start.
 
+    Rules: the more urgent first; among equals those that have begun and
+    broke off, then those that can still meet their objective, for in a list
+    that is late as a whole nobody would; one start in ``LATE_TURN`` goes to
+    the oldest that is late.
+
     Attributes:
         tickets: The tickets, by order of arrival.
+        starts: Starts so far.
+        started_at: Monotonic times of the newest starts, in seconds.
     """
 
-    __slots__ = ("tickets", "_numbers")
+    __slots__ = ("tickets", "starts", "started_at", "_numbers")
 
     def __init__(self) -> None:
         """Creates an empty list."""
         self.tickets: dict[int, Ticket] = {}
+        self.starts = 0
+        self.started_at: collections.deque[float] = collections.deque()
         self._numbers = itertools.count()
 
     def join(self, call: call_lib.Call, item: Any) -> Ticket:
@@ -44,12 +63,69 @@
         return ticket
 
     def leave(self, ticket: Ticket) -> None:
-        """Removes a call that starts or gives up."""
+        """Removes a call that gives up."""
         self.tickets.pop(ticket.number, None)
 
-    def in_order(self) -> Iterator[Ticket]:
-        """Yields the waiting calls, the most urgent first."""
+    def start(self, ticket: Ticket, now: float) -> None:
+        """Removes a call that starts."""
+        self.starts += 1
+        self.note_start(now)
+        self.leave(ticket)
+
+    def note_start(self, now: float) -> None:
+        """Counts a start, also of a call that had no need to wait."""
+        self.started_at.append(now)
+        while self.started_at[0] < now - PACE_WINDOW_S:
+            self.started_at.popleft()
+
+    def in_order(self, now: float) -> Iterator[Ticket]:
+        """Yields the waiting calls in the order of their starts.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        late_first = self.starts % LATE_TURN == LATE_TURN - 1
         yield from sorted(
             self.tickets.values(),
-            key=lambda ticket: (ticket.call.priority, ticket.number),
+            key=lambda ticket: (
+                ticket.call.priority,
+                ticket.call.attempts == 0,
+                is_late(ticket.call, now) != late_first,
+                ticket.number,
+            ),
+        )
+
+    def expected_wait_s(self, call: call_lib.Call, now: float) -> float:
+        """Returns the seconds until a call that joins now would start.
+
+        Zero while too few starts were seen: a guess refuses nobody.
+        """
+        recent = sum(1 for at in self.started_at if at >= now - PACE_WINDOW_S)
+        if recent < PACE_MIN_STARTS:
+            return 0.0
+        before = sum(
+            1
+            for ticket in self.tickets.values()
+            if ticket.call.priority <= call.priority
         )
+        return before * PACE_WINDOW_S / recent
+
+
+def is_late(call: call_lib.Call, now: float) -> bool:
+    """Tells whether a call that starts now misses its objective."""
+    objective = call.arrived_at + call.route.target_latency_s
+    return now + FIRST_BYTE_S > objective
+
+
+def is_hopeless(
+    call: call_lib.Call, *, since: float, wait_s: float, now: float
+) -> bool:
+    """Tells whether nobody would wait for a call when it starts.
+
+    Args:
+        call: The call.
+        since: When its caller last heard something, or arrived.
+        wait_s: Seconds until it is expected to start.
+        now: Monotonic time in seconds.
+    """
+    return now + wait_s + FIRST_BYTE_S > call.start_by(since)
--- a/packages/chivelb-node/chivelb_node/edge/responses.py
+++ b/packages/chivelb-node/chivelb_node/edge/responses.py
@@ -15,12 +15,20 @@
 
     Attributes:
         fault: Code and detail.
+        backlog_s: Seconds of work that wait before the request.
     """
 
-    def __init__(self, code: codes.ResultCode, detail: str = "") -> None:
+    def __init__(
+        self,
+        code: codes.ResultCode,
+        detail: str = "",
+        *,
+        backlog_s: float = 0.0,
+    ) -> None:
         """Creates an error from a row of the table."""
         super().__init__(detail or code.summary)
         self.fault = codes.Fault(code, detail)
+        self.backlog_s = backlog_s
 
 
 def retry_after_s(rng: random.Random, load: float = 0.0) -> int:
@@ -54,13 +62,23 @@
 def fault_response(
     fault: codes.Fault, request_id: str, rng: random.Random, load: float = 0.0
 ) -> web.Response:
-    """Builds the final answer of a request that ends with a fault."""
+    """Builds the final answer of a request that ends with a fault.
+
+    Args:
+        fault: Code and detail; its own time to come again goes first.
+        request_id: Id that the answer repeats.
+        rng: Source of randomness.
+        load: Seconds of work that wait.
+    """
     headers = {
         "X-Result-Code": str(fault.code.number),
         "X-Request-Id": request_id,
     }
     if fault.code.retry in (codes.Retry.LATER, codes.Retry.WITH_KEY):
-        headers["Retry-After"] = str(retry_after_s(rng, load))
+        after_s = fault.retry_after_s
+        if after_s is None:
+            after_s = retry_after_s(rng, load)
+        headers["Retry-After"] = str(after_s)
     return web.Response(
         status=fault.code.status,
         body=error_body(fault, request_id),
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from chivelb_core import targets
 from chivelb_core.calls import attempt as attempt_lib
 from chivelb_core.calls import suspects as suspects_lib
+from chivelb_core.forwarding import returning
 
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
@@ -91,7 +92,9 @@
         try:
             await self._attempts(call, message, caller, delivery)
         except responses.CodedError as error:
-            fault = error.fault
+            fault = returning.with_return(
+                error.fault, self.context.rng, backlog_s=error.backlog_s
+            )
             if delivery.begun:
                 caller.cut()
             else:
--- a/packages/chivelb-node/chivelb_node/forwarding/gate.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/gate.py
@@ -79,34 +79,53 @@
         if not waiting_list.tickets:
             room = self._find_room(call, now)
             if room is not None:
+                waiting_list.note_start(now)
                 return room
         if not self.placer.eligible(call, now):
             raise responses.CodedError(codes.NO_TARGET)
+        # A stream that broke off is waited for from then on.
+        since = now if call.attempts else call.arrived_at
+        self._refuse_hopeless(call, waiting_list, since, now)
         future = asyncio.get_running_loop().create_future()
         ticket = waiting_list.join(call, future)
         self.pump(call.service)
         try:
-            async with asyncio.timeout(max(0.0, call.deadline - now)):
+            async with asyncio.timeout(max(0.0, call.start_by(since) - now)):
                 return await future
         except TimeoutError:
             raise responses.CodedError(codes.QUEUE_DEADLINE) from None
         finally:
             waiting_list.leave(ticket)
 
+    def _refuse_hopeless(
+        self,
+        call: forwarding.Call,
+        waiting_list: waiting.WaitingList,
+        since: float,
+        now: float,
+    ) -> None:
+        wait_s = waiting_list.expected_wait_s(call, now)
+        if waiting.is_hopeless(call, since=since, wait_s=wait_s, now=now):
+            raise responses.CodedError(
+                codes.OVERLOADED,
+                f"{len(waiting_list.tickets)} wait, about {wait_s:.1f} s",
+                backlog_s=wait_s,
+            )
+
     def pump(self, service: str) -> None:
         """Starts waiting calls while there is room."""
         waiting_list = self.lists.get(service)
         if waiting_list is None or not waiting_list.tickets:
             return
         now = context_lib.monotonic()
-        for ticket in list(waiting_list.in_order()):
+        for ticket in list(waiting_list.in_order(now)):
             if ticket.item.done():
                 waiting_list.leave(ticket)
                 continue
             room = self._find_room(ticket.call, now)
             if room is None:
                 return
-            waiting_list.leave(ticket)
+            waiting_list.start(ticket, now)
             ticket.item.set_result(room)
 
     def _find_room(self, call: forwarding.Call, now: float) -> Room | None:
