--- a/packages/chivelb-core/chivelb_core/forwarding/waiting.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/waiting.py
@@ -84,16 +84,15 @@
         Args:
             now: Monotonic time in seconds.
         """
-        late_first = self.starts % LATE_TURN == LATE_TURN - 1
-        yield from sorted(
-            self.tickets.values(),
-            key=lambda ticket: (
-                ticket.call.priority,
-                ticket.call.attempts == 0,
-                is_late(ticket.call, now) != late_first,
-                ticket.number,
-            ),
-        )
+        groups: dict[tuple[int, bool], list[Ticket]] = {}
+        for ticket in self.tickets.values():
+            rank = (ticket.call.priority, ticket.call.attempts == 0)
+            groups.setdefault(rank, []).append(ticket)
+        turn = self.starts
+        for rank in sorted(groups):
+            for ticket in _interleaved(groups[rank], turn, now):
+                turn += 1
+                yield ticket
 
     def expected_wait_s(self, call: call_lib.Call, now: float) -> float:
         """Returns the seconds until a call that joins now would start.
@@ -111,6 +110,23 @@
         return before * PACE_WINDOW_S / recent
 
 
+def _interleaved(
+    tickets: list[Ticket], turn: int, now: float
+) -> Iterator[Ticket]:
+    """Yields tickets in time by arrival, and a late one at its turns."""
+    in_time: collections.deque[Ticket] = collections.deque()
+    late: collections.deque[Ticket] = collections.deque()
+    for ticket in tickets:
+        (late if is_late(ticket.call, now) else in_time).append(ticket)
+    while in_time or late:
+        is_late_turn = turn % LATE_TURN == LATE_TURN - 1
+        if late and (is_late_turn or not in_time):
+            yield late.popleft()
+        else:
+            yield in_time.popleft()
+        turn += 1
+
+
 def is_late(call: call_lib.Call, now: float) -> bool:
     """Tells whether a call that starts now misses its objective."""
     objective = call.arrived_at + call.route.target_latency_s
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -99,3 +99,13 @@
 def test_a_caller_without_patience_of_its_own_stays_to_the_deadline():
     call = builders.make_call(arrived_at=5.0, deadline=20.0)
     assert not waiting.is_hopeless(call, since=5.0, wait_s=14.0, now=5.1)
+
+
+def test_one_pass_gives_late_calls_their_turns_and_no_more():
+    listed = make_list(
+        *({"arrived_at": 0.0} for _ in range(10)),
+        *({"arrived_at": 5.0} for _ in range(10)),
+    )
+    first = order(listed, 5.1)[:8]
+    late = [name for name in first if int(name) < 10]
+    assert late == ["0", "1"]
