Gate: calls that became hopeless while they waited are refused then

Now each pass over the list refuses those whose expected start lies behind their caller's patience; newcomers in time no longer count late ones as before them.

--- a/packages/chivelb-core/chivelb_core/forwarding/waiting.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/waiting.py
@@ -25,11 +25,14 @@
     Attributes:
         call: The call.
         number: Order of arrival.
+        since: Monotonic time when its caller last heard something, or
+            arrived, in seconds.
         item: What its owner needs to go on.
     """
 
     call: call_lib.Call
     number: int
+    since: float
     item: Any
 
 
@@ -56,9 +59,9 @@
         self.started_at: collections.deque[float] = collections.deque()
         self._numbers = itertools.count()
 
-    def join(self, call: call_lib.Call, item: Any) -> Ticket:
+    def join(self, call: call_lib.Call, *, since: float, item: Any) -> Ticket:
         """Adds a call."""
-        ticket = Ticket(call, next(self._numbers), item)
+        ticket = Ticket(call, next(self._numbers), since, item)
         self.tickets[ticket.number] = ticket
         return ticket
 
@@ -94,20 +97,30 @@
                 turn += 1
                 yield ticket
 
-    def expected_wait_s(self, call: call_lib.Call, now: float) -> float:
-        """Returns the seconds until a call that joins now would start.
+    def start_period_s(self, now: float) -> float:
+        """Returns the seconds from one start to the next.
 
         Zero while too few starts were seen: a guess refuses nobody.
         """
         recent = sum(1 for at in self.started_at if at >= now - PACE_WINDOW_S)
-        if recent < PACE_MIN_STARTS:
-            return 0.0
-        before = sum(
-            1
-            for ticket in self.tickets.values()
-            if ticket.call.priority <= call.priority
-        )
-        return before * PACE_WINDOW_S / recent
+        return 0.0 if recent < PACE_MIN_STARTS else PACE_WINDOW_S / recent
+
+    def hopeless(self, now: float) -> Iterator[tuple[Ticket, float]]:
+        """Yields calls whose callers will have left when they start.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Yields:
+            The ticket, and the seconds until it was expected to start.
+        """
+        period_s = self.start_period_s(now)
+        wait_s = 0.0
+        for ticket in self.in_order(now):
+            if is_hopeless(ticket, wait_s=wait_s, now=now):
+                yield ticket, wait_s
+            else:
+                wait_s += period_s
 
 
 def _interleaved(
@@ -133,15 +146,12 @@
     return now + FIRST_BYTE_S > objective
 
 
-def is_hopeless(
-    call: call_lib.Call, *, since: float, wait_s: float, now: float
-) -> bool:
+def is_hopeless(ticket: Ticket, *, wait_s: float, now: float) -> bool:
     """Tells whether nobody would wait for a call when it starts.
 
     Args:
-        call: The call.
-        since: When its caller last heard something, or arrived.
+        ticket: The waiting call.
         wait_s: Seconds until it is expected to start.
         now: Monotonic time in seconds.
     """
-    return now + wait_s + FIRST_BYTE_S > call.start_by(since)
+    return now + wait_s + FIRST_BYTE_S > ticket.call.start_by(ticket.since)
--- a/packages/chivelb-node/chivelb_node/forwarding/gate.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/gate.py
@@ -85,10 +85,10 @@
             raise responses.CodedError(codes.NO_TARGET)
         # A stream that broke off is waited for from then on.
         since = now if call.attempts else call.arrived_at
-        self._refuse_hopeless(call, waiting_list, since, now)
         future = asyncio.get_running_loop().create_future()
-        ticket = waiting_list.join(call, future)
+        ticket = waiting_list.join(call, since=since, item=future)
         self.pump(call.service)
+        self._refuse_hopeless(waiting_list, now)
         try:
             async with asyncio.timeout(max(0.0, call.start_by(since) - now)):
                 return await future
@@ -98,19 +98,19 @@
             waiting_list.leave(ticket)
 
     def _refuse_hopeless(
-        self,
-        call: forwarding.Call,
-        waiting_list: waiting.WaitingList,
-        since: float,
-        now: float,
+        self, waiting_list: waiting.WaitingList, now: float
     ) -> None:
-        wait_s = waiting_list.expected_wait_s(call, now)
-        if waiting.is_hopeless(call, since=since, wait_s=wait_s, now=now):
-            raise responses.CodedError(
+        """Ends calls that would start after their callers have left."""
+        for ticket, wait_s in list(waiting_list.hopeless(now)):
+            waiting_list.leave(ticket)
+            if ticket.item.done():
+                continue
+            error = responses.CodedError(
                 codes.OVERLOADED,
                 f"{len(waiting_list.tickets)} wait, about {wait_s:.1f} s",
                 backlog_s=wait_s,
             )
+            ticket.item.set_exception(error)
 
     def pump(self, service: str) -> None:
         """Starts waiting calls while there is room."""
@@ -201,5 +201,7 @@
     async def _pump_all(self) -> None:
         while not self.should_stop:
             await self.sleep(PUMP_PERIOD_S)
-            for service in list(self.lists):
+            for service, waiting_list in self.lists.items():
                 self.pump(service)
+                now = context_lib.monotonic()
+                self._refuse_hopeless(waiting_list, now)
