Entrance: a request refused before it is a call has a line and a count

Each refusal now tells request id, code, the document's number, readiness and the time to come again; ends of calls tell that time too.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -348,6 +348,7 @@
             status=delivery.status,
             code=number,
             detail="" if fault is None else fault.detail,
+            retry_after_s=None if fault is None else fault.retry_after_s,
             first_ms=first_ms,
             took_ms=round((now - call.arrived_at) * 1000),
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/intake.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/intake.py
@@ -11,6 +11,12 @@
 
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
+from chivelb_node.telemetry import logs
+from chivelb_node.telemetry import metrics as metrics_lib
+
+# Label of requests that were refused before a route was known.
+NO_ROUTE = "none"
+_log = logs.get_logger("intake")
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,6 +88,24 @@
     )
 
 
+def note_refused(
+    context: context_lib.InstanceContext, request_id: str, fault: codes.Fault
+) -> None:
+    """Counts and logs a request that became no call."""
+    series = context.metrics.series(metrics_lib.ALL_WORKSPACES, NO_ROUTE)
+    series.count_outcome(fault.code.number)
+    _log.info(
+        "call refused",
+        request_id=request_id,
+        code=fault.code.number,
+        detail=fault.detail,
+        document=context.register.number,
+        ready=context.ready,
+        closed=context.closed,
+        retry_after_s=fault.retry_after_s,
+    )
+
+
 def fingerprint(call: forwarding.Call, path: str, body: bytes) -> str:
     """Returns the digest that stands for a request that comes again."""
     return suspects.fingerprint(call.workspace, path.encode() + b"\0" + body)
--- a/tests/test_entrance.py
+++ b/tests/test_entrance.py
@@ -180,3 +180,12 @@
         await first.on_stop()
 
     asyncio.run(run())
+
+
+def test_what_is_refused_before_it_is_a_call_is_logged_and_counted(capsys):
+    received, _ = play(HEAD + b"Content-Length: 2000\r\n\r\n")
+    assert b"413" in received
+    printed = capsys.readouterr().out
+    assert "call refused" in printed
+    assert "r-1" in printed
+    assert "1003" in printed
