--- a/packages/chivelb-node/chivelb_node/control/voting.py
+++ b/packages/chivelb-node/chivelb_node/control/voting.py
@@ -82,6 +82,7 @@
         self._inbox: asyncio.Queue = asyncio.Queue()
         self._applied: dict[tuple[int, int], asyncio.Future] = {}
         self._witnessed: set[str] = set()
+        self._leader_told = ""
         self._disk_was_read = False
         for kind in _KINDS:
             hub.handle(kind, self._on_message)
@@ -262,11 +263,23 @@
                 self.voter.receive(self._inbox.get_nowait(), now)
             self.voter.tick(now)
             await self._carry_out()
+            self._note_leader()
             self._complete_joins(now)
         if self.voter is not None:
             self.failed = "the disk was rolled back; empty the data folder"
             _log.error("voter stopped", detail=self.failed)
 
+    def _note_leader(self) -> None:
+        leader = self.leader_name()
+        if leader != self._leader_told:
+            self._leader_told = leader
+            _log.info(
+                "leader changed",
+                leader=leader or "none",
+                term=self.voter.hard.term,
+                voters=len(self.voter.group.members),
+            )
+
     async def _wait_for_input(self) -> None:
         try:
             async with asyncio.timeout(TICK_S):
--- a/tests/test_site_state.py
+++ b/tests/test_site_state.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import shutil
 import signal
 
@@ -46,6 +47,16 @@
         )
         assert (status, reply["version"]) == (200, 3)
         await sites.wait_version(session, fleet, left, 3)
+        # Each of them tells that it follows another leader.
+        for name in left:
+            log = (tmp_path / f"{name}.log").read_text()
+            told = [
+                json.loads(line)["leader"]
+                for line in log.splitlines()
+                if '"leader changed"' in line
+            ]
+            assert told[0] == leader
+            assert told[-1] in left
         fleet.start_entry(leader)
         await fleet.wait_ready(session, [leader])
         assert await sites.version_of(session, fleet, leader) == 3
