Consensus: modules import in one direction

Cause: elections and leading imported each other, and all of them imported the voter for its type. State and its own rules (stepping down, contact with a quorum, progress, groups) are now consensus/member.py; elections, following and leading work on a member; the voter stands on all of them.

--- a/packages/chivelb-core/chivelb_core/consensus/elections.py
+++ b/packages/chivelb-core/chivelb_core/consensus/elections.py
@@ -1,36 +1,20 @@
 """Elections: pre-vote, votes, and stepping down."""
 
-from __future__ import annotations
-
-import typing
-
 from chivelb_core.consensus import leading
 from chivelb_core.consensus import log as log_lib
+from chivelb_core.consensus import member as member_lib
 from chivelb_core.consensus import messages
 from chivelb_core.consensus import states
 
-if typing.TYPE_CHECKING:
-    from chivelb_core.consensus import voter as voter_lib
-
-
-def may_vote(voter: voter_lib.Voter) -> bool:
-    """Tells whether this member votes in the present group."""
-    return voter.member_id in voter.group.voters and not voter.disowned
-
-
-def election_delay(voter: voter_lib.Voter) -> float:
-    """Returns a random time until the next election, in seconds."""
-    return voter.timing.election_s * (1.0 + voter.rng.random())
 
-
-def start_pre_vote(voter: voter_lib.Voter, now: float) -> None:
+def start_pre_vote(voter: member_lib.Member, now: float) -> None:
     """Asks whether an election would be won."""
     voter.role = states.Role.PRE_CANDIDATE
     voter.leader = ""
     ask_votes(voter, voter.hard.term + 1, pre=True, now=now)
 
 
-def start_election(voter: voter_lib.Voter, now: float) -> None:
+def start_election(voter: member_lib.Member, now: float) -> None:
     """Begins a term and asks for votes."""
     voter.role = states.Role.CANDIDATE
     voter.hard = states.HardState(voter.hard.term + 1, voter.member_id)
@@ -39,11 +23,11 @@
 
 
 def ask_votes(
-    voter: voter_lib.Voter, term: int, *, pre: bool, now: float
+    voter: member_lib.Member, term: int, *, pre: bool, now: float
 ) -> None:
     """Asks all other voters for their vote."""
     voter.votes = {voter.member_id}
-    voter.deadline = now + election_delay(voter)
+    voter.deadline = now + voter.election_delay()
     for member_id in sorted(voter.group.voters - {voter.member_id}):
         voter.send(
             messages.VoteRequest(
@@ -59,13 +43,11 @@
 
 
 def on_vote_request(
-    voter: voter_lib.Voter, request: messages.VoteRequest, now: float
+    voter: member_lib.Member, request: messages.VoteRequest, now: float
 ) -> None:
     """Answers a vote request; one vote a term."""
     silent = now - voter.heard_leader_at >= voter.timing.election_s
-    leading = voter.role is states.Role.LEADER and has_quorum_contact(
-        voter, now
-    )
+    leading = voter.role is states.Role.LEADER and voter.has_quorum_contact(now)
     undisturbed = leading or not silent
     if request.pre:
         granted = (
@@ -82,7 +64,7 @@
         # A member that hears its leader is not drawn into an election.
         return
     if request.term > voter.hard.term:
-        step_down(voter, request.term, "", now)
+        voter.step_down(request.term, "", now)
     granted = (
         request.term == voter.hard.term
         and voter.hard.voted_for in ("", request.from_member)
@@ -92,12 +74,12 @@
         if voter.hard.voted_for != request.from_member:
             voter.hard.voted_for = request.from_member
             voter.hard_dirty = True
-        voter.deadline = now + election_delay(voter)
+        voter.deadline = now + voter.election_delay()
     reply_vote(voter, request, voter.hard.term, granted)
 
 
 def reply_vote(
-    voter: voter_lib.Voter,
+    voter: member_lib.Member,
     request: messages.VoteRequest,
     term: int,
     granted: bool,
@@ -111,7 +93,7 @@
 
 
 def is_up_to_date(
-    voter: voter_lib.Voter, request: messages.VoteRequest
+    voter: member_lib.Member, request: messages.VoteRequest
 ) -> bool:
     """Tells whether the asking member's log is no older."""
     mine = (voter.log.last_term, voter.log.last_index)
@@ -119,12 +101,12 @@
 
 
 def on_vote_reply(
-    voter: voter_lib.Voter, reply: messages.VoteReply, now: float
+    voter: member_lib.Member, reply: messages.VoteReply, now: float
 ) -> None:
     """Counts a vote that was given."""
     denied = not reply.granted
     if (denied or not reply.pre) and reply.term > voter.hard.term:
-        step_down(voter, reply.term, "", now)
+        voter.step_down(reply.term, "", now)
         return
     if not reply.granted:
         return
@@ -139,7 +121,7 @@
         count_votes(voter, now)
 
 
-def count_votes(voter: voter_lib.Voter, now: float) -> None:
+def count_votes(voter: member_lib.Member, now: float) -> None:
     """Goes on when a majority has voted."""
     if not voter.group.is_quorum(voter.votes):
         return
@@ -149,42 +131,16 @@
         become_leader(voter, now)
 
 
-def become_leader(voter: voter_lib.Voter, now: float) -> None:
+def become_leader(voter: member_lib.Member, now: float) -> None:
     """Begins to lead the term with an entry of its own."""
     voter.role = states.Role.LEADER
     voter.leader = voter.member_id
     voter.lead_since = now
     voter.progress = {}
-    leading.track_members(voter)
+    voter.track_members()
     entry = log_lib.Entry(
         voter.log.last_index + 1, voter.hard.term, "noop", b""
     )
     voter.term_start = entry.index
     leading.append_own(voter, entry)
     leading.broadcast(voter, now)
-
-
-def step_down(
-    voter: voter_lib.Voter, term: int, leader: str, now: float
-) -> None:
-    """Follows, in a newer term if there is one."""
-    if term > voter.hard.term:
-        voter.hard = states.HardState(term, "")
-        voter.hard_dirty = True
-    voter.role = states.Role.FOLLOWER
-    voter.leader = leader
-    voter.progress = {}
-    voter.deadline = now + election_delay(voter)
-
-
-def has_quorum_contact(voter: voter_lib.Voter, now: float) -> bool:
-    """Tells whether a majority answered lately."""
-    since = now - voter.timing.election_s
-    if voter.lead_since > since:
-        return True
-    heard = {
-        member_id
-        for member_id, progress in voter.progress.items()
-        if progress.heard_at > since
-    }
-    return voter.group.is_quorum(heard | {voter.member_id})
--- a/packages/chivelb-core/chivelb_core/consensus/following.py
+++ b/packages/chivelb-core/chivelb_core/consensus/following.py
@@ -1,21 +1,14 @@
 """Replication on a follower's side: storing and acknowledging."""
 
-from __future__ import annotations
-
-import typing
-
-from chivelb_core.consensus import elections
 from chivelb_core.consensus import log as log_lib
+from chivelb_core.consensus import member as member_lib
 from chivelb_core.consensus import messages
 from chivelb_core.consensus import snapshots
 from chivelb_core.consensus import states
 
-if typing.TYPE_CHECKING:
-    from chivelb_core.consensus import voter as voter_lib
-
 
 def on_append(
-    voter: voter_lib.Voter, message: messages.Append, now: float
+    voter: member_lib.Member, message: messages.Append, now: float
 ) -> None:
     """Stores entries that fit, or tells where to go on."""
     if message.term < voter.hard.term:
@@ -36,7 +29,7 @@
 
 
 def follow(
-    voter: voter_lib.Voter,
+    voter: member_lib.Member,
     message: messages.Append | messages.SnapshotPart,
     now: float,
 ) -> None:
@@ -45,13 +38,13 @@
         assert not (
             voter.role is states.Role.LEADER and message.term == voter.hard.term
         ), "two leaders in a term"
-        elections.step_down(voter, message.term, message.from_member, now)
+        voter.step_down(message.term, message.from_member, now)
     voter.leader = message.from_member
     voter.heard_leader_at = now
-    voter.deadline = now + elections.election_delay(voter)
+    voter.deadline = now + voter.election_delay()
 
 
-def store(voter: voter_lib.Voter, entries: list[log_lib.Entry]) -> None:
+def store(voter: member_lib.Member, entries: list[log_lib.Entry]) -> None:
     """Stores entries, replacing those that conflict."""
     for entry in entries:
         term = voter.log.term_at(entry.index)
@@ -67,7 +60,7 @@
         voter.note_group(entry)
 
 
-def truncate(voter: voter_lib.Voter, index: int) -> None:
+def truncate(voter: member_lib.Member, index: int) -> None:
     """Drops entries that conflict with the leader's."""
     voter.log.truncate(index)
     voter.synced_index = min(voter.synced_index, index - 1)
@@ -83,7 +76,7 @@
 
 
 def reply_append(
-    voter: voter_lib.Voter, message: messages.Append, *, ok: bool, index: int
+    voter: member_lib.Member, message: messages.Append, *, ok: bool, index: int
 ) -> None:
     """Sends the answer to an append."""
     voter.send(
@@ -99,7 +92,7 @@
 
 
 def on_snapshot_part(
-    voter: voter_lib.Voter, part: messages.SnapshotPart, now: float
+    voter: member_lib.Member, part: messages.SnapshotPart, now: float
 ) -> None:
     """Collects the pieces of a snapshot."""
     if part.term < voter.hard.term:
@@ -127,7 +120,9 @@
     reply_part(voter, part, part.total)
 
 
-def install(voter: voter_lib.Voter, index: int, term: int, data: bytes) -> None:
+def install(
+    voter: member_lib.Member, index: int, term: int, data: bytes
+) -> None:
     """Replaces log and state by a snapshot."""
     voter.log.reset(index, term)
     voter.snapshot_data = data
@@ -143,7 +138,7 @@
 
 
 def reply_part(
-    voter: voter_lib.Voter, part: messages.SnapshotPart, offset: int
+    voter: member_lib.Member, part: messages.SnapshotPart, offset: int
 ) -> None:
     """Sends the answer to a piece of the snapshot."""
     voter.send(
--- a/packages/chivelb-core/chivelb_core/consensus/leading.py
+++ b/packages/chivelb-core/chivelb_core/consensus/leading.py
@@ -1,22 +1,15 @@
 """Replication on the leader's side: appends, commits and snapshots."""
 
-from __future__ import annotations
-
-import typing
-
-from chivelb_core.consensus import elections
 from chivelb_core.consensus import log as log_lib
+from chivelb_core.consensus import member as member_lib
 from chivelb_core.consensus import messages
 from chivelb_core.consensus import states
 
-if typing.TYPE_CHECKING:
-    from chivelb_core.consensus import voter as voter_lib
-
 MAX_ENTRIES_PER_APPEND = 200
 SNAPSHOT_PART_BYTES = 262_144
 
 
-def append_own(voter: voter_lib.Voter, entry: log_lib.Entry) -> None:
+def append_own(voter: member_lib.Member, entry: log_lib.Entry) -> None:
     """Appends an entry to this leader's log."""
     assert voter.role is states.Role.LEADER, "only a leader appends"
     voter.log.append(entry)
@@ -24,19 +17,7 @@
     voter.note_group(entry)
 
 
-def track_members(voter: voter_lib.Voter) -> None:
-    """Starts and ends progress as the group changes."""
-    for member_id in voter.group.members:
-        if member_id != voter.member_id and member_id not in voter.progress:
-            voter.progress[member_id] = states.Progress(
-                voter.log.last_index + 1
-            )
-    for member_id in list(voter.progress):
-        if member_id not in voter.group.members:
-            del voter.progress[member_id]
-
-
-def broadcast(voter: voter_lib.Voter, now: float) -> None:
+def broadcast(voter: member_lib.Member, now: float) -> None:
     """Sends a round of heartbeats with what is missing."""
     voter.round += 1
     voter.beat_at = now
@@ -44,7 +25,7 @@
         send_append(voter, member_id, now)
 
 
-def send_append(voter: voter_lib.Voter, member_id: str, now: float) -> None:
+def send_append(voter: member_lib.Member, member_id: str, now: float) -> None:
     """Sends a member what follows its newest known entry."""
     progress = voter.progress[member_id]
     previous = progress.next_index - 1
@@ -72,7 +53,7 @@
 
 
 def send_part(
-    voter: voter_lib.Voter,
+    voter: member_lib.Member,
     member_id: str,
     progress: states.Progress,
     now: float,
@@ -96,11 +77,11 @@
 
 
 def on_append_reply(
-    voter: voter_lib.Voter, reply: messages.AppendReply, now: float
+    voter: member_lib.Member, reply: messages.AppendReply, now: float
 ) -> None:
     """Takes a member's answer to an append."""
     if reply.term > voter.hard.term:
-        elections.step_down(voter, reply.term, "", now)
+        voter.step_down(reply.term, "", now)
         return
     progress = voter.progress.get(reply.from_member)
     if (
@@ -127,7 +108,7 @@
 
 
 def raise_match(
-    voter: voter_lib.Voter, progress: states.Progress, index: int
+    voter: member_lib.Member, progress: states.Progress, index: int
 ) -> None:
     """Notes how far a member has synced."""
     if index > progress.match_index:
@@ -137,7 +118,7 @@
 
 
 def doubt(
-    voter: voter_lib.Voter,
+    voter: member_lib.Member,
     reply: messages.AppendReply,
     progress: states.Progress,
 ) -> None:
@@ -156,7 +137,7 @@
 
 
 def on_disown(
-    voter: voter_lib.Voter, message: messages.Disown, now: float
+    voter: member_lib.Member, message: messages.Disown, now: float
 ) -> None:
     """Stops taking part after a proof of a rolled-back disk."""
     if message.term >= voter.hard.term:
@@ -165,11 +146,11 @@
 
 
 def on_snapshot_reply(
-    voter: voter_lib.Voter, reply: messages.SnapshotReply, now: float
+    voter: member_lib.Member, reply: messages.SnapshotReply, now: float
 ) -> None:
     """Takes a member's answer to a piece of the snapshot."""
     if reply.term > voter.hard.term:
-        elections.step_down(voter, reply.term, "", now)
+        voter.step_down(reply.term, "", now)
         return
     progress = voter.progress.get(reply.from_member)
     if voter.role is not states.Role.LEADER or progress is None:
@@ -186,7 +167,7 @@
     send_append(voter, reply.from_member, now)
 
 
-def advance_commit(voter: voter_lib.Voter, now: float) -> None:
+def advance_commit(voter: member_lib.Member, now: float) -> None:
     """Commits what a majority has synced in this term."""
     matches = sorted(
         (match_of(voter, member_id) for member_id in voter.group.voters),
@@ -203,10 +184,10 @@
         voter.group_index <= voter.commit_index
         and voter.member_id not in voter.group.voters
     ):
-        elections.step_down(voter, voter.hard.term, "", now)
+        voter.step_down(voter.hard.term, "", now)
 
 
-def match_of(voter: voter_lib.Voter, member_id: str) -> int:
+def match_of(voter: member_lib.Member, member_id: str) -> int:
     """Returns up to where a member's log counts."""
     if member_id == voter.member_id:
         return voter.synced_index
--- a/packages/chivelb-core/chivelb_core/consensus/voter.py
+++ b/packages/chivelb-core/chivelb_core/consensus/voter.py
@@ -6,141 +6,22 @@
 before it sends.
 """
 
-import dataclasses
-import random
-
 from chivelb_core import codes
 from chivelb_core.consensus import elections
 from chivelb_core.consensus import following
 from chivelb_core.consensus import group as group_lib
 from chivelb_core.consensus import leading
 from chivelb_core.consensus import log as log_lib
+from chivelb_core.consensus import member as member_lib
 from chivelb_core.consensus import messages
 from chivelb_core.consensus import snapshots
 from chivelb_core.consensus import states
 
 
-class Voter:
-    """One member of the control group.
-
-    Rules: one vote a term; a leader only appends; an entry is committed
-    only with a synced majority in the leader's own term; committed entries
-    never change.
-
-    Attributes:
-        member_id: Id of this member.
-        hard: Synced hard state.
-        log: Its log.
-        group: The group by the newest entry, committed or not.
-        commit_index: Highest committed index.
-        applied_index: Highest index handed out to apply.
-        role: What it does.
-        leader: Id of the leader that it knows, or empty.
-        progress: The leader's view of the others, by id.
-        synced_index: Highest index synced here.
-        snapshot_data: Newest snapshot.
-        disowned: Whether a leader proved that this disk was rolled back;
-            the member must come back under a new id.
-    """
+class Voter(member_lib.Member):
+    """A member that takes messages, time and proposals."""
 
-    __slots__ = (
-        "member_id",
-        "hard",
-        "log",
-        "group",
-        "commit_index",
-        "applied_index",
-        "role",
-        "leader",
-        "progress",
-        "synced_index",
-        "snapshot_data",
-        "disowned",
-        "timing",
-        "rng",
-        "deadline",
-        "heard_leader_at",
-        "votes",
-        "round",
-        "beat_at",
-        "group_index",
-        "group_history",
-        "effects",
-        "hard_dirty",
-        "parts",
-        "term_start",
-        "lead_since",
-    )
-
-    def __init__(
-        self,
-        member_id: str,
-        group: group_lib.Group,
-        *,
-        timing: states.Timing,
-        rng: random.Random,
-        now: float,
-        hard: states.HardState | None = None,
-        log: log_lib.Log | None = None,
-        snapshot_data: bytes = b"",
-    ) -> None:
-        """Creates a member, new or with what its disk holds.
-
-        Args:
-            member_id: Its id.
-            group: The group as of the snapshot, or the first group.
-            timing: Periods.
-            rng: Source of randomness.
-            now: Time in seconds.
-            hard: Recovered hard state.
-            log: Recovered log; all of it is synced.
-            snapshot_data: Newest snapshot, for members far behind.
-        """
-        self.member_id = member_id
-        self.hard = hard or states.HardState()
-        self.log = log or log_lib.Log()
-        self.snapshot_data = snapshot_data
-        self.commit_index = self.log.base_index
-        self.applied_index = self.log.base_index
-        self.synced_index = self.log.last_index
-        self.role = states.Role.FOLLOWER
-        self.leader = ""
-        self.progress: dict[str, states.Progress] = {}
-        self.group = group
-        self.group_index = self.log.base_index
-        self.group_history = [(self.log.base_index, group)]
-        for entry in self.log.entries:
-            self.note_group(entry)
-        self.timing = timing
-        self.rng = rng
-        # A member that restarts gives no vote before a living leader had
-        # the time to reach it and to find a rolled-back disk.
-        restarted = self.log.last_index > 0 or self.hard.term > 0
-        self.heard_leader_at = now if restarted else float("-inf")
-        self.disowned = False
-        self.votes: set[str] = set()
-        self.round = 0
-        self.beat_at = float("-inf")
-        self.effects = states.Effects()
-        self.hard_dirty = False
-        self.parts: dict[int, bytearray] = {}
-        self.term_start = 0
-        self.lead_since = 0.0
-        self.deadline = now + elections.election_delay(self)
-
-    def take_effects(self) -> states.Effects:
-        """Returns and clears what must be synced, sent and applied."""
-        effects = self.effects
-        self.effects = states.Effects()
-        if self.hard_dirty:
-            effects.hard_state = dataclasses.replace(self.hard)
-            self.hard_dirty = False
-        if self.commit_index > self.applied_index:
-            effects.committed = self.log.slice(
-                self.applied_index + 1, self.commit_index
-            )
-            self.applied_index = self.commit_index
-        return effects
+    __slots__ = ()
 
     def note_synced(self, index: int, now: float) -> None:
         """Takes the caller's word that the log is synced up to an index.
@@ -158,12 +39,12 @@
     def tick(self, now: float) -> None:
         """Lets time pass: elections, heartbeats and check-quorum."""
         if self.role is states.Role.LEADER:
-            if not elections.has_quorum_contact(self, now):
-                elections.step_down(self, self.hard.term, "", now)
+            if not self.has_quorum_contact(now):
+                self.step_down(self.hard.term, "", now)
                 return
             if now - self.beat_at >= self.timing.heartbeat_s:
                 leading.broadcast(self, now)
-        elif now >= self.deadline and elections.may_vote(self):
+        elif now >= self.deadline and self.may_vote():
             elections.start_pre_vote(self, now)
 
     def receive(self, message: messages.Message, now: float) -> None:
@@ -204,9 +85,8 @@
         Returns:
             Index and term of the entry, or None when it does not lead.
         """
-        if (
-            self.role is not states.Role.LEADER
-            or not elections.has_quorum_contact(self, now)
+        if self.role is not states.Role.LEADER or not self.has_quorum_contact(
+            now
         ):
             return None
         entry = log_lib.Entry(
@@ -280,35 +160,3 @@
         covered = [group for at, group in self.group_history if at <= index]
         above = [(at, group) for at, group in self.group_history if at > index]
         self.group_history = [(index, covered[-1]), *above]
-
-    def committed_group(self) -> group_lib.Group:
-        """Returns the group of the newest committed membership entry."""
-        found = self.group_history[0][1]
-        for index, group in self.group_history:
-            if index <= self.commit_index:
-                found = group
-        return found
-
-    def note_group(self, entry: log_lib.Entry) -> None:
-        """Takes the group of an entry into force."""
-        if entry.kind != "members":
-            return
-        self.group = snapshots.decode_group(entry.data)
-        self.group_index = entry.index
-        self.group_history.append((entry.index, self.group))
-        if self.role is states.Role.LEADER:
-            leading.track_members(self)
-
-    def send(self, message: messages.Message) -> None:
-        """Adds a message to the effects."""
-        self.effects.outgoing.append(message)
-
-    def check_invariants(self) -> None:
-        """Asserts the rules that one member can see."""
-        assert self.applied_index <= self.commit_index
-        assert self.commit_index <= self.log.last_index
-        assert self.synced_index <= self.log.last_index
-        assert self.log.base_index <= self.applied_index
-        if self.role is states.Role.LEADER:
-            assert self.leader == self.member_id
-            assert self.hard.voted_for == self.member_id
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -47,6 +47,26 @@
             assert not found, f"{path.name} imports {found}"
 
 
+def test_the_modules_of_the_control_group_import_in_one_direction():
+    folder = ROOT / "packages/chivelb-core/chivelb_core/consensus"
+    edges = {
+        path.stem: {
+            alias.name
+            for node in ast.walk(ast.parse(path.read_text(encoding="utf-8")))
+            if isinstance(node, ast.ImportFrom)
+            and node.module == "chivelb_core.consensus"
+            for alias in node.names
+        }
+        for path in folder.glob("*.py")
+        if path.stem != "__init__"
+    }
+    while edges:
+        leaves = [name for name, used in edges.items() if not used & set(edges)]
+        assert leaves, f"a circle among {sorted(edges)}"
+        for name in leaves:
+            del edges[name]
+
+
 def known_tests():
     names = set()
     for path in (ROOT / "tests").glob("test_*.py"):
