--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import enum
 from typing import Any
 from typing import Protocol
 
@@ -47,13 +48,25 @@
     clock_s: float | None = None
 
 
+class NoPage(enum.Enum):
+    """Why a poll got no events.
+
+    Attributes:
+        SILENT: No usable answer: nothing can be fetched there either.
+        BUSY: The source lives; others hold all polls that it takes.
+    """
+
+    SILENT = "silent"
+    BUSY = "busy"
+
+
 class EventPort(Protocol):
     """Asks sources for cache events and listings."""
 
     async def poll(
         self, address: str, since: int, wait_s: float
-    ) -> EventPage | None:
-        """Returns events from a number on, or None when there is no answer."""
+    ) -> EventPage | NoPage:
+        """Returns events from a number on, or why there are none."""
 
     async def list_parts(self, address: str) -> EventPage | None:
         """Returns all that a source holds, as events."""
@@ -152,7 +165,11 @@
         while True:
             source = self.directory.source(address)
             page = await self.port.poll(address, source.next, POLL_WAIT_S)
-            if page is None:
+            if page is NoPage.BUSY:
+                _log.info("source busy", source=address)
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            if page is NoPage.SILENT:
                 if known:
                     _log.warning("source lost", source=address)
                 known = False
