--- a/packages/chivelb-cli/chivelb_cli/bench/slopes.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/slopes.py
@@ -30,6 +30,8 @@
 from chivelb_node.wire import messages
 import msgspec
 
+from chivelb_cli.bench import slopes_forwarding
+
 REPEATS = 3
 SEAL_BYTES = 48
 
@@ -391,6 +393,22 @@
     return _measure("returns", "prompts", [1_000, 5_000, 20_000, 50_000], once)
 
 
+def measure_waiting() -> Slope:
+    """Time of a pass over the calls that wait at one instance."""
+    sizes = [10, 100, 1_000]
+    return _measure(
+        "waiting", "waiting calls", sizes, slopes_forwarding.time_waiting
+    )
+
+
+def measure_placement() -> Slope:
+    """Time of a placement by the runners of a service."""
+    sizes = [9, 30, 100, 300, 1_000]
+    return _measure(
+        "placement", "runners", sizes, slopes_forwarding.time_placement
+    )
+
+
 SLOPES = {
     "membership": measure_membership,
     "directory": measure_directory,
@@ -400,6 +418,8 @@
     "document": measure_document,
     "change_ids": measure_change_ids,
     "returns": measure_returns,
+    "waiting": measure_waiting,
+    "placement": measure_placement,
 }
 
 
--- /dev/null
+++ b/packages/chivelb-cli/chivelb_cli/bench/slopes_forwarding.py
@@ -0,0 +1,140 @@
+"""Slopes of forwarding: what waits, and how runners come to a prompt."""
+
+from collections.abc import Iterator
+import random
+import time
+
+from chivelb_core import document
+from chivelb_core import forwarding
+from chivelb_core import targets
+from chivelb_core.forwarding import choice
+from chivelb_core.forwarding import sourcing
+from chivelb_core.forwarding import waiting
+from chivelb_core.kept import parts as parts_lib
+
+ENGINE = document.Engine(
+    slots=64,
+    kv_tokens=160_000,
+    bytes_per_token=1_000,
+    link_bytes_per_s=1e9,
+    models=["m"],
+)
+SALT = "1:shared"
+PARTS_HELD = 200
+CALLS = 300
+
+
+def _call(rng: random.Random, number: int) -> forwarding.Call:
+    route = document.Route(
+        host="h",
+        path_prefix="/a/",
+        split=[document.Share("lm")],
+        kind="streaming",
+        timeout_s=15.0,
+        patience_s=2.4,
+    )
+    parts = tuple(
+        forwarding.Part(f"p{rng.randrange(2_000)}", 1_000) for _ in range(2)
+    )
+    own = forwarding.Part(f"own{number}", 200)
+    return forwarding.Call(
+        request_id=str(number),
+        route_name="r",
+        route=route,
+        service="lm",
+        workspace="w",
+        isolated=False,
+        priority=rng.randrange(3),
+        prompt=forwarding.Prompt("m", (*parts, own), 2_200, 100),
+        arrived_at=rng.random(),
+        deadline=15.0,
+    )
+
+
+def time_waiting(size: int, seed: int) -> dict[str, float]:
+    """Returns the time of one pass over a list of waiting calls."""
+    rng = random.Random(seed)
+    waiting_list = waiting.WaitingList()
+    for number in range(size):
+        call = _call(rng, number)
+        waiting_list.join(call, since=call.arrived_at, item=None)
+    for number in range(20):
+        waiting_list.note_start(0.9 + number / 200)
+    started = time.perf_counter()
+    for _ in range(50):
+        list(waiting_list.hopeless(1.0))
+    return {"pass_us": (time.perf_counter() - started) / 50 * 1e6}
+
+
+def _runners(size: int) -> Iterator[targets.TargetRecord]:
+    for number in range(size):
+        yield targets.TargetRecord(
+            identity=f"runner-{number}",
+            incarnation=1,
+            address=f"127.0.0.1:{number}",
+            zone=f"z{number % 3}",
+            service="lm",
+        )
+
+
+def _fill(
+    directory: parts_lib.PartDirectory, address: str, rng: random.Random
+) -> None:
+    keys = {f"p{rng.randrange(2_000)}" for _ in range(PARTS_HELD)}
+    directory.apply_events(
+        address,
+        epoch=1,
+        since=0,
+        until=len(keys),
+        events=[
+            parts_lib.PartEvent(parts_lib.part_key(SALT, key), 1_000)
+            for key in keys
+        ],
+        now=0.0,
+    )
+
+
+def time_placement(size: int, seed: int) -> dict[str, float]:
+    """Returns the time of one placement, looking at runners included."""
+    rng = random.Random(seed)
+    records = list(_runners(size))
+    directory = parts_lib.PartDirectory()
+    links = {}
+    for record in records:
+        _fill(directory, record.address, rng)
+        links[record.address] = sourcing.Link(
+            record.address, record.zone, 1e9, 0.0, False
+        )
+    calls = [_call(rng, number) for number in range(CALLS)]
+    started = time.perf_counter()
+    for call in calls:
+        _place(call, records, directory, links, rng)
+    return {"placement_us": (time.perf_counter() - started) / CALLS * 1e6}
+
+
+def _place(
+    call: forwarding.Call,
+    records: list[targets.TargetRecord],
+    directory: parts_lib.PartDirectory,
+    links: dict[str, sourcing.Link],
+    rng: random.Random,
+) -> float:
+    looks = [choice.Look(record, 3, 60_000, 500) for record in records]
+    rooms = [look for look in looks if choice.has_room(call, look, ENGINE)]
+    key = parts_lib.part_key(SALT, call.prompt.parts[0].key)
+    holders = set(directory.holders.get(key, ()))
+    prices = []
+    for look in choice.sample_runners(rooms, holders, rng):
+        plan = sourcing.plan_sourcing(
+            call.prompt,
+            SALT,
+            address=look.record.address,
+            zone=look.record.zone,
+            engine=ENGINE,
+            directory=directory,
+            links=links,
+            now=1.0,
+        )
+        placement = choice.Placement(look, plan, SALT)
+        prices.append(choice.price_runner(placement, zone="z0", engine=ENGINE))
+    return min(prices)
