Placement: at most 16 holders of a part are priced

The users' sites have at most 18 runners and hardly ever reach the bound; no figure of theirs is claimed. Test first: test_parts (a part that hundreds hold).

--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -21,6 +21,8 @@
 # Runners that are looked at for a call, beside those that hold its prompt:
 # instances that all took the best of all would meet at one runner.
 SAMPLE_SIZE = 4
+# Of the holders of a prompt's largest part at most so many are looked at.
+HOLDER_SAMPLE_SIZE = 16
 PREFILL_TOKENS_PER_S = 100_000.0
 OTHER_ZONE_S = 0.02
 FILL_WEIGHT_S = 0.1
@@ -127,6 +129,8 @@
         for room in rooms
         if room.record.address in holders and room.record.identity not in chosen
     ]
+    if len(holding) > HOLDER_SAMPLE_SIZE:
+        holding = rng.sample(holding, HOLDER_SAMPLE_SIZE)
     return [*sample, *holding]
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,7 +1,10 @@
 """What is known of kept parts, and how a runner comes to a prompt."""
 
+import random
+
 import builders
 from chivelb_core import forwarding
+from chivelb_core.forwarding import choice
 from chivelb_core.forwarding import sourcing
 from chivelb_core.kept import parts as parts_lib
 from hypothesis import given
@@ -214,3 +217,18 @@
     assert made.fetch_tokens == 200
     # Another runner may drop it as well: nothing is gained by naming one.
     assert plan(prompt, directory, [link("r2")]).fetches == ["", "", ""]
+
+
+def test_runners_that_hold_a_part_are_priced_up_to_a_bound():
+    # Pattern: a part that hundreds of runners hold must not make a
+    # decision slower the larger the fleet is.
+    looks = [
+        choice.Look(builders.make_record(f"r{n}", address=f"127.0.0.1:{n}"))
+        for n in range(300)
+    ]
+    holders = {look.record.address for look in looks[:200]}
+    chosen = choice.sample_runners(looks, holders, random.Random(1))
+    holding = [look for look in chosen if look.record.address in holders]
+    assert len(chosen) <= choice.SAMPLE_SIZE + choice.HOLDER_SAMPLE_SIZE
+    assert len(holding) >= choice.HOLDER_SAMPLE_SIZE
+    assert len({look.record.identity for look in chosen}) == len(chosen)
