Gate: room that is granted as its call gives up is given back

Cause, found by reading the diff: a call that was cancelled (its caller left), or whose time ran out, in the same turn of the event loop in which the gate granted it room, lost that room: the target's running requests and memory stayed counted until the process ended. Each such call made the entry believe its runners to be fuller.

Tests first: test_gate (cancelled as it gets room; the next call starts).

--- a/packages/chivelb-node/chivelb_node/forwarding/gate.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/gate.py
@@ -93,10 +93,20 @@
             async with asyncio.timeout(max(0.0, call.start_by(since) - now)):
                 return await future
         except TimeoutError:
+            self._give_back(future, call.service)
             raise responses.CodedError(codes.QUEUE_DEADLINE) from None
+        except asyncio.CancelledError:
+            self._give_back(future, call.service)
+            raise
         finally:
             waiting_list.leave(ticket)
 
+    def _give_back(self, future: asyncio.Future, service: str) -> None:
+        """Releases room that was granted as its call was giving up."""
+        granted = future.done() and not future.cancelled()
+        if granted and future.exception() is None:
+            self.release(future.result(), service)
+
     def _refuse_hopeless(
         self, waiting_list: waiting.WaitingList, now: float
     ) -> None:
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,97 @@
+"""Room that is granted is used or given back, whatever becomes of a call."""
+
+import asyncio
+
+import builders
+from chivelb_core import codes
+from chivelb_node import context as context_lib
+from chivelb_node.edge import responses
+import fake_ports
+import pytest
+
+
+def make_site():
+    engine = builders.make_engine(slots=1)
+    services = builders.make_routed_document().services
+    services["lm"].engine = engine
+    routed = builders.make_routed_document(services=services)
+    context = builders.make_context(
+        routed, a={"service": "lm", "weight_version": "1"}
+    )
+    return fake_ports.ForwardingSite(context)
+
+
+def make_call(name="quote", **options):
+    now = context_lib.monotonic()
+    route = builders.make_route(**options)
+    return builders.make_call(route, arrived_at=now, deadline=now + 5.0)
+
+
+def play(scenario):
+    asyncio.run(scenario())
+
+
+def test_a_call_that_is_cancelled_as_it_gets_room_gives_it_back():
+    # Pattern: the caller leaves in the very moment in which room is found.
+    site = make_site()
+
+    async def scenario():
+        first = await site.gate.enter(make_call())
+        waiting = asyncio.create_task(site.gate.enter(make_call()))
+        await asyncio.sleep(0)
+        site.gate.release(first, "lm")
+        waiting.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await waiting
+        assert site.running() == 0
+
+    play(scenario)
+
+
+def test_room_that_is_given_back_starts_the_next_call():
+    site = make_site()
+
+    async def scenario():
+        first = await site.gate.enter(make_call())
+        second = asyncio.create_task(site.gate.enter(make_call()))
+        third = asyncio.create_task(site.gate.enter(make_call()))
+        await asyncio.sleep(0)
+        site.gate.release(first, "lm")
+        second.cancel()
+        await asyncio.gather(second, return_exceptions=True)
+        async with asyncio.timeout(1):
+            room = await third
+        assert site.running() == 1
+        site.gate.release(room, "lm")
+        assert site.running() == 0
+
+    play(scenario)
+
+
+def test_a_call_whose_caller_has_no_patience_left_is_refused_at_once():
+    site = make_site()
+
+    async def scenario():
+        room = await site.gate.enter(make_call())
+        call = make_call(patience_s=0.05)
+        started = context_lib.monotonic()
+        with pytest.raises(responses.CodedError) as caught:
+            await site.gate.enter(call)
+        assert caught.value.fault.code is codes.OVERLOADED
+        assert context_lib.monotonic() - started < 1.0
+        assert not site.gate.lists["lm"].tickets
+        site.gate.release(room, "lm")
+
+    play(scenario)
+
+
+def test_without_a_target_a_call_is_refused_at_once():
+    context = builders.make_context()
+    site = fake_ports.ForwardingSite(context)
+
+    async def scenario():
+        with pytest.raises(responses.CodedError) as caught:
+            await site.gate.enter(make_call())
+        assert caught.value.fault.code is codes.NO_TARGET
+
+    play(scenario)
