--- a/tests/test_entrance.py
+++ b/tests/test_entrance.py
@@ -189,3 +189,7 @@
     assert "call refused" in printed
     assert "r-1" in printed
     assert "1003" in printed
+
+
+def test_a_connection_that_says_nothing_is_closed_without_an_answer():
+    assert play() == (b"", 0)
