Revert the longer time to come again after a start

Conclusion: reverted. What has to come first is room that is given out slowly by an entry that has just started; then the longer time pays.

--- a/packages/chivelb-core/chivelb_core/forwarding/returning.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/returning.py
@@ -8,9 +8,6 @@
 
 # Another instance serves at once; the caller only has to reach it.
 ELSEWHERE_S = 0.05
-# The balancer sends callers to an instance that is not ready only when most
-# are so: all have just started, and elect.
-ELECTED_S = 0.6
 # Targets are announced again, or come back, within about this time.
 TARGETS_BACK_S = 0.5
 # A queue that is too long now takes at least this long to be shorter.
@@ -20,7 +17,7 @@
 
 _BASES_S = {
     codes.STOPPING.number: ELSEWHERE_S,
-    codes.NOT_READY.number: ELECTED_S,
+    codes.NOT_READY.number: ELSEWHERE_S,
     codes.NO_TARGET.number: TARGETS_BACK_S,
     codes.TARGET_UNREACHABLE.number: TARGETS_BACK_S,
     codes.TARGET_REFUSED.number: QUEUE_BASE_S,
