--- /dev/null
+++ b/tests/test_programs.py
@@ -0,0 +1,186 @@
+"""The platform's two programs as processes, on loopback, without a bench."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import aiohttp
+
+ROOT = pathlib.Path(__file__).parent.parent
+CONTROL_IP, ENTRY_IP = "127.0.1.11", "127.0.1.12"
+MANIFEST = {
+    "Version": 1,
+    "Routes": [
+        {
+            "Name": "r",
+            "Host": "h.example",
+            "PathPrefix": "/a/",
+            "Kind": "safe",
+            "TimeoutMs": 1500,
+            "Service": "s",
+        }
+    ],
+    "Services": [{"Name": "s", "MaxConnections": 9}],
+}
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+class Programs:
+    """Two programs, their addresses and their logs."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        ports = free_ports(5)
+        self.front, self.ready, self.control, self.metrics, self.peer = ports
+        self.seed = f"{CONTROL_IP}:{self.control}"
+
+    def settings(self, ip, listen, **fields):
+        content = {
+            "NodeName": ip,
+            "Ip": ip,
+            "Zone": "z1",
+            "Region": "r1",
+            "Listen": listen,
+            "InternalPorts": [self.peer, self.peer],
+            "Seeds": [self.seed],
+            "Bootstrap": True,
+            "Bounds": {"GraceS": 2},
+            **fields,
+        }
+        path = self.folder / f"{ip}.json"
+        path.write_text(json.dumps(content))
+        return path
+
+    async def start(self, role, ip, settings):
+        with (self.folder / f"{ip}.log").open("wb") as log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "platform/start.py"),
+                role,
+                "--metrics-port",
+                str(self.metrics),
+                stdout=log,
+                env={**os.environ, "CHIVELB_SETTINGS": str(settings)},
+            )
+
+    def events(self, ip):
+        lines = (self.folder / f"{ip}.log").read_text().splitlines()
+        return [json.loads(line)["event"] for line in lines]
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        disk = self.folder / "disk"
+        disk.mkdir()
+        control = await self.start(
+            "control",
+            CONTROL_IP,
+            self.settings(
+                CONTROL_IP, {"Control": self.seed}, DataDir=str(disk)
+            ),
+        )
+        entry = await self.start(
+            "entry",
+            ENTRY_IP,
+            self.settings(
+                ENTRY_IP,
+                {
+                    "Front": f"{ENTRY_IP}:{self.front}",
+                    "ReadyAddr": f"{ENTRY_IP}:{self.ready}",
+                },
+            ),
+        )
+        try:
+            yield control, entry
+        finally:
+            for process in (control, entry):
+                if process.returncode is None:
+                    process.kill()
+                    await process.wait()
+
+
+async def until(session, method, url, status, **options):
+    """Repeats a request until it is answered with a status."""
+    async with asyncio.timeout(30):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with session.request(method, url, **options) as answer:
+                    if answer.status == status:
+                        return answer, await answer.text()
+            await asyncio.sleep(0.05)
+
+
+def test_entry_and_control_serve_reload_and_stop(tmp_path):
+    async def scenario():
+        programs = Programs(tmp_path)
+        front = f"http://{ENTRY_IP}:{programs.front}"
+        ready = f"http://{ENTRY_IP}:{programs.ready}/readyz"
+        control = f"http://{programs.seed}/configuration"
+        timeout = aiohttp.ClientTimeout(total=5)
+        async with (
+            programs.running() as (controller, entry),
+            aiohttp.ClientSession(timeout=timeout) as session,
+        ):
+            # Before a document is in force nothing is denied.
+            answer, _ = await until(session, "GET", f"{front}/a/x", 503)
+            assert answer.headers["X-Result-Code"] == "2005"
+            await until(session, "POST", f"{control}/replace", 400, data=b"{")
+            body = json.dumps(MANIFEST).encode()
+            await until(session, "POST", f"{control}/replace", 200, data=body)
+            _, text = await until(session, "GET", f"{control}/describe", 200)
+            assert text.encode() == body
+            await until(session, "GET", ready, 200)
+            await until(session, "GET", f"{front}/nowhere/", 404)
+            host = {"Host": "h.example"}
+            answer, _ = await until(
+                session, "GET", f"{front}/a/x", 503, headers=host
+            )
+            assert answer.headers["X-Result-Code"] == "2003"
+            for ip in (CONTROL_IP, ENTRY_IP):
+                url = f"http://{ip}:{programs.metrics}/metrics"
+                _, text = await until(session, "GET", url, 200)
+                assert "chivelb_document_version" in text
+            assert 'code="2003"' in text
+            entry.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.2)
+            for process in (entry, controller):
+                process.send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(process.wait(), 15) == 0
+        expected = {"started", "reloaded", "stopping", "stopped"}
+        assert expected <= set(programs.events(ENTRY_IP))
+        expected = {"started", "document refused", "document", "stopped"}
+        assert expected <= set(programs.events(CONTROL_IP))
+
+    asyncio.run(scenario())
+
+
+def test_settings_with_a_wrong_field_end_the_program_with_their_text(tmp_path):
+    async def scenario():
+        programs = Programs(tmp_path)
+        path = programs.settings(ENTRY_IP, {}, Zone=7)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform/start.py"),
+            "entry",
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "CHIVELB_SETTINGS": str(path)},
+        )
+        _, printed = await asyncio.wait_for(process.communicate(), 30)
+        assert process.returncode == 2
+        assert "Zone" in printed.decode()
+
+    asyncio.run(scenario())
