--- a/packages/chivelb-cli/chivelb_cli/bench/scaling_forwarding.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/scaling_forwarding.py
@@ -145,21 +145,22 @@
     links: dict[str, fetch_plan.Link],
     rng: random.Random,
 ) -> float:
-    # 3 requests in progress, which occupy 60,000 KV cache tokens, and 500
-    # prompt tokens that await prefill.
-    candidates = [
-        choice.TargetCandidate(record, 3, 60_000, 500) for record in records
-    ]
-    candidates_with_capacity = [
-        candidate
-        for candidate in candidates
-        if choice.has_capacity(call, candidate, ENGINE)
-    ]
+    def candidate_with_capacity(record: targets.TargetRecord):
+        # 3 requests in progress, which occupy 60,000 KV cache tokens, and 500
+        # prompt tokens that await prefill.
+        candidate = choice.TargetCandidate(record, 3, 60_000, 500)
+        return (
+            candidate if choice.has_capacity(call, candidate, ENGINE) else None
+        )
+
     key = parts_lib.part_key(SALT, call.prompt.parts[0].part_id)
-    holders = set(directory.tokens_by_source.get(key, ()))
     costs = []
     for candidate in choice.sample_runners(
-        candidates_with_capacity, holders, rng
+        records,
+        preferred={record.identity for record in records},
+        holders=directory.tokens_by_source.get(key, ()),
+        candidate_with_capacity=candidate_with_capacity,
+        rng=rng,
     ):
         plan = fetch_plan.plan_fetches(
             call.prompt,
--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -3,9 +3,13 @@
 For other model calls see ``routing``.
 """
 
+from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import hashlib
+import itertools
 import random
 
 from chivelb_core import routing
@@ -136,28 +140,48 @@
 
 
 def sample_runners(
-    candidates: list[TargetCandidate], holders: set[str], rng: random.Random
+    records: Sequence[targets.TargetRecord],
+    *,
+    preferred: Container[str],
+    holders: Container[str],
+    candidate_with_capacity: Callable[
+        [targets.TargetRecord], TargetCandidate | None
+    ],
+    rng: random.Random,
 ) -> list[TargetCandidate]:
     """Returns the runners to evaluate for a call.
 
+    These are a random sample of the preferred runners, one of the others, and
+    the runners that hold part of the prompt. The others are sampled in full
+    if none of these has capacity.
+
     Args:
-        candidates: All runners with capacity for the call.
-        holders: Addresses of the runners that hold part of its prompt.
+        records: All eligible runners.
+        preferred: Identities of the runners that this instance prefers.
+        holders: Addresses of the runners that hold part of the prompt.
+        candidate_with_capacity: Returns a runner with its load, or None if it
+            has no capacity for the call.
         rng: Random number generator.
     """
-    if len(candidates) <= SAMPLE_SIZE:
-        return candidates
-    sample = rng.sample(candidates, SAMPLE_SIZE)
+    shuffled = rng.sample(records, len(records))
+    near = [record for record in shuffled if record.identity in preferred]
+    far = [record for record in shuffled if record.identity not in preferred]
+
+    def with_capacity(some: Iterable[targets.TargetRecord], limit: int):
+        found = filter(None, map(candidate_with_capacity, some))
+        return list(itertools.islice(found, limit))
+
+    sample = with_capacity(near, SAMPLE_SIZE) + with_capacity(far[:1], 1)
     sampled = {candidate.record.identity for candidate in sample}
-    holding_candidates = [
-        candidate
-        for candidate in candidates
-        if candidate.record.address in holders
-        and candidate.record.identity not in sampled
-    ]
-    if len(holding_candidates) > HOLDER_SAMPLE_SIZE:
-        holding_candidates = rng.sample(holding_candidates, HOLDER_SAMPLE_SIZE)
-    return [*sample, *holding_candidates]
+    sample += with_capacity(
+        (
+            record
+            for record in shuffled
+            if record.address in holders and record.identity not in sampled
+        ),
+        HOLDER_SAMPLE_SIZE,
+    )
+    return sample or with_capacity(far[1:], SAMPLE_SIZE)
 
 
 def choose_plain_target(
--- a/packages/chivelb-core/chivelb_core/forwarding/retry_delay.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/retry_delay.py
@@ -9,6 +9,8 @@
 # The request can be served at once: by another instance, to which the client
 # only has to connect, or, after ``TARGET_REPLACED``, by another target.
 IMMEDIATE_RETRY_DELAY_S = 0.05
+# An instance that has started usually has a document within this time.
+STARTUP_DELAY_S = 0.5
 # Targets are usually announced again, or recover, within this time.
 TARGET_RECOVERY_DELAY_S = 0.5
 # Minimum delay while a queue is full, so that it can drain before the retry.
@@ -19,7 +21,7 @@
 
 _BASE_DELAYS_S = {
     codes.STOPPING.number: IMMEDIATE_RETRY_DELAY_S,
-    codes.NOT_READY.number: IMMEDIATE_RETRY_DELAY_S,
+    codes.NOT_READY.number: STARTUP_DELAY_S,
     codes.NO_TARGET.number: TARGET_RECOVERY_DELAY_S,
     codes.TARGET_UNREACHABLE.number: TARGET_RECOVERY_DELAY_S,
     codes.TARGET_REFUSED.number: FULL_QUEUE_DELAY_S,
--- a/packages/chivelb-core/chivelb_core/routing/load.py
+++ b/packages/chivelb-core/chivelb_core/routing/load.py
@@ -5,7 +5,6 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
 
 LOAD_MAX_AGE_S = 2.0
@@ -51,7 +50,9 @@
         sends: Time and prompt tokens of this instance's sends since the
             report.
         sent_tokens: Sum of the prompt tokens in ``sends``.
-        peers: Load caused by peer instances, by peer.
+        peers: Load caused by peer instances that is not zero, by peer; the
+            one reported longest ago comes first.
+        peer_sum: Sum of the loads in ``peers``; ``reported_at`` is not used.
     """
 
     running: int = 0
@@ -66,6 +67,43 @@
     )
     sent_tokens: int = 0
     peers: dict[str, PeerLoad] = dataclasses.field(default_factory=dict)
+    peer_sum: PeerLoad = dataclasses.field(
+        default_factory=lambda: PeerLoad(0.0, 0, 0, 0)
+    )
+
+    def set_peer(self, peer: str, peer_load: PeerLoad) -> None:
+        """Replaces the load caused by a peer."""
+        self.remove_peer(peer)
+        if not any(_amounts(peer_load)):
+            return
+        self.peers[peer] = peer_load
+        self._add_to_sum(peer_load, 1)
+
+    def remove_peer(self, peer: str) -> None:
+        """Removes the load caused by a peer, if any is known."""
+        previous = self.peers.pop(peer, None)
+        if previous is not None:
+            self._add_to_sum(previous, -1)
+
+    def _add_to_sum(self, peer_load: PeerLoad, sign: int) -> None:
+        total = self.peer_sum
+        total.running += sign * peer_load.running
+        total.pending_tokens += sign * peer_load.pending_tokens
+        total.kv_tokens += sign * peer_load.kv_tokens
+        total.suspect_requests += sign * peer_load.suspect_requests
+
+    def live_peer_sum(self, now: float) -> PeerLoad:
+        """Returns the sum over the peers that reported recently.
+
+        Reports arrive in order of time, so the expired ones come first: the
+        cost does not grow with the number of peers.
+        """
+        while self.peers:
+            peer, oldest = next(iter(self.peers.items()))
+            if now - oldest.reported_at < LOAD_MAX_AGE_S:
+                break
+            self.remove_peer(peer)
+        return self.peer_sum
 
 
 class LoadView:
@@ -77,7 +115,8 @@
 
     Attributes:
         loads: Load by target identity.
-        on_change: Called when the load caused by this instance changes.
+        on_change: Called with the identity of a target when the load that
+            this instance causes there changes.
     """
 
     __slots__ = ("loads", "on_change")
@@ -85,7 +124,7 @@
     def __init__(self) -> None:
         """Creates a view without targets."""
         self.loads: dict[str, TargetLoad] = {}
-        self.on_change: Callable[[], None] = _do_nothing
+        self.on_change: Callable[[str], None] = _do_nothing
 
     def load(self, identity: str) -> TargetLoad:
         """Returns a target's load, creating it if needed."""
@@ -121,7 +160,7 @@
         self, peer: str, identity: str, peer_load: PeerLoad
     ) -> None:
         """Records the load that a peer instance causes at a target."""
-        self.load(identity).peers[peer] = peer_load
+        self.load(identity).set_peer(peer, peer_load)
 
     def record_send(
         self, identity: str, now: float, pending_tokens: int, kv_tokens: int
@@ -141,12 +180,12 @@
         load.sends.append((now, pending_tokens))
         load.sent_tokens += pending_tokens
         _discard_sends(load, now - SEND_RETENTION_S)
-        self.on_change()
+        self.on_change(identity)
 
     def record_first_token(self, identity: str, pending_tokens: int) -> None:
         """Counts the prefill of a request of this instance as completed."""
         self.load(identity).own_pending_tokens -= pending_tokens
-        self.on_change()
+        self.on_change(identity)
 
     def record_end(self, identity: str, kv_tokens: int) -> None:
         """Counts a request of this instance as finished."""
@@ -156,14 +195,12 @@
         assert load.own_running >= 0, (
             f"{identity}: more requests ended than sent ({load.own_running})"
         )
-        self.on_change()
+        self.on_change(identity)
 
     def running(self, identity: str, now: float) -> int:
         """Returns the estimated number of requests in progress."""
         load = self.load(identity)
-        known = load.own_running
-        for peer in self._live_peers(load, now):
-            known += peer.running
+        known = load.own_running + load.live_peer_sum(now).running
         if now - load.measured_at > LOAD_MAX_AGE_S:
             return known
         return max(known, load.running + len(load.sends))
@@ -171,9 +208,7 @@
     def pending(self, identity: str, now: float) -> int:
         """Returns the estimated number of prompt tokens awaiting prefill."""
         load = self.load(identity)
-        known = load.own_pending_tokens
-        for peer in self._live_peers(load, now):
-            known += peer.pending_tokens
+        known = load.own_pending_tokens + load.live_peer_sum(now).pending_tokens
         if now - load.measured_at > LOAD_MAX_AGE_S:
             return known
         # A delayed report may include work that is already done, so the result
@@ -185,16 +220,13 @@
     def used_kv_tokens(self, identity: str, now: float) -> int:
         """Returns the KV cache tokens that running requests may occupy."""
         load = self.load(identity)
-        return load.own_kv_tokens + sum(
-            peer.kv_tokens for peer in self._live_peers(load, now)
-        )
+        return load.own_kv_tokens + load.live_peer_sum(now).kv_tokens
 
     def suspect_requests(self, identity: str, now: float) -> int:
         """Returns the number of running requests suspected of crashes."""
         load = self.load(identity)
-        return load.own_suspect_requests + sum(
-            peer.suspect_requests for peer in self._live_peers(load, now)
-        )
+        peer_sum = load.live_peer_sum(now)
+        return load.own_suspect_requests + peer_sum.suspect_requests
 
     def own_load(self, identity: str) -> tuple[int, int, int, int]:
         """Returns this instance's load, in the field order of ``PeerLoad``.
@@ -209,17 +241,27 @@
             load.own_suspect_requests,
         )
 
-    def _live_peers(self, load: TargetLoad, now: float) -> Iterable[PeerLoad]:
-        if not load.peers:
-            return ()
-        return [
-            peer
-            for peer in load.peers.values()
-            if now - peer.reported_at < LOAD_MAX_AGE_S
-        ]
+    def check_invariants(self) -> None:
+        """Asserts that the sums agree with the loads that they are made of."""
+        for identity, load in self.loads.items():
+            amounts = [_amounts(peer) for peer in load.peers.values()]
+            expected = tuple(map(sum, zip((0, 0, 0, 0), *amounts, strict=True)))
+            assert _amounts(load.peer_sum) == expected, (
+                f"{identity}: sum {_amounts(load.peer_sum)} of peer loads, "
+                f"expected {expected}"
+            )
+
+
+def _amounts(peer_load: PeerLoad) -> tuple[int, int, int, int]:
+    return (
+        peer_load.running,
+        peer_load.pending_tokens,
+        peer_load.kv_tokens,
+        peer_load.suspect_requests,
+    )
 
 
-def _do_nothing() -> None:
+def _do_nothing(identity: str) -> None:
     """Default of ``LoadView.on_change``."""
 
 
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/routing/load_reports.py
@@ -0,0 +1,62 @@
+"""Pace of the load reports that an instance sends to its peers.
+
+Each report goes to all peers of a group, so that an instance of a large group
+would spend most of its time on reports if it sent one for each change. The
+interval between reports therefore grows with the group: the number of messages
+sent in a second stays the same. A change that takes up much of a target is
+urgent and is reported sooner, because peers that do not know of it would place
+further work there.
+"""
+
+import dataclasses
+
+# Messages of an instance to all peers of a group together.
+MESSAGES_PER_S = 100.0
+URGENT_MESSAGES_PER_S = 400.0
+# A change is urgent from this fraction of the target's capacity on.
+URGENT_FRACTION = 0.125
+
+
+@dataclasses.dataclass(slots=True)
+class ReportPacer:
+    """Decides when the next report to a group of peers is due.
+
+    Attributes:
+        min_interval_s: Shortest interval between two reports, in seconds.
+        sent_at: Monotonic time of the last report, in seconds.
+    """
+
+    min_interval_s: float
+    sent_at: float = float("-inf")
+
+    def delay_s(self, now: float, *, peer_count: int, urgent: bool) -> float:
+        """Returns the time until a change may be reported, in seconds.
+
+        It is at least the shortest interval: changes that follow each other
+        closely go into one report.
+
+        Args:
+            now: Monotonic time in seconds.
+            peer_count: Number of peers that a report is sent to.
+            urgent: Whether the change takes up much of a target.
+        """
+        rate = URGENT_MESSAGES_PER_S if urgent else MESSAGES_PER_S
+        due_at = self.sent_at + peer_count / rate
+        return max(self.min_interval_s, due_at - now)
+
+
+def is_urgent(
+    *, running: int, slots: int, kv_tokens: int, capacity_tokens: int
+) -> bool:
+    """Returns whether a change of load takes up much of a target.
+
+    Args:
+        running: Change of the number of requests in progress.
+        slots: Number of requests that the target executes at a time.
+        kv_tokens: Change of the KV cache tokens that the requests occupy.
+        capacity_tokens: KV cache tokens of the target; 0 without a cache.
+    """
+    return (
+        abs(running) >= URGENT_FRACTION * slots
+        or abs(kv_tokens) >= URGENT_FRACTION * capacity_tokens > 0
+    )
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -23,6 +23,8 @@
         is_leaving: Whether this incarnation has announced that it is leaving.
         failed_at: Monotonic time of the last failure that this instance
             observed, in seconds; None without one, or after a success.
+        is_unreachable: Whether this instance could not open a connection to it
+            and has not succeeded since.
         is_replaced: Whether another target has since announced itself at the
             same address.
         paused_until: Monotonic time until which the target receives no new
@@ -34,6 +36,7 @@
     expires_at: float
     is_leaving: bool = False
     failed_at: float | None = None
+    is_unreachable: bool = False
     is_replaced: bool = False
     paused_until: float = -math.inf
 
@@ -78,6 +81,7 @@
         if known and known.record.incarnation == record.incarnation:
             entry.is_leaving = is_leaving or known.is_leaving
             entry.failed_at = known.failed_at
+            entry.is_unreachable = known.is_unreachable
             entry.paused_until = known.paused_until
         self.entries[record.identity] = entry
         self._claim_address(entry)
@@ -151,13 +155,17 @@
     def recent_failures(self, now: float, within_s: float) -> Iterator[str]:
         """Yields the identities of targets that failed recently.
 
+        Targets that are unreachable are included, however old the failure.
+
         Args:
             now: Monotonic time in seconds.
             within_s: Maximum age of the failure, in seconds.
         """
         for identity, entry in self.entries.items():
             failed_at = entry.failed_at
-            if failed_at is not None and now - failed_at < within_s:
+            if entry.is_unreachable or (
+                failed_at is not None and now - failed_at < within_s
+            ):
                 yield identity
 
     def record_failure(self, identity: str, now: float) -> None:
@@ -169,6 +177,19 @@
         """Clears a recorded failure."""
         if identity in self.entries:
             self.entries[identity].failed_at = None
+            self.entries[identity].is_unreachable = False
+
+    def record_unreachable(self, identity: str) -> bool:
+        """Records that no connection could be opened.
+
+        Returns:
+            True if the target was not known to be unreachable.
+        """
+        entry = self.entries.get(identity)
+        if entry is None or entry.is_unreachable:
+            return False
+        entry.is_unreachable = True
+        return True
 
     def remove_expired(self, now: float) -> list[str]:
         """Removes targets ``FORGET_AFTER_S`` past their lease expiry.
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -16,6 +16,10 @@
 from chivelb_node.telemetry import metrics as metrics_lib
 
 monotonic = time.monotonic
+# Time after the start within which an instance usually learns the document and
+# the targets; both need the control group to elect a leader if all instances
+# were started together.
+STARTUP_S = 3.0
 
 
 def boottime() -> float:
@@ -68,7 +72,9 @@
         metrics: Prometheus metrics.
         draining: Whether a shutdown was requested.
         rejecting_requests: Whether new requests are rejected during shutdown.
-        ready: Whether a document is in force by which it can serve.
+        startup_ends_at: Monotonic time from which the first document and the
+            targets are no longer expected to be on their way, in seconds.
+        readiness: Set once a document is in force by which it can serve.
         in_progress: Number of requests in progress.
         stop_requested: Event that requests a graceful shutdown.
     """
@@ -93,10 +99,24 @@
         self.metrics = metrics_lib.Metrics()
         self.draining = False
         self.rejecting_requests = False
-        self.ready = False
+        self.startup_ends_at = monotonic() + STARTUP_S
+        self.readiness = asyncio.Event()
         self.in_progress = 0
         self.stop_requested = asyncio.Event()
 
+    @property
+    def ready(self) -> bool:
+        """Whether a document is in force by which it can serve."""
+        return self.readiness.is_set()
+
+    def is_starting(self, now: float) -> bool:
+        """Returns whether documents and targets may still be on their way.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return now < self.startup_ends_at
+
     @property
     def document(self) -> document_lib.Document:
         """The document in force."""
--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -20,6 +20,8 @@
 
 PULL_PERIOD_S = 0.2
 PULL_TIMEOUT_S = 2.0
+# Period of the checks for the first document after the start.
+APPLIED_CHECK_PERIOD_S = 0.02
 FIRST_PULL_TIMEOUT_S = 1.0
 CHANGE_TIMEOUT_S = 6.0
 REQUEST_TIMEOUT_S = 3.5
@@ -79,12 +81,22 @@
         while not self.should_stop and self.context.version < 1:
             if self.voter_service is not None and self.voter_service.is_leader:
                 await self._propose_file()
-            await self._pull_highest()
-            await self.sleep(PULL_PERIOD_S)
+            await self._pull_until_applied()
         if self.context.version >= 1:
-            self.context.ready = True
+            self.context.readiness.set()
             _log.info("ready", version=self.context.version)
 
+    async def _pull_until_applied(self) -> None:
+        """Pulls once, unless a peer pushes the first document before."""
+        pull = asyncio.create_task(self._pull_highest())
+        deadline = context_lib.monotonic() + PULL_PERIOD_S
+        while self.context.version < 1 and not (
+            pull.done() and context_lib.monotonic() >= deadline
+        ):
+            await self.sleep(APPLIED_CHECK_PERIOD_S)
+        if not pull.done():
+            pull.cancel()
+
     async def _pull_highest(self) -> None:
         """Pulls from every known peer and applies the highest version."""
         peers = list(self.hub.addresses)
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -64,6 +64,7 @@
         self.context = context
         self.placement_policy = placement_policy
         self.waiting_lists: dict[str, waiting.WaitingList] = {}
+        self._has_waiting_calls = asyncio.Event()
 
     async def reserve(self, call: forwarding.Call) -> Reservation:
         """Waits until capacity at a target is reserved for a call.
@@ -87,24 +88,30 @@
             if reservation is not None:
                 waiting_list.record_start(now)
                 return reservation
-        if not self.placement_policy.eligible(call, now):
-            raise responses.RequestError(codes.NO_TARGET)
         # The waiting time of a retry starts now, not at the arrival.
         since = now if call.attempts else call.arrived_at
+        deadline = call.next_byte_deadline(since)
+        if not self.placement_policy.eligible(call, now):
+            if not self.context.is_starting(now):
+                raise responses.RequestError(codes.NO_TARGET)
+            # Targets may be announced until the start is over.
+            deadline = min(deadline, self.context.startup_ends_at)
         future = asyncio.get_running_loop().create_future()
         waiting_call = waiting_list.join(
             call, wait_started_at=since, item=future
         )
+        self._has_waiting_calls.set()
         self.dispatch(call.service)
         self._shed_calls(waiting_list, now)
         try:
-            async with asyncio.timeout(
-                max(0.0, call.next_byte_deadline(since) - now)
-            ):
+            async with asyncio.timeout(max(0.0, deadline - now)):
                 return await future
         except TimeoutError:
             self._release_if_granted(future, call.service)
-            raise responses.RequestError(codes.QUEUE_DEADLINE) from None
+            now = context_lib.monotonic()
+            if self.placement_policy.eligible(call, now):
+                raise responses.RequestError(codes.QUEUE_DEADLINE) from None
+            raise responses.RequestError(codes.NO_TARGET) from None
         except asyncio.CancelledError:
             self._release_if_granted(future, call.service)
             raise
@@ -245,8 +252,11 @@
     @mode.Service.task
     async def _dispatch_periodically(self) -> None:
         while not self.should_stop:
+            await self.wait(self._has_waiting_calls)
             await self.sleep(DISPATCH_PERIOD_S)
             for service, waiting_list in self.waiting_lists.items():
                 self.dispatch(service)
                 now = context_lib.monotonic()
                 self._shed_calls(waiting_list, now)
+            if not any(w.calls for w in self.waiting_lists.values()):
+                self._has_waiting_calls.clear()
--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -1,5 +1,7 @@
 """Creates a call from a request: route, workspace and deadline."""
 
+import asyncio
+import contextlib
 import dataclasses
 import hashlib
 import random
@@ -16,6 +18,11 @@
 
 # Metric label of requests refused before a route was found.
 NO_ROUTE = "none"
+# Limit on the time that a request waits for the first document, as a fraction
+# of the time that its caller waits.
+STARTUP_WAIT_FRACTION = 0.5
+# The same limit for a caller that does not say how long it waits, in seconds.
+STARTUP_WAIT_S = 1.5
 _log = logs.get_logger("intake")
 
 
@@ -42,6 +49,31 @@
     at: float
 
 
+async def wait_until_ready(
+    context: context_lib.InstanceContext, request_head: RequestHead
+) -> None:
+    """Waits for the first document while the instance is starting.
+
+    Returns at once if there is one, or if none has come within the usual time:
+    it is then unknown when the request could be served.
+    """
+    now = context_lib.monotonic()
+    if context.ready or not context.is_starting(now):
+        return
+    limit_s = STARTUP_WAIT_S
+    if request_head.wait_s is not None:
+        limit_s = min(limit_s, STARTUP_WAIT_FRACTION * request_head.wait_s)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            await context.readiness.wait()
+    _log.info(
+        "waited for the first document",
+        request_id=request_head.request_id,
+        waited_ms=round((context_lib.monotonic() - now) * 1000),
+        ready=context.ready,
+    )
+
+
 def create_call(
     context: context_lib.InstanceContext, request_head: RequestHead
 ) -> forwarding.Call:
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -56,6 +56,8 @@
         remove_replaced_target: Called with a target whose address now belongs
             to another target, so that it gets no new requests. It is marked as
             leaving, not removed from the table.
+        check_reachability: Called with a target to which no connection could
+            be opened.
         budgets: Retry budgets by service.
     """
 
@@ -68,8 +70,10 @@
         broadcast_observation: Callable[[suspects_lib.CrashObservation], None],
         count_instances: Callable[[], int],
         remove_replaced_target: Callable[[targets.TargetRecord], None],
+        check_reachability: Callable[[targets.TargetRecord], None],
     ) -> None:
         """Creates a forwarder."""
+        self.check_reachability = check_reachability
         self.remove_replaced_target = remove_replaced_target
         self.context = context
         self.admission_queue = admission_queue
@@ -330,6 +334,8 @@
         now = context_lib.monotonic()
         if outcome.target_crashed:
             self.context.targets.record_failure(record.identity, now)
+        if outcome.code is codes.TARGET_UNREACHABLE:
+            self.check_reachability(record)
         if outcome.code is codes.TARGET_REPLACED:
             self.remove_replaced_target(record)
         self.context.metrics.attempt_results.labels(outcome.code.number).inc()
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -5,11 +5,15 @@
 a store that holds the KV cache of parts, completely or up to some token.
 """
 
+from collections.abc import Callable
+from collections.abc import Container
+
 from chivelb_core import document
 from chivelb_core import forwarding
 from chivelb_core import targets
 from chivelb_core.forwarding import choice as choice_lib
 from chivelb_core.forwarding import fetch_plan as fetch_plan_lib
+from chivelb_core.forwarding import subset
 from chivelb_core.kv_cache import parts as parts_lib
 
 from chivelb_node import context as context_lib
@@ -27,16 +31,25 @@
     Attributes:
         context: Shared state of the instance.
         directory: Prompt parts by the source that holds their KV cache.
+        count_zone_instances: Returns the number of entry instances of this
+            zone, including this one.
     """
 
     def __init__(
         self,
         context: context_lib.InstanceContext,
         directory: parts_lib.PartDirectory,
+        *,
+        count_zone_instances: Callable[[], int] = lambda: 1,
     ) -> None:
         """Creates a placement policy."""
         self.context = context
         self.directory = directory
+        self.count_zone_instances = count_zone_instances
+        self._preferred_by_service: dict[str, tuple[tuple, frozenset[str]]] = {}
+        self._stores_version = -1
+        self._store_links: list[fetch_plan_lib.Link] = []
+        self._store_tokens: dict[str, int] = {}
 
     def eligible(
         self, call: forwarding.Call, now: float
@@ -81,17 +94,13 @@
         engine: document.EngineConfig,
         now: float,
     ) -> choice_lib.Placement | None:
-        candidates = [
-            candidate
-            for record in records
-            if choice_lib.has_capacity(
-                call, candidate := self._snapshot_load(record, now), engine
-            )
-        ]
-        links = self.links(call.service, engine, now)
+        candidates = self._sample_candidates(call, records, engine, now)
+        if not candidates:
+            return None
+        links = self._links_to_holders(call, candidates, engine, now)
         best = None
         best_cost = 0.0
-        for candidate in self._sample_candidates(call, candidates):
+        for candidate in candidates:
             placement = self._plan_placement(
                 call, candidate, engine, links, now
             )
@@ -141,64 +150,145 @@
     def _sample_candidates(
         self,
         call: forwarding.Call,
-        candidates: list[choice_lib.TargetCandidate],
+        records: list[targets.TargetRecord],
+        engine: document.EngineConfig,
+        now: float,
     ) -> list[choice_lib.TargetCandidate]:
-        """Returns the runners to compare.
+        """Returns the runners to compare, all with capacity for the call.
 
         These are a random sample and the runners that hold the largest
         shared part of the prompt.
         """
-        if len(call.prompt.parts) < 2 or not candidates:
-            return choice_lib.sample_runners(
-                candidates, set(), self.context.rng
+
+        def candidate_with_capacity(record):
+            candidate = self._snapshot_load(record, now)
+            if choice_lib.has_capacity(call, candidate, engine):
+                return candidate
+            return None
+
+        return choice_lib.sample_runners(
+            records,
+            preferred=self._preferred_runners(call.service, records),
+            holders=self._largest_part_holders(call, records),
+            candidate_with_capacity=candidate_with_capacity,
+            rng=self.context.rng,
+        )
+
+    def _preferred_runners(
+        self, service: str, records: list[targets.TargetRecord]
+    ) -> frozenset[str]:
+        instance = self.context.settings.instance
+        key = (
+            tuple(record.identity for record in records),
+            self.count_zone_instances(),
+        )
+        cached = self._preferred_by_service.get(service)
+        if cached is None or cached[0] != key:
+            preferred = subset.preferred_targets(
+                records,
+                instance=instance.name,
+                zone=instance.zone,
+                instance_count=key[1],
             )
+            cached = self._preferred_by_service[service] = (key, preferred)
+        return cached[1]
+
+    def _largest_part_holders(
+        self, call: forwarding.Call, records: list[targets.TargetRecord]
+    ) -> Container[str]:
+        """Returns the addresses of the holders of the largest shared part."""
+        if len(call.prompt.parts) < 2 or not records:
+            return ()
         # All parts but the last may be shared with other prompts. The largest
         # of them saves most prefill where it is cached, so its holders are
         # compared in addition to the sample.
         part = max(call.prompt.parts[:-1], key=lambda part: part.tokens)
-        version = candidates[0].record.weight_version
+        version = records[0].weight_version
         key = parts_lib.part_key(
             forwarding.sharing_scope(version, call), part.part_id
         )
-        holders = set(self.directory.tokens_by_source.get(key, ()))
-        return choice_lib.sample_runners(candidates, holders, self.context.rng)
+        return self.directory.tokens_by_source.get(key, {})
 
-    def links(
-        self, service: str, engine: document.EngineConfig, now: float
+    def _links_to_holders(
+        self,
+        call: forwarding.Call,
+        candidates: list[choice_lib.TargetCandidate],
+        engine: document.EngineConfig,
+        now: float,
     ) -> dict[str, fetch_plan_lib.Link]:
-        """Returns the links to the sources that runners may fetch from."""
-        found = {}
-        for entry in self.context.targets.entries.values():
-            record = entry.record
-            if record.service != service or entry.is_leaving:
-                continue
-            if self._has_recent_message(record.address, now):
-                found[record.address] = fetch_plan_lib.Link(
-                    record.address,
-                    record.zone,
-                    engine.link_bytes_per_s,
-                    0.0,  # setup_s
-                    False,  # is_store
-                )
+        """Returns the links to the sources that hold parts of a prompt."""
+        versions = {c.record.weight_version for c in candidates}
+        scopes = [forwarding.sharing_scope(v, call) for v in versions]
+        addresses = {
+            address
+            for scope in scopes
+            for part in call.prompt.parts
+            for address in self.directory.tokens_by_source.get(
+                parts_lib.part_key(scope, part.part_id), ()
+            )
+        }
+        if not addresses:
+            return {}
+        links = self._runner_links(call.service, engine, addresses, now)
         for link in self.stores(now):
-            found[link.address] = link
-        return found
+            links[link.address] = link
+        return links
+
+    def _runner_links(
+        self,
+        service: str,
+        engine: document.EngineConfig,
+        addresses: Container[str],
+        now: float,
+    ) -> dict[str, fetch_plan_lib.Link]:
+        """Returns the links to runners at some addresses."""
+        return {
+            entry.record.address: fetch_plan_lib.Link(
+                entry.record.address,
+                entry.record.zone,
+                engine.link_bytes_per_s,
+                0.0,  # setup_s
+                False,  # is_store
+            )
+            for entry in self.context.targets.entries.values()
+            if entry.record.address in addresses
+            and entry.record.service == service
+            and not entry.is_leaving
+            and self._has_recent_message(entry.record.address, now)
+        }
 
     def stores(self, now: float) -> list[fetch_plan_lib.Link]:
         """Returns the links to stores that sent a message recently."""
         return [
-            fetch_plan_lib.Link(
-                service.store.address,
-                service.store.zone,
-                service.store.link_bytes_per_s,
-                service.store.setup_s,
-                True,  # is_store
-            )
-            for service in self.context.document.services.values()
-            if service.store is not None
-            and self._has_recent_message(service.store.address, now)
+            link
+            for link in self._configured_stores()
+            if self._has_recent_message(link.address, now)
         ]
 
+    def _configured_stores(self) -> list[fetch_plan_lib.Link]:
+        """Returns the links to the stores of the document in force."""
+        if self._stores_version != self.context.version:
+            stores = [
+                service.store
+                for service in self.context.document.services.values()
+                if service.store is not None
+            ]
+            self._store_links = [
+                fetch_plan_lib.Link(
+                    store.address,
+                    store.zone,
+                    store.link_bytes_per_s,
+                    store.setup_s,
+                    True,  # is_store
+                )
+                for store in stores
+            ]
+            self._store_tokens = {
+                store.address: store.kv_tokens for store in stores
+            }
+            self._stores_version = self.context.version
+        return self._store_links
+
     def _has_recent_message(self, address: str, now: float) -> bool:
         source = self.directory.sources.get(address)
         if source is None:
@@ -231,12 +321,7 @@
         )
 
     def _store_free_tokens(self, address: str) -> int:
-        for service in self.context.document.services.values():
-            store = service.store
-            if store is not None and store.address == address:
-                # Total of the tokens of all parts that the store holds.
-                stored_tokens = self.directory.source(address).total_tokens
-                return (
-                    int(store.kv_tokens * STORE_MAX_FILL_RATIO) - stored_tokens
-                )
-        return 0
+        # Total of the tokens of all parts that the store holds.
+        stored_tokens = self.directory.source(address).total_tokens
+        capacity = self._store_tokens[address] * STORE_MAX_FILL_RATIO
+        return int(capacity) - stored_tokens
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -62,6 +62,9 @@
             context_lib.monotonic(),
         )
         self._transport: asyncio.DatagramTransport | None = None
+        peer_bytes = context.metrics.peer_bytes
+        self._bytes_in = peer_bytes.labels("in", "udp")
+        self._bytes_out = peer_bytes.labels("out", "udp")
         self._authenticator: authentication.DatagramAuthenticator | None = None
         if hub.ring is not None:
             self._authenticator = authentication.DatagramAuthenticator(
@@ -158,7 +161,7 @@
     def datagram_received(self, data: bytes, addr) -> None:
         """Handles a datagram; called by asyncio."""
         metrics = self.context.metrics
-        metrics.peer_bytes.labels("in", "udp").inc(len(data))
+        self._bytes_in.inc(len(data))
         try:
             sender, payload = self._authenticator.verify(data)
             message = codec.decode(payload).body
@@ -205,6 +208,6 @@
         if state is None or self.hub.is_partitioned(name):
             return
         data = self._authenticator.sign(codec.encode(codec.Envelope(message)))
-        self.context.metrics.peer_bytes.labels("out", "udp").inc(len(data))
+        self._bytes_out.inc(len(data))
         host, port = settings_lib.split_address(state.member.address)
         self._transport.sendto(data, (host, port))
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -15,7 +15,9 @@
 from aiohttp import http_exceptions
 from aiohttp import streams
 
-CONNECT_TIMEOUT_S = 1.0
+# A connection to a target of the region takes a few milliseconds. A lost packet
+# is sent again only after a second, so that another connection is faster.
+CONNECT_TIMEOUT_S = 0.3
 # A connection is closed if sent bytes stay unacknowledged for this long, so
 # that an unreachable target is detected without a TCP reset.
 USER_TIMEOUT_MS = 1_500
@@ -337,6 +339,16 @@
         connection.write(data)
         return Exchange(self, connection)
 
+    async def open_idle(self, address: str) -> None:
+        """Opens a connection and keeps it for a later request.
+
+        Raises:
+            NotSentError: No connection could be opened.
+        """
+        connection = await self._open(address)
+        connection.idle_since = asyncio.get_running_loop().time()
+        self.idle.setdefault(address, []).append(connection)
+
     def _take_idle(self, address: str) -> Connection | None:
         connections = self.idle.get(address)
         now = asyncio.get_running_loop().time()
--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -109,6 +109,9 @@
         self._background_tasks: set[asyncio.Task] = set()
         self._unauthenticated_links = 0
         self._server: asyncio.Server | None = None
+        peer_bytes = context.metrics.peer_bytes
+        self._bytes_in = peer_bytes.labels("in", "tcp")
+        self._bytes_out = peer_bytes.labels("out", "tcp")
         self.add_seeds(context.settings.peers.seeds)
 
     def add_seeds(self, seeds: list[str]) -> None:
@@ -239,10 +242,7 @@
         link.used_at = context_lib.monotonic()
         frame = link.outgoing.sign(data) + data
         link.writer.write(len(frame).to_bytes(4, "big") + frame)
-        self._count_bytes("out", len(frame) + 4)
-
-    def _count_bytes(self, direction: str, size: int) -> None:
-        self.context.metrics.peer_bytes.labels(direction, "tcp").inc(size)
+        self._bytes_out.inc(len(frame) + 4)
 
     # Opening and accepting links.
 
@@ -392,7 +392,7 @@
                         f"frame size of {size} bytes is out of bounds"
                     )
                 frame = await reader.readexactly(size)
-                self._count_bytes("in", size + 4)
+                self._bytes_in.inc(size + 4)
                 mac = frame[: authentication.MAC_BYTES]
                 data = frame[authentication.MAC_BYTES :]
                 link.incoming.verify(mac, data)
@@ -423,12 +423,26 @@
             if future is not None and not future.done():
                 future.set_result(envelope.body)
             return
-        task = asyncio.create_task(self._reply_to(link, envelope))
+        handler = self._handlers.get(type(envelope.body))
+        result = None
+        if handler is not None:
+            result = handler(link.peer, envelope.body)
+        if not asyncio.iscoroutine(result):
+            self._reply(link, envelope, result)
+            return
+        task = asyncio.create_task(self._reply_later(link, envelope, result))
         self._background_tasks.add(task)
         task.add_done_callback(self._background_tasks.discard)
 
-    async def _reply_to(self, link: Link, envelope: codec.Envelope) -> None:
-        reply = await self._call_handler(link.peer, envelope.body)
+    async def _reply_later(
+        self, link: Link, envelope: codec.Envelope, result: Awaitable[Any]
+    ) -> None:
+        self._reply(link, envelope, await result)
+
+    def _reply(
+        self, link: Link, envelope: codec.Envelope, reply: Any | None
+    ) -> None:
+        """Sends the result of a handler if the message was a request."""
         if not envelope.request_id:
             return
         if reply is None:
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -1,14 +1,17 @@
 """Reports the load that this instance causes at targets to its peers.
 
-The peers are all other live instances of the region.
+The peers are all other live instances of the region. Those of the same zone
+are told sooner: they place most of their calls at the same targets.
 """
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 
 from chivelb_core import routing
 from chivelb_core.calls import suspects as suspects_lib
+from chivelb_core.routing import load_reports
 import mode
 
 from chivelb_node import context as context_lib
@@ -16,10 +19,9 @@
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.wire import messages
 
-# Changes are collected for this long and then sent to the instances of the
-# zone in one message.
+# Changes are collected for at least this long and then sent in one message.
 SAME_ZONE_DELAY_S = 0.005
-OTHER_ZONES_PERIOD_S = 0.1
+OTHER_ZONES_DELAY_S = 0.1
 # An unchanged load is sent again after this time.
 RESEND_PERIOD_S = 1.0
 
@@ -38,6 +40,32 @@
     sent_at: float
 
 
+_NO_LOAD = SentLoad((0, 0, 0, 0), float("-inf"))
+
+
+@dataclasses.dataclass(slots=True)
+class PeerGroup:
+    """Peers that get the same reports at the same pace.
+
+    Attributes:
+        in_own_zone: Whether these are the peers of the zone of this instance;
+            otherwise they are those of all other zones.
+        pacer: Pace of the reports.
+        sent: Load as last reported, by target. A target without load is left
+            out once that was reported.
+        changed_targets: Targets whose load changed since the last report.
+        changed: Set while there are such targets.
+        urgent: Set while a change is urgent.
+    """
+
+    in_own_zone: bool
+    pacer: load_reports.ReportPacer
+    sent: dict[str, SentLoad] = dataclasses.field(default_factory=dict)
+    changed_targets: set[str] = dataclasses.field(default_factory=set)
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    urgent: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
 class LoadReporting(mode.Service):
     """Sends peers this instance's load and its crash observations.
 
@@ -45,6 +73,8 @@
         context: Shared state of the instance.
         hub: Links to peers.
         gossip: Membership.
+        same_zone: The peers of this zone.
+        other_zones: The peers of the other zones of the region.
     """
 
     def __init__(
@@ -58,12 +88,13 @@
         self.context = context
         self.hub = hub
         self.gossip = gossip
-        self._sent_loads: dict[str, dict[str, SentLoad]] = {
-            "same_zone": {},
-            "other_zones": {},
-        }
-        self._changed = asyncio.Event()
-        context.load.on_change = self._changed.set
+        self.same_zone = PeerGroup(
+            True, load_reports.ReportPacer(SAME_ZONE_DELAY_S)
+        )
+        self.other_zones = PeerGroup(
+            False, load_reports.ReportPacer(OTHER_ZONES_DELAY_S)
+        )
+        context.load.on_change = self._on_load_change
         hub.register_handler(messages.LoadUpdate, self._on_load_update)
         hub.register_handler(
             messages.CrashObservations, self._on_crash_observations
@@ -80,8 +111,9 @@
 
     def remove_target(self, identity: str) -> None:
         """Removes the state of a target that was removed."""
-        for sent in self._sent_loads.values():
-            sent.pop(identity, None)
+        for group in (self.same_zone, self.other_zones):
+            group.sent.pop(identity, None)
+            group.changed_targets.discard(identity)
         self.context.load.loads.pop(identity, None)
 
     def _on_load_update(self, peer: str, update: messages.LoadUpdate) -> None:
@@ -106,54 +138,94 @@
         for observation in message.sightings:
             self.context.crash_suspects.add_observation(observation, now)
 
+    def _on_load_change(self, identity: str) -> None:
+        for group in (self.same_zone, self.other_zones):
+            group.changed_targets.add(identity)
+            group.changed.set()
+        if self._is_urgent(identity):
+            self.same_zone.urgent.set()
+
+    def _is_urgent(self, identity: str) -> bool:
+        """Returns whether the unreported change takes up much of a target."""
+        entry = self.context.targets.entries.get(identity)
+        if entry is None:
+            return False
+        service = self.context.document.services.get(entry.record.service)
+        engine = None if service is None else service.engine
+        load = self.context.load.own_load(identity)
+        sent = self.same_zone.sent.get(identity, _NO_LOAD).load
+        return load_reports.is_urgent(
+            running=load[0] - sent[0],
+            slots=entry.record.slots,
+            kv_tokens=load[2] - sent[2],
+            capacity_tokens=0 if engine is None else engine.kv_tokens,
+        )
+
     @mode.Service.task
-    async def _send_to_same_zone(self) -> None:
+    async def _report_to_same_zone(self) -> None:
         while not self.should_stop:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(RESEND_PERIOD_S):
-                    await self._changed.wait()
-            await self.sleep(SAME_ZONE_DELAY_S)
-            self._changed.clear()
-            self._send_changes(
-                self._split_peers()[0], self._sent_loads["same_zone"]
-            )
+            await self._report_next(self.same_zone)
 
     @mode.Service.task
-    async def _send_to_other_zones(self) -> None:
+    async def _report_to_other_zones(self) -> None:
         while not self.should_stop:
-            await self.sleep(OTHER_ZONES_PERIOD_S)
-            self._send_changes(
-                self._split_peers()[1], self._sent_loads["other_zones"]
-            )
+            await self._report_next(self.other_zones)
+
+    async def _report_next(self, group: PeerGroup) -> None:
+        """Waits until a report to a group of peers is due, and sends it."""
+        await _wait_for(group.changed, RESEND_PERIOD_S)
+        peers = self._peers(group)
+        delay_s = self._delay_s(group, peers, urgent=False)
+        if delay_s > group.pacer.min_interval_s:
+            await _wait_for(group.urgent, delay_s)
+            delay_s = self._delay_s(group, peers, urgent=True)
+        await self.sleep(delay_s)
+        group.changed.clear()
+        group.urgent.clear()
+        now = context_lib.monotonic()
+        entries = list(self._due_entries(group, now))
+        if peers and entries:
+            group.pacer.sent_at = now
+            self.hub.broadcast(peers, messages.LoadUpdate(entries))
 
-    def _split_peers(self) -> tuple[list[str], list[str]]:
-        """Returns the peers in this zone, and those in other zones."""
-        peers = self.gossip.peers_in_region()
-        zone = self.context.settings.instance.zone
-        same_zone = set(self.gossip.zone_members(zone))
-        return (
-            [name for name in peers if name in same_zone],
-            [name for name in peers if name not in same_zone],
+    def _delay_s(
+        self, group: PeerGroup, peers: list[str], *, urgent: bool
+    ) -> float:
+        return group.pacer.delay_s(
+            context_lib.monotonic(), peer_count=len(peers), urgent=urgent
         )
 
-    def _send_changes(
-        self, peers: list[str], sent: dict[str, SentLoad]
-    ) -> None:
-        if not peers:
-            return
-        entries = list(self._changed_entries(sent, context_lib.monotonic()))
-        if entries:
-            self.hub.broadcast(peers, messages.LoadUpdate(entries))
-
-    def _changed_entries(self, sent: dict[str, SentLoad], now: float):
+    def _peers(self, group: PeerGroup) -> list[str]:
+        zone = self.context.settings.instance.zone
+        same_zone = set(self.gossip.zone_members(zone))
+        return [
+            name
+            for name in self.gossip.peers_in_region()
+            if (name in same_zone) == group.in_own_zone
+        ]
+
+    def _due_entries(
+        self, group: PeerGroup, now: float
+    ) -> Iterator[messages.SendEntry]:
         """Yields the loads that changed or are due to be sent again."""
-        for identity in self.context.targets.entries:
+        unchanged = [
+            identity
+            for identity, sent in group.sent.items()
+            if now - sent.sent_at >= RESEND_PERIOD_S
+        ]
+        group.changed_targets.update(unchanged)
+        for identity in group.changed_targets:
             load = self.context.load.own_load(identity)
-            previous = sent.get(identity)
-            if previous is None and not any(load):
+            if any(load):
+                group.sent[identity] = SentLoad(load, now)
+            elif group.sent.pop(identity, None) is None:
                 continue
-            if previous is not None and previous.load == load:
-                if not any(load) or now - previous.sent_at < RESEND_PERIOD_S:
-                    continue
-            sent[identity] = SentLoad(load, now)
             yield messages.SendEntry(identity, *load)
+        group.changed_targets.clear()
+
+
+async def _wait_for(event: asyncio.Event, timeout_s: float) -> None:
+    """Waits for an event, at most for a time in seconds."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -16,6 +16,7 @@
 
 from chivelb_core.forwarding import choice
 from chivelb_core.kv_cache import parts as parts_lib
+from chivelb_core.routing import load_reports
 import mode
 
 from chivelb_node import context as context_lib
@@ -30,6 +31,11 @@
 RETRY_DELAY_S = 0.5
 MIN_LISTING_INTERVAL_S = 3.0
 LISTING_TIMEOUT_S = 1.0
+# Updates are collected for at least this long and then sent in one message.
+MIN_BATCH_DELAY_S = 0.005
+# An update without events only shows that its source responds. It is left out
+# if another update was sent within this time.
+LIVENESS_PERIOD_S = 0.8
 _log = logs.get_logger("parts")
 
 
@@ -107,7 +113,13 @@
         self.directory = parts_lib.PartDirectory()
         self.following: dict[str, asyncio.Task] = {}
         self._pending_listings: set[str] = set()
+        self._outgoing: list[messages.PartUpdates] = []
+        self._has_outgoing = asyncio.Event()
+        self._sent_at: dict[str, float] = {}
+        self._pacer = load_reports.ReportPacer(MIN_BATCH_DELAY_S)
+        self._assigned_by: tuple[list[str], list[str]] = ([], [])
         hub.register_handler(messages.PartUpdates, self._on_update)
+        hub.register_handler(messages.PartUpdateBatch, self._on_batch)
         hub.register_handler(messages.PartPull, self._on_listing_request)
         hub.register_handler(messages.SourceUnreachable, self._on_unreachable)
 
@@ -141,21 +153,22 @@
                 if current.get(address) != tags[address]:
                     self._unfollow(address)
                     self.directory.forget(address)
+                    self._sent_at.pop(address, None)
+                    self._assigned_by = ([], [])
                     del tags[address]
             tags.update(current)
             self._assign(list(current))
 
     def _assign(self, addresses: list[str]) -> None:
-        instance = self.context.settings.instance
-        members = [
-            name
-            for name in self.gossip.zone_members(instance.zone)
-            if not self.gossip.is_control_instance(name)
-        ]
+        """Follows the sources assigned to this instance, and no others."""
+        name = self.context.settings.instance.name
+        members = self.zone_entries()
+        if self._assigned_by == (addresses, members):
+            return
+        self._assigned_by = (addresses, members)
         for address in addresses:
-            is_assigned = choice.rank_by_rendezvous(address, members)[:1] == [
-                instance.name
-            ]
+            ranking = choice.rank_by_rendezvous(address, members)
+            is_assigned = ranking[:1] == [name]
             if is_assigned and address not in self.following:
                 self.following[address] = asyncio.create_task(
                     self._follow(address)
@@ -163,6 +176,15 @@
             elif not is_assigned:
                 self._unfollow(address)
 
+    def zone_entries(self) -> list[str]:
+        """Returns the entry instances of this zone, including this one."""
+        zone = self.context.settings.instance.zone
+        return [
+            name
+            for name in self.gossip.zone_members(zone)
+            if not self.gossip.is_control_instance(name)
+        ]
+
     def _unfollow(self, address: str) -> None:
         task = self.following.pop(address, None)
         if task is not None:
@@ -210,6 +232,8 @@
         Nothing is fetched from an unreachable source.
         """
         self.directory.source(address).last_message_at = float("-inf")
+        # Updates that are sent later would show that the source responds.
+        self._flush_updates()
         self._send_to_zone(messages.SourceUnreachable(address))
 
     def _on_unreachable(
@@ -232,9 +256,35 @@
             False,
         )
         complete = self._apply_update(update, now)
-        self._send_to_zone(update)
+        sent_at = self._sent_at.get(address, float("-inf"))
+        if page.events or page.lost or now - sent_at > LIVENESS_PERIOD_S:
+            self._queue_update(update, now)
         return complete and not page.lost
 
+    def _queue_update(self, update: messages.PartUpdates, now: float) -> None:
+        self._sent_at[update.source] = now
+        self._outgoing.append(update)
+        self._has_outgoing.set()
+
+    @mode.Service.task
+    async def _send_batches(self) -> None:
+        while not self.should_stop:
+            await self.wait(self._has_outgoing)
+            delay_s = self._pacer.delay_s(
+                context_lib.monotonic(),
+                peer_count=len(self.zone_entries()) - 1,
+                urgent=False,
+            )
+            await self.sleep(delay_s)
+            self._flush_updates()
+
+    def _flush_updates(self) -> None:
+        self._has_outgoing.clear()
+        updates, self._outgoing = self._outgoing, []
+        if updates:
+            self._pacer.sent_at = context_lib.monotonic()
+            self._send_to_zone(messages.PartUpdateBatch(updates))
+
     async def _fetch_listing(self, address: str) -> None:
         page = await self.client.fetch_listing(address)
         if page is None:
@@ -242,18 +292,14 @@
         update = messages.PartUpdates(
             address, page.epoch, 0, page.next, page.events, True
         )
-        self._apply_update(update, context_lib.monotonic())
-        self._send_to_zone(update)
+        now = context_lib.monotonic()
+        self._apply_update(update, now)
+        self._queue_update(update, now)
         _log.info("source listed", source=address, parts=len(page.events))
 
     def _send_to_zone(self, update: Any) -> None:
-        instance = self.context.settings.instance
-        peers = [
-            name
-            for name in self.gossip.zone_members(instance.zone)
-            if name != instance.name
-            and not self.gossip.is_control_instance(name)
-        ]
+        own_name = self.context.settings.instance.name
+        peers = [name for name in self.zone_entries() if name != own_name]
         self.hub.broadcast(peers, update)
 
     def _apply_update(self, update: messages.PartUpdates, now: float) -> bool:
@@ -275,6 +321,10 @@
             now=now,
         )
 
+    def _on_batch(self, peer: str, batch: messages.PartUpdateBatch) -> None:
+        for update in batch.updates:
+            self._on_update(peer, update)
+
     def _on_update(self, peer: str, update: messages.PartUpdates) -> None:
         if update.source in self.following:
             return
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -62,6 +62,7 @@
     partNews @56 :PartNews;
     partPull @57 :PartPull;
     partSilence @58 :PartSilence;
+    partUpdateBatch @59 :PartUpdateBatch;
   }
 }
 
@@ -300,6 +301,10 @@
   source @0 :Text;
 }
 
+struct PartUpdateBatch {
+  updates @0 :List(PartNews);
+}
+
 struct Ping {
   sequence @0 :Int64;
   version @1 :Int64;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -277,6 +277,16 @@
     listing: bool
 
 
+class PartUpdateBatch(msgspec.Struct, rename="camel", frozen=True):
+    """Notification of what changed at the sources that the sender follows.
+
+    Attributes:
+        updates: Changes of each source, in order of its events.
+    """
+
+    updates: list[PartUpdates]
+
+
 class SourceUnreachable(msgspec.Struct, rename="camel", frozen=True):
     """Reports that the follower of a source can't reach it.
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -68,6 +68,7 @@
     messages.PartUpdates,
     messages.PartPull,
     messages.SourceUnreachable,
+    messages.PartUpdateBatch,
 )
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -181,7 +181,10 @@
 def make_context(
     current_document=None, **records
 ) -> context_lib.InstanceContext:
-    """Returns the context of a ready instance with a current document."""
+    """Returns the context of a ready instance with a current document.
+
+    It has been running for some time.
+    """
     settings = settings_lib.Settings(
         instance=settings_lib.Instance(name="i1", zone="z1")
     )
@@ -190,7 +193,8 @@
         document=current_document or make_routed_document(), version=1, number=1
     )
     context.apply_document_state(document_state)
-    context.ready = True
+    context.readiness.set()
+    context.startup_ends_at = 0.0
     for identity, options in records.items():
         record = make_record(identity, lease_s=0.0, **options)
         context.targets.announce(record, context_lib.monotonic())
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -101,6 +101,7 @@
         observations: Crash observations sent to peers.
         retired: Records of targets that the forwarder reported as gone,
             because another target answered at their address.
+        unreachable: Records of targets to which no connection was opened.
     """
 
     def __init__(self, context, *replies):
@@ -108,6 +109,7 @@
         self.targets = FakeTargets(*replies)
         self.observations = []
         self.retired = []
+        self.unreachable = []
         self.directory = parts_lib.PartDirectory()
         placement_policy = placement_lib.PlacementPolicy(
             context, self.directory
@@ -122,6 +124,7 @@
             broadcast_observation=self.observations.append,
             count_instances=lambda: 1,
             remove_replaced_target=self.retired.append,
+            check_reachability=self.unreachable.append,
         )
 
     async def serve(self, call):
--- /dev/null
+++ b/tests/test_load_reports.py
@@ -0,0 +1,142 @@
+"""Load reports between entry instances, and the sums made of them.
+
+Load pattern: many instances, each with a few requests a second, all told of
+each other's load.
+"""
+
+import builders
+from chivelb_core import routing
+from chivelb_core.routing import load_reports
+from chivelb_node import context as context_lib
+from chivelb_node.links import load_sharing
+from chivelb_node.wire import messages
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+PEERS = ["p1", "p2", "p3"]
+AMOUNTS = st.integers(min_value=0, max_value=5)
+
+
+@hypothesis.settings(derandomize=True, max_examples=200)
+@hypothesis.given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(PEERS),
+            st.tuples(AMOUNTS, AMOUNTS, AMOUNTS, AMOUNTS),
+            st.floats(min_value=0.0, max_value=1.5),
+        ),
+        max_size=30,
+    )
+)
+def test_sums_equal_recomputed_ones_under_any_order_of_reports(reports):
+    view = routing.LoadView()
+    newest = {}
+    now = 0.0
+    for peer, amounts, pause_s in reports:
+        now += pause_s
+        view.apply_peer_load("r", peer, routing.PeerLoad(now, *amounts))
+        view.apply_peer_load(peer, "r", routing.PeerLoad(now, *amounts))
+        newest[peer] = (now, amounts)
+        live = [amounts for at, amounts in newest.values() if now - at < 2.0]
+        assert view.running("r", now) == sum(a[0] for a in live)
+        assert view.pending("r", now) == sum(a[1] for a in live)
+        assert view.used_kv_tokens("r", now) == sum(a[2] for a in live)
+        assert view.suspect_requests("r", now) == sum(a[3] for a in live)
+        view.check_invariants()
+
+
+@pytest.mark.parametrize("peer_count", [2, 18, 56, 127])
+def test_messages_a_second_do_not_grow_with_the_peers(peer_count):
+    pacer = load_reports.ReportPacer(min_interval_s=0.005)
+    now, sent = 0.0, 0
+    while now < 10.0:
+        sent += peer_count
+        pacer.sent_at = now
+        now += pacer.delay_s(now, peer_count=peer_count, urgent=False)
+    assert sent <= 10.0 * load_reports.MESSAGES_PER_S + peer_count
+
+
+def test_an_urgent_change_is_reported_sooner():
+    pacer = load_reports.ReportPacer(min_interval_s=0.005, sent_at=1.0)
+    urgent_s = pacer.delay_s(1.01, peer_count=18, urgent=True)
+    other_s = pacer.delay_s(1.01, peer_count=18, urgent=False)
+    assert urgent_s < other_s / 3
+
+
+def test_the_first_change_after_a_pause_is_reported_at_once():
+    pacer = load_reports.ReportPacer(min_interval_s=0.005, sent_at=1.0)
+    assert pacer.delay_s(2.0, peer_count=18, urgent=False) == 0.005
+
+
+@pytest.mark.parametrize(
+    ("running", "kv_tokens", "expected"),
+    [(1, 500, False), (2, 500, True), (1, 12_500, True), (1, -20_000, True)],
+)
+def test_a_change_that_takes_up_much_of_a_target_is_urgent(
+    running, kv_tokens, expected
+):
+    assert expected is load_reports.is_urgent(
+        running=running, slots=16, kv_tokens=kv_tokens, capacity_tokens=100_000
+    )
+
+
+def test_a_target_without_a_cache_is_judged_by_its_slots():
+    assert not load_reports.is_urgent(
+        running=0, slots=16, kv_tokens=0, capacity_tokens=0
+    )
+
+
+class FakeHub:
+    """Ignores handlers and messages."""
+
+    def register_handler(self, message_type, handler):
+        pass
+
+
+def make_reporting():
+    context = builders.make_context(
+        a={"service": "lm", "slots": 16}, b={"service": "lm", "slots": 16}
+    )
+    reporting = load_sharing.LoadReporting(context, FakeHub(), None)
+    return context, reporting
+
+
+def due_entries(reporting, now):
+    return sorted(
+        reporting._due_entries(reporting.same_zone, now),
+        key=lambda entry: entry.identity,
+    )
+
+
+def test_only_changed_loads_are_reported_and_an_end_is_reported_once():
+    context, reporting = make_reporting()
+    now = context_lib.monotonic()
+    context.load.record_send("a", now, 100, 200)
+    assert due_entries(reporting, now) == [
+        messages.SendEntry("a", 1, 100, 200, 0)
+    ]
+    assert due_entries(reporting, now + 0.1) == []
+    context.load.record_first_token("a", 100)
+    context.load.record_end("a", 200)
+    assert due_entries(reporting, now + 0.2) == [
+        messages.SendEntry("a", 0, 0, 0, 0)
+    ]
+    assert due_entries(reporting, now + 5.0) == []
+
+
+def test_an_unchanged_load_is_reported_again_before_peers_discard_it():
+    context, reporting = make_reporting()
+    now = context_lib.monotonic()
+    context.load.record_send("a", now, 100, 200)
+    assert len(due_entries(reporting, now)) == 1
+    assert len(due_entries(reporting, now + 1.1)) == 1
+
+
+def test_a_large_prompt_is_reported_as_urgent_and_a_small_one_is_not():
+    context, reporting = make_reporting()
+    context.load.record_send("a", 0.0, 100, 200)
+    assert not reporting.same_zone.urgent.is_set()
+    context.load.record_send("b", 0.0, 15_000, 16_000)
+    assert reporting.same_zone.urgent.is_set()
+    assert not reporting.other_zones.urgent.is_set()
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -231,14 +231,18 @@
 def test_number_of_evaluated_holders_is_bounded():
     # When hundreds of runners hold a part, the cost of a decision must not
     # grow with the size of the fleet.
-    candidates = [
-        choice.TargetCandidate(
-            builders.make_record(f"r{n}", address=f"127.0.0.1:{n}")
-        )
+    records = [
+        builders.make_record(f"r{n}", address=f"127.0.0.1:{n}")
         for n in range(300)
     ]
-    holders = {candidate.record.address for candidate in candidates[:200]}
-    chosen = choice.sample_runners(candidates, holders, random.Random(1))
+    holders = {record.address for record in records[:200]}
+    chosen = choice.sample_runners(
+        records,
+        preferred={record.identity for record in records},
+        holders=holders,
+        candidate_with_capacity=choice.TargetCandidate,
+        rng=random.Random(1),
+    )
     holding = [
         candidate for candidate in chosen if candidate.record.address in holders
     ]
