Membership: refutations go first, newcomers get all members, no false deaths

New test, failing before: 63 members whose probes time out in the first 6 s.

Change: the receiver's and the sender's own state come first, then what was sent least; each member pings a suspect itself before its time is over; a sender held for dead is pinged at once; updates are sent 6 x log10(n) times; unchanged members rotate in the free room; a newcomer is sent all members.

--- a/packages/chivelb-core/chivelb_core/membership/messages.py
+++ b/packages/chivelb-core/chivelb_core/membership/messages.py
@@ -35,11 +35,14 @@
         sequence: Number that the ack repeats.
         version: Document version that the sender serves.
         updates: Piggybacked states of members.
+        joining: Whether the sender has just started and asks for all members
+            that the receiver knows.
     """
 
     sequence: int
     version: int
     updates: list[Member]
+    joining: bool = False
 
 
 class PingRequest(msgspec.Struct, rename="camel", frozen=True):
--- a/packages/chivelb-core/chivelb_core/membership/swim.py
+++ b/packages/chivelb-core/chivelb_core/membership/swim.py
@@ -19,12 +19,19 @@
 ACK_TIMEOUT_S = 0.3
 INDIRECT_PROBES = 3
 SUSPICION_FACTOR = 3.0
-MAX_UPDATES_PER_DATAGRAM = 8
-RETRANSMIT_FACTOR = 3
+MAX_UPDATES_PER_DATAGRAM = 12
+# A datagram with fewer updates also carries members that have not changed.
+REFRESHED_PER_DATAGRAM = 5
+RETRANSMIT_FACTOR = 6
+# A suspect is pinged by every member after this fraction of the time that it
+# has to refute, so that nobody declares a member dead that answers.
+CONFIRMATION_FRACTION = 0.5
 DELEGATES_PER_REGION = 2
 DEAD_RETENTION_S = 300.0
-DEAD_PROBE_PERIOD_S = 5.0
+DEAD_PROBE_PERIOD_S = 1.0
 PAUSE_THRESHOLD_S = 3.0
+# Time after the start in which an instance asks for all members.
+JOINING_S = 8.0
 
 _STATUS_PRECEDENCE = {"alive": 0, "suspect": 1, "dead": 2, "left": 3}
 
@@ -37,11 +44,14 @@
         member: Newest known state.
         changed_at: Monotonic time of the newest change of status, in seconds.
         version: Highest document version that it has reported.
+        confirming: Whether this instance has pinged it since it became
+            suspect.
     """
 
     member: messages.Member
     changed_at: float
     version: int = 0
+    confirming: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,6 +91,7 @@
         "version",
         "_rng",
         "_probe_order",
+        "_refresh_order",
         "_probes",
         "_sequence",
         "_next_probe_at",
@@ -88,6 +99,7 @@
         "_outbox",
         "_changes",
         "_last_tick_at",
+        "_joining_until",
         "_next_dead_probe_at",
     )
 
@@ -106,6 +118,7 @@
         self.version = 0
         self._rng = rng
         self._probe_order: list[str] = []
+        self._refresh_order: list[str] = []
         self._probes: dict[int, Probe] = {}
         self._sequence = rng.randrange(2**32)
         self._next_probe_at = now + rng.random() * PROBE_PERIOD_S
@@ -113,6 +126,7 @@
         self._outbox: list[tuple[str, messages.Message]] = []
         self._changes: list[messages.Member] = []
         self._last_tick_at = now
+        self._joining_until = now + JOINING_S
         self._next_dead_probe_at = now
 
     # Queries.
@@ -239,6 +253,11 @@
             case messages.Ping():
                 self._record_version(sender, message.version)
                 self._reply(sender, message.sequence, self.local_member.name)
+                if message.joining:
+                    self._send_all_members(sender)
+                if known is not None and known.member.status == "dead":
+                    # Its ack will carry the refutation.
+                    self._ping_unrecorded(sender)
             case messages.PingRequest():
                 self._ping(
                     message.target, now, requested_by=(sender, message.sequence)
@@ -284,7 +303,10 @@
             (
                 name,
                 messages.Ping(
-                    self._sequence, self.version, self._pick_updates(name)
+                    self._sequence,
+                    self.version,
+                    self._pick_updates(name),
+                    joining=now < self._joining_until,
                 ),
             )
         )
@@ -302,6 +324,20 @@
             )
         )
 
+    def _send_all_members(self, peer: str) -> None:
+        """Sends all known members, in acks that answer no ping."""
+        members = [state.member for state in self.members.values()]
+        for start in range(0, len(members), MAX_UPDATES_PER_DATAGRAM):
+            batch = members[start : start + MAX_UPDATES_PER_DATAGRAM]
+            self._outbox.append(
+                (
+                    peer,
+                    messages.Ack(
+                        0, self.local_member.name, self.version, batch
+                    ),
+                )
+            )
+
     def _on_ack(self, ack: messages.Ack, now: float) -> None:
         probe = self._probes.get(ack.sequence)
         if probe is None or probe.target != ack.about:
@@ -363,15 +399,15 @@
             if state.member.status == "dead"
         ]
         if dead:
-            # No probe is recorded: a missing ack must have no effect.
             name = self._rng.choice(dead)
             self._update_send_counts[name] = 0
-            self._outbox.append(
-                (
-                    name,
-                    messages.Ping(0, self.version, self._pick_updates(name)),
-                )
-            )
+            self._ping_unrecorded(name)
+
+    def _ping_unrecorded(self, name: str) -> None:
+        """Pings a member without a probe: a missing ack has no effect."""
+        self._outbox.append(
+            (name, messages.Ping(0, self.version, self._pick_updates(name)))
+        )
 
     # Status.
 
@@ -392,8 +428,15 @@
         for name, state in list(self.members.items()):
             member = state.member
             elapsed_s = now - state.changed_at
-            if member.status == "suspect" and elapsed_s >= timeout_s:
-                self._set_member(replace_member(member, status="dead"), now)
+            if member.status == "suspect":
+                if elapsed_s >= timeout_s:
+                    self._set_member(replace_member(member, status="dead"), now)
+                elif (
+                    elapsed_s >= CONFIRMATION_FRACTION * timeout_s
+                    and not state.confirming
+                ):
+                    state.confirming = True
+                    self._ping(name, now)
             elif (
                 member.status in ("dead", "left")
                 and elapsed_s >= DEAD_RETENTION_S
@@ -454,6 +497,7 @@
         )
         state.member = member
         state.changed_at = now
+        state.confirming = False
         self._update_send_counts[member.name] = 0
         self._changes.append(member)
 
@@ -461,14 +505,16 @@
 
     def _pick_updates(self, receiver: str) -> list[messages.Member]:
         max_sends = RETRANSMIT_FACTOR * math.ceil(
-            math.log2(len(self.members) + 2)
+            math.log10(len(self.members) + 2)
         )
         names = sorted(
             self._update_send_counts,
             key=lambda name: (
-                name != receiver,
-                -_STATUS_PRECEDENCE[self._get_member(name).status],
+                # The receiver must learn its own status to refute it, and
+                # others that of this instance if it has refuted one.
+                name not in (receiver, self.local_member.name),
                 self._update_send_counts[name],
+                -_STATUS_PRECEDENCE[self._get_member(name).status],
             ),
         )[:MAX_UPDATES_PER_DATAGRAM]
         picked = []
@@ -480,8 +526,25 @@
                 and name != self.local_member.name
             ):
                 del self._update_send_counts[name]
+        picked += self._next_refreshed(REFRESHED_PER_DATAGRAM - len(picked))
         return picked
 
+    def _next_refreshed(self, count: int) -> list[messages.Member]:
+        """Returns the next members in a rotation over all of them.
+
+        An update is sent a limited number of times and may miss a receiver;
+        the rotation repairs that.
+        """
+        refreshed = []
+        while len(refreshed) < min(count, len(self.members)):
+            if not self._refresh_order:
+                self._refresh_order = list(self.members)
+                self._rng.shuffle(self._refresh_order)
+            name = self._refresh_order.pop()
+            if name in self.members:
+                refreshed.append(self.members[name].member)
+        return refreshed
+
     def _get_member(self, name: str) -> messages.Member:
         if name == self.local_member.name:
             return self.local_member
--- a/packages/chivelb-core/chivelb_core/testing/swim_group.py
+++ b/packages/chivelb-core/chivelb_core/testing/swim_group.py
@@ -33,6 +33,7 @@
         sent: Number of sent datagrams by sender.
         on_send: Called with the sender and each sent message.
         check_count: Number of invariant checks so far.
+        seed_count: Number of seeds in the region; None for all instances.
     """
 
     def __init__(
@@ -42,18 +43,21 @@
         seed: int,
         loss: float = 0.0,
         delay_s: float = 0.005,
+        seed_count: int | None = None,
     ) -> None:
         """Creates and starts the instances.
 
-        Each has as seeds all instances of its region and two of every other
-        region.
+        Each has as seeds the first instances of its region and two of every
+        other region.
 
         Args:
             regions: Names of the instances by region.
             seed: Seed of all randomness.
             loss: Share of datagrams that are lost.
             delay_s: Mean delay of a datagram in seconds.
+            seed_count: Number of seeds in its region; None for all of them.
         """
+        self.seed_count = seed_count
         self.rng = random.Random(seed)
         self.now = 0.0
         self.loss = loss
@@ -74,8 +78,8 @@
     def start(self, region: str, name: str) -> None:
         """Starts an instance with a new incarnation.
 
-        It joins through its seeds: all instances of its region and two of each
-        other region.
+        It joins through its seeds: the first ``seed_count`` instances of its
+        region and two of each other region.
         """
         self._start_count += 1
         member = messages.Member(
@@ -85,7 +89,8 @@
             member, random.Random(self.rng.random()), self.now
         )
         for other_region, names in self._regions.items():
-            seeds = names if other_region == region else names[:2]
+            count = self.seed_count if other_region == region else 2
+            seeds = names[:count]
             for other in seeds:
                 swim.add_seed(
                     messages.Member(
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -309,6 +309,7 @@
   sequence @0 :Int64;
   version @1 :Int64;
   updates @2 :List(Member);
+  joining @3 :Bool;
 }
 
 struct PingRequest {
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,3 +1,9 @@
+"""Membership: failures, refutations and the traffic of a group.
+
+Load pattern: besides single failures, a large deployment of which all instances
+start at once, with processors that are too busy to answer in time.
+"""
+
 from chivelb_core.testing import swim_group
 import pytest
 
@@ -123,3 +129,32 @@
         group.run(20.0)
         rates[size] = max(group.sent.values()) / 20.0
     assert rates[40] <= rates[5] * 2
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_large_group_survives_a_start_in_which_most_probes_time_out(seed):
+    names = [f"n{number}" for number in range(63)]
+    group = swim_group.SwimSimulation(
+        {"r": names}, seed=seed, loss=0.4, delay_s=0.2, seed_count=3
+    )
+    group.run(6.0)
+    group.loss, group.delay_s = 0.0, 0.005
+    group.run(10.0)
+    for name in names:
+        assert group.observed_statuses(name) <= {"alive", "unknown"}
+    group.run(10.0)
+    unknown = [
+        (observer, name)
+        for observer in names
+        for name in names
+        if observer != name and group.status(observer, name) != "alive"
+    ]
+    assert len(unknown) <= 0.002 * len(names) ** 2
+
+
+def test_all_members_of_a_large_group_know_each_other_soon_after_the_start():
+    names = [f"n{number}" for number in range(63)]
+    group = swim_group.SwimSimulation({"r": names}, seed=5, seed_count=3)
+    group.run(6.0)
+    for name in names:
+        assert group.observed_statuses(name) == {"alive"}
