--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -75,6 +75,8 @@
         startup_ends_at: Monotonic time from which the first document and the
             targets are no longer expected to be on their way, in seconds.
         readiness: Set once a document is in force by which it can serve.
+        sources_known: Set once it is known which parts of prompts are cached
+            where, or enough time was given to learn it.
         in_progress: Number of requests in progress.
         stop_requested: Event that requests a graceful shutdown.
     """
@@ -101,6 +103,7 @@
         self.rejecting_requests = False
         self.startup_ends_at = monotonic() + STARTUP_S
         self.readiness = asyncio.Event()
+        self.sources_known = asyncio.Event()
         self.in_progress = 0
         self.stop_requested = asyncio.Event()
 
--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -54,11 +54,12 @@
 ) -> None:
     """Waits for the first document while the instance is starting.
 
-    Returns at once if there is one, or if none has come within the usual time:
-    it is then unknown when the request could be served.
+    It also waits until the cached parts of prompts are known. Returns at once
+    if the start is over, or if no document has come within the usual time: it
+    is then unknown when the request could be served.
     """
     now = context_lib.monotonic()
-    if context.ready or not context.is_starting(now):
+    if context.sources_known.is_set() or not context.is_starting(now):
         return
     limit_s = STARTUP_WAIT_S
     if request_head.wait_s is not None:
@@ -66,8 +67,9 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(limit_s):
             await context.readiness.wait()
+            await context.sources_known.wait()
     _log.info(
-        "waited for the first document",
+        "waited for the start",
         request_id=request_head.request_id,
         waited_ms=round((context_lib.monotonic() - now) * 1000),
         ready=context.ready,
--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -36,6 +36,10 @@
 # An update without events only shows that its source responds. It is left out
 # if another update was sent within this time.
 LIVENESS_PERIOD_S = 0.8
+# Time after the first document within which the sources that respond have
+# usually done so.
+FIRST_POLLS_S = 0.25
+FIRST_POLLS_CHECK_PERIOD_S = 0.02
 _log = logs.get_logger("parts")
 
 
@@ -143,11 +147,30 @@
                 tags[service.store.address] = "store"
         return tags
 
+    @mode.Service.task
+    async def _wait_for_first_polls(self) -> None:
+        """Sets ``sources_known`` once all sources have responded, or in time.
+
+        Calls that arrive during the start wait for it: prompts placed before
+        would be computed again although they are cached.
+        """
+        await self.wait(self.context.readiness)
+        deadline = context_lib.monotonic() + FIRST_POLLS_S
+        while context_lib.monotonic() < deadline and not self._all_responded():
+            await self.sleep(FIRST_POLLS_CHECK_PERIOD_S)
+        self.context.sources_known.set()
+
+    def _all_responded(self) -> bool:
+        addresses = self.sources()
+        return bool(addresses) and all(
+            self.directory.source(address).next for address in addresses
+        )
+
     @mode.Service.task
     async def _assign_periodically(self) -> None:
         tags: dict[str, str] = {}
+        await self.wait(self.context.readiness)
         while not self.should_stop:
-            await self.sleep(ASSIGN_PERIOD_S)
             current = self.sources()
             for address in list(tags):
                 if current.get(address) != tags[address]:
@@ -158,6 +181,7 @@
                     del tags[address]
             tags.update(current)
             self._assign(list(current))
+            await self.sleep(ASSIGN_PERIOD_S)
 
     def _assign(self, addresses: list[str]) -> None:
         """Follows the sources assigned to this instance, and no others."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -194,6 +194,7 @@
     )
     context.apply_document_state(document_state)
     context.readiness.set()
+    context.sources_known.set()
     context.startup_ends_at = 0.0
     for identity, options in records.items():
         record = make_record(identity, lease_s=0.0, **options)
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -21,6 +21,7 @@
     """Returns the context of an instance that has no document yet."""
     context = builders.make_context()
     context.readiness.clear()
+    context.sources_known.clear()
     restart(context)
     return context
 
@@ -48,6 +49,7 @@
         if ready_after_s is not None:
             loop = asyncio.get_running_loop()
             loop.call_later(ready_after_s, context.readiness.set)
+            loop.call_later(ready_after_s, context.sources_known.set)
         started = context_lib.monotonic()
         await call_factory.wait_until_ready(context, head)
         return context_lib.monotonic() - started
@@ -62,6 +64,20 @@
     assert call_factory.create_call(context, head).route_name == "quote"
 
 
+def test_a_call_waits_until_it_is_known_which_parts_are_cached():
+    context = make_starting_context()
+    context.readiness.set()
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.05, context.sources_known.set)
+        started = context_lib.monotonic()
+        await call_factory.wait_until_ready(context, make_head())
+        return context_lib.monotonic() - started
+
+    assert 0.04 < asyncio.run(run()) < 1.0
+
+
 def test_a_call_waits_no_longer_than_half_of_its_callers_time():
     context = make_starting_context()
     head = make_head(wait_s=0.1)
