--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -101,7 +101,9 @@
         self.metrics = metrics_lib.Metrics()
         self.draining = False
         self.rejecting_requests = False
-        self.startup_ends_at = monotonic() + STARTUP_S
+        self.startup_ends_at = monotonic()
+        if settings.decisions.startup_wait:
+            self.startup_ends_at += STARTUP_S
         self.readiness = asyncio.Event()
         self.sources_known = asyncio.Event()
         self.in_progress = 0
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -132,6 +132,8 @@
         The expected wait of a call is the backlog ahead of it, in seconds; it
         is added to the retry delay that the caller is told.
         """
+        if not self.context.settings.decisions.shedding:
+            return
         for waiting_call, wait_s in list(waiting_list.expected_timeouts(now)):
             waiting_list.leave(waiting_call)
             if waiting_call.item.done():
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -104,15 +104,26 @@
             placement = self._plan_placement(
                 call, candidate, engine, links, now
             )
-            cost = choice_lib.placement_cost(
-                placement,
-                zone=self.context.settings.instance.zone,
-                engine=engine,
-            )
+            cost = self._cost(placement, engine)
             if best is None or cost < best_cost:
                 best, best_cost = placement, cost
         return best
 
+    def _cost(
+        self, placement: choice_lib.Placement, engine: document.EngineConfig
+    ) -> float:
+        """Returns the cost by the configured policy; the lowest wins."""
+        settings = self.context.settings
+        cost = choice_lib.placement_cost(
+            placement, zone=settings.instance.zone, engine=engine
+        )
+        match settings.decisions.placement:
+            case "least_loaded":
+                return placement.candidate.running
+            case "random":
+                return self.context.rng.random()
+        return cost
+
     def _snapshot_load(
         self, record: targets.TargetRecord, now: float
     ) -> choice_lib.TargetCandidate:
@@ -177,6 +188,8 @@
     def _preferred_runners(
         self, service: str, records: list[targets.TargetRecord]
     ) -> frozenset[str]:
+        if not self.context.settings.decisions.runner_subsets:
+            return frozenset(record.identity for record in records)
         instance = self.context.settings.instance
         key = (
             tuple(record.identity for record in records),
@@ -199,6 +212,8 @@
         """Returns the addresses of the holders of the largest shared part."""
         if len(call.prompt.parts) < 2 or not records:
             return ()
+        if not self.context.settings.decisions.prefix_affinity:
+            return ()
         # All parts but the last may be shared with other prompts. The largest
         # of them saves most prefill where it is cached, so its holders are
         # compared in addition to the sample.
@@ -217,6 +232,8 @@
         now: float,
     ) -> dict[str, fetch_plan_lib.Link]:
         """Returns the links to the sources that hold parts of a prompt."""
+        if not self.context.settings.decisions.cache_fetches:
+            return {}
         versions = {c.record.weight_version for c in candidates}
         scopes = [forwarding.sharing_scope(v, call) for v in versions]
         addresses = {
@@ -311,6 +328,8 @@
                 parts_lib.part_key(placement.salt, part.part_id),
                 now + EXPECTED_PART_TTL_S,
             )
+        if not self.context.settings.decisions.cache_fetches:
+            return []
         return fetch_plan_lib.plan_storage(
             call.prompt,
             placement.salt,
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -117,6 +117,8 @@
         self.context.load.loads.pop(identity, None)
 
     def _on_load_update(self, peer: str, update: messages.LoadUpdate) -> None:
+        if not self.context.settings.decisions.peer_loads:
+            return
         now = context_lib.monotonic()
         for entry in update.entries:
             self.context.load.apply_peer_load(
--- a/packages/chivelb-node/chivelb_node/links/reachability.py
+++ b/packages/chivelb-node/chivelb_node/links/reachability.py
@@ -37,6 +37,8 @@
 
     def start_checking(self, record: targets.TargetRecord) -> None:
         """Marks a target as unreachable and checks it from now on."""
+        if not self.context.settings.decisions.reachability_checks:
+            return
         if self.context.targets.record_unreachable(record.identity):
             _log.warning(
                 "target unreachable",
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -121,6 +121,35 @@
     order_gap_s: float = 3.0
 
 
+class Decisions(msgspec.Struct, kw_only=True):
+    """Mechanisms that decide on forwarded calls, to compare with and without.
+
+    Attributes:
+        placement: Which of the sampled runners gets a call: the one of the
+            lowest expected ``cost``, the ``least_loaded`` or a ``random`` one.
+        prefix_affinity: Whether the holders of a shared part of the prompt are
+            compared besides the sampled runners.
+        cache_fetches: Whether cached parts are fetched and saved; otherwise a
+            runner uses only what it holds itself.
+        runner_subsets: Whether an instance prefers a subset of the runners.
+        peer_loads: Whether the load that peers report is counted.
+        startup_wait: Whether calls wait for the first document and targets.
+        reachability_checks: Whether an unreachable target gets no calls until
+            a connection to it opens.
+        shedding: Whether calls are rejected that are expected to time out
+            before their turn.
+    """
+
+    placement: typing.Literal["cost", "least_loaded", "random"] = "cost"
+    prefix_affinity: bool = True
+    cache_fetches: bool = True
+    runner_subsets: bool = True
+    peer_loads: bool = True
+    startup_wait: bool = True
+    reachability_checks: bool = True
+    shedding: bool = True
+
+
 class DocumentFile(msgspec.Struct, kw_only=True):
     """Source of the first configuration document.
 
@@ -164,6 +193,7 @@
     peers: Peers = msgspec.field(default_factory=Peers)
     control: Control = msgspec.field(default_factory=Control)
     forwarding: Forwarding = msgspec.field(default_factory=Forwarding)
+    decisions: Decisions = msgspec.field(default_factory=Decisions)
     document: DocumentFile = msgspec.field(default_factory=DocumentFile)
     operators: Operators = msgspec.field(default_factory=Operators)
     faults: Faults = msgspec.field(default_factory=Faults)
@@ -175,6 +205,7 @@
     "peers": Peers,
     "control": Control,
     "forwarding": Forwarding,
+    "decisions": Decisions,
     "document": DocumentFile,
     "operators": Operators,
     "faults": Faults,
@@ -229,6 +260,21 @@
     return parse_settings(text, str(path))
 
 
+def parse_decisions(
+    assignments: list[str],
+) -> expression.Result[Decisions, list[str]]:
+    """Parses keys of the section ``decisions``, each as ``key=value``."""
+    parser = configparser.ConfigParser(interpolation=None)
+    text = "\n".join(["[decisions]", *assignments])
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        return expression.Error([error.message])
+    errors: list[str] = []
+    decisions = _read_section(parser["decisions"], "command line", errors)
+    return expression.Error(errors) if errors else expression.Ok(decisions)
+
+
 def _read_section(
     section: configparser.SectionProxy, source: str, errors: list[str]
 ) -> typing.Any:
