--- a/packages/chivelb-core/chivelb_core/routing/load_reports.py
+++ b/packages/chivelb-core/chivelb_core/routing/load_reports.py
@@ -13,8 +13,10 @@
 # Messages of an instance to all peers of a group together.
 MESSAGES_PER_S = 100.0
 URGENT_MESSAGES_PER_S = 400.0
-# A change is urgent from this fraction of the target's capacity on.
-URGENT_FRACTION = 0.125
+# A change is urgent from these fractions of the target's capacity on. Single
+# requests to a target with few slots are too short to be worth a message.
+URGENT_SLOT_FRACTION = 0.25
+URGENT_MEMORY_FRACTION = 0.125
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,10 +25,13 @@
 
     Attributes:
         min_interval_s: Shortest interval between two reports, in seconds.
+        messages_per_s: Messages to all peers of the group together, unless a
+            change is urgent.
         sent_at: Monotonic time of the last report, in seconds.
     """
 
     min_interval_s: float
+    messages_per_s: float = MESSAGES_PER_S
     sent_at: float = float("-inf")
 
     def delay_s(self, now: float, *, peer_count: int, urgent: bool) -> float:
@@ -40,7 +45,7 @@
             peer_count: Number of peers that a report is sent to.
             urgent: Whether the change takes up much of a target.
         """
-        rate = URGENT_MESSAGES_PER_S if urgent else MESSAGES_PER_S
+        rate = URGENT_MESSAGES_PER_S if urgent else self.messages_per_s
         due_at = self.sent_at + peer_count / rate
         return max(self.min_interval_s, due_at - now)
 
@@ -57,6 +62,6 @@
         capacity_tokens: KV cache tokens of the target; 0 without a cache.
     """
     return (
-        abs(running) >= URGENT_FRACTION * slots
-        or abs(kv_tokens) >= URGENT_FRACTION * capacity_tokens > 0
+        abs(running) >= URGENT_SLOT_FRACTION * slots
+        or abs(kv_tokens) >= URGENT_MEMORY_FRACTION * capacity_tokens > 0
     )
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -22,6 +22,8 @@
 # Changes are collected for at least this long and then sent in one message.
 SAME_ZONE_DELAY_S = 0.005
 OTHER_ZONES_DELAY_S = 0.1
+# Calls are seldom placed in other zones, and traffic to them is dearer.
+OTHER_ZONES_MESSAGES_PER_S = 50.0
 # An unchanged load is sent again after this time.
 RESEND_PERIOD_S = 1.0
 
@@ -92,7 +94,10 @@
             True, load_reports.ReportPacer(SAME_ZONE_DELAY_S)
         )
         self.other_zones = PeerGroup(
-            False, load_reports.ReportPacer(OTHER_ZONES_DELAY_S)
+            False,
+            load_reports.ReportPacer(
+                OTHER_ZONES_DELAY_S, OTHER_ZONES_MESSAGES_PER_S
+            ),
         )
         context.load.on_change = self._on_load_change
         hub.register_handler(messages.LoadUpdate, self._on_load_update)
--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -18,6 +18,7 @@
 from chivelb_core.kv_cache import parts as parts_lib
 from chivelb_core.routing import load_reports
 import mode
+import msgspec
 
 from chivelb_node import context as context_lib
 from chivelb_node.links import gossip as gossip_lib
@@ -41,6 +42,7 @@
 FIRST_POLLS_S = 0.25
 FIRST_POLLS_CHECK_PERIOD_S = 0.02
 _log = logs.get_logger("parts")
+_batch_decoder = msgspec.msgpack.Decoder(list[messages.PartUpdates])
 
 
 @dataclasses.dataclass(slots=True)
@@ -307,7 +309,8 @@
         updates, self._outgoing = self._outgoing, []
         if updates:
             self._pacer.sent_at = context_lib.monotonic()
-            self._send_to_zone(messages.PartUpdateBatch(updates))
+            payload = msgspec.msgpack.encode(updates)
+            self._send_to_zone(messages.PartUpdateBatch(payload))
 
     async def _fetch_listing(self, address: str) -> None:
         page = await self.client.fetch_listing(address)
@@ -346,7 +349,14 @@
         )
 
     def _on_batch(self, peer: str, batch: messages.PartUpdateBatch) -> None:
-        for update in batch.updates:
+        try:
+            updates = _batch_decoder.decode(batch.payload)
+        except msgspec.MsgspecError as error:
+            _log.warning(
+                "cannot decode cache events", peer=peer, error=str(error)
+            )
+            return
+        for update in updates:
             self._on_update(peer, update)
 
     def _on_update(self, peer: str, update: messages.PartUpdates) -> None:
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -302,7 +302,7 @@
 }
 
 struct PartUpdateBatch {
-  updates @0 :List(PartNews);
+  payload @0 :Data;
 }
 
 struct Ping {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -281,10 +281,12 @@
     """Notification of what changed at the sources that the sender follows.
 
     Attributes:
-        updates: Changes of each source, in order of its events.
+        payload: Changes of each source, in order of its events: a list of
+            ``PartUpdates`` in MessagePack, which decodes the many small
+            strings faster.
     """
 
-    updates: list[PartUpdates]
+    payload: bytes
 
 
 class SourceUnreachable(msgspec.Struct, rename="camel", frozen=True):
--- a/tests/test_part_events.py
+++ b/tests/test_part_events.py
@@ -111,3 +111,52 @@
     )
     source, _ = follow(page(1, "a"), restarted, restarted)
     assert source.parts == {"c": 5}
+
+
+def test_updates_of_several_sources_reach_peers_in_one_message():
+    sender, receiver = FakeHub(), FakeHub()
+    source = FakeSource()
+
+    async def run():
+        follower = part_events.CacheEventFollower(
+            builders.make_context(), sender, FakeGossip(), source
+        )
+        for address in ("127.0.0.1:7001", "127.0.0.1:7002"):
+            follower._apply_page(address, page(1, "a", "b"), 0, 1.0)
+        follower._flush_updates()
+        other = part_events.CacheEventFollower(
+            builders.make_context(), receiver, FakeGossip(), source
+        )
+        (batch,) = sender.sent
+        other._on_batch("i2", batch)
+        return other.directory
+
+    directory = asyncio.run(run())
+    assert set(directory.tokens_by_source["a"]) == set(directory.sources)
+    directory.check_invariants()
+
+
+def test_a_page_without_events_is_sent_only_to_show_that_a_source_responds():
+    hub = FakeHub()
+
+    async def run():
+        follower = part_events.CacheEventFollower(
+            builders.make_context(), hub, FakeGossip(), FakeSource()
+        )
+        for now in (1.0, 1.1, 1.2, 1.9):
+            follower._apply_page(SOURCE, page(1), 0, now)
+        return len(follower._outgoing)
+
+    assert asyncio.run(run()) == 2
+
+
+def test_a_malformed_batch_is_logged_and_ignored(capsys):
+    async def run():
+        follower = part_events.CacheEventFollower(
+            builders.make_context(), FakeHub(), FakeGossip(), FakeSource()
+        )
+        follower._on_batch("i2", messages.PartUpdateBatch(b"\xff"))
+        return follower.directory.sources
+
+    assert asyncio.run(run()) == {}
+    assert "cannot decode cache events" in capsys.readouterr().out
