--- a/packages/chivelb-core/chivelb_core/routing/load_reports.py
+++ b/packages/chivelb-core/chivelb_core/routing/load_reports.py
@@ -11,7 +11,7 @@
 import dataclasses
 
 # Messages of an instance to all peers of a group together.
-MESSAGES_PER_S = 100.0
+MESSAGES_PER_S = 60.0
 URGENT_MESSAGES_PER_S = 400.0
 # A change is urgent from these fractions of the target's capacity on. Single
 # requests to a target with few slots are too short to be worth a message.
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -13,12 +13,16 @@
 from chivelb_core.calls import suspects as suspects_lib
 from chivelb_core.routing import load_reports
 import mode
+import msgspec
 
 from chivelb_node import context as context_lib
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.telemetry import logs
 from chivelb_node.wire import messages
 
+_log = logs.get_logger("load-sharing")
+_entries_decoder = msgspec.msgpack.Decoder(list[messages.SendEntry])
 # Changes are collected for at least this long and then sent in one message.
 SAME_ZONE_DELAY_S = 0.005
 OTHER_ZONES_DELAY_S = 0.1
@@ -101,6 +105,7 @@
         )
         context.load.on_change = self._on_load_change
         hub.register_handler(messages.LoadUpdate, self._on_load_update)
+        hub.register_handler(messages.LoadReport, self._on_load_report)
         hub.register_handler(
             messages.CrashObservations, self._on_crash_observations
         )
@@ -121,6 +126,14 @@
             group.changed_targets.discard(identity)
         self.context.load.loads.pop(identity, None)
 
+    def _on_load_report(self, peer: str, report: messages.LoadReport) -> None:
+        try:
+            entries = _entries_decoder.decode(report.payload)
+        except msgspec.MsgspecError as error:
+            _log.warning("cannot decode loads", peer=peer, error=str(error))
+            return
+        self._on_load_update(peer, messages.LoadUpdate(entries))
+
     def _on_load_update(self, peer: str, update: messages.LoadUpdate) -> None:
         if not self.context.settings.decisions.peer_loads:
             return
@@ -193,7 +206,8 @@
         entries = list(self._due_entries(group, now))
         if peers and entries:
             group.pacer.sent_at = now
-            self.hub.broadcast(peers, messages.LoadUpdate(entries))
+            payload = msgspec.msgpack.encode(entries)
+            self.hub.broadcast(peers, messages.LoadReport(payload))
 
     def _delay_s(
         self, group: PeerGroup, peers: list[str], *, urgent: bool
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -63,6 +63,7 @@
     partPull @57 :PartPull;
     partSilence @58 :PartSilence;
     partUpdateBatch @59 :PartUpdateBatch;
+    loadReport @60 :LoadReport;
   }
 }
 
@@ -259,6 +260,10 @@
   after @1 :Text;
 }
 
+struct LoadReport {
+  payload @0 :Data;
+}
+
 struct Lookup {
   keys @0 :List(Text);
   workspace @1 :Text;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -255,6 +255,18 @@
     entries: list[SendEntry]
 
 
+class LoadReport(msgspec.Struct, rename="camel", frozen=True):
+    """Notification of the load that the sender causes at targets.
+
+    It replaces ``LoadUpdate``, which instances of the previous release send.
+
+    Attributes:
+        payload: Loads that changed: a list of ``SendEntry`` in MessagePack.
+    """
+
+    payload: bytes
+
+
 class PartUpdates(msgspec.Struct, rename="camel", frozen=True):
     """Cache events that a follower received from a source.
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -69,6 +69,7 @@
     messages.PartPull,
     messages.SourceUnreachable,
     messages.PartUpdateBatch,
+    messages.LoadReport,
 )
 
 
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -12,6 +12,7 @@
 from chivelb_node.wire import messages
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 PEERS = ["p1", "p2", "p3"]
@@ -146,3 +147,13 @@
     context.load.record_send("b", 0.0, 15_000, 16_000)
     assert reporting.same_zone.urgent.is_set()
     assert not reporting.other_zones.urgent.is_set()
+
+
+def test_a_report_of_a_peer_is_counted_and_a_malformed_one_is_logged(capsys):
+    context, reporting = make_reporting()
+    entries = [messages.SendEntry("a", 2, 100, 200, 0)]
+    payload = msgspec.msgpack.encode(entries)
+    reporting._on_load_report("p", messages.LoadReport(payload))
+    reporting._on_load_report("p", messages.LoadReport(b"\xff"))
+    assert context.load.running("a", context_lib.monotonic()) == 2
+    assert "cannot decode loads" in capsys.readouterr().out
