--- a/packages/chivelb-cli/chivelb_cli/bench/scaling.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/scaling.py
@@ -475,6 +475,16 @@
     )
 
 
+def measure_placement_by_peers() -> ScalingCurve:
+    """Measures the time of a placement by number of reporting peers."""
+    return _measure(
+        "placement_by_peers",
+        "peers",
+        [8, 56, 194],
+        scaling_forwarding.time_placement_by_peers,
+    )
+
+
 SCALING_BENCHMARKS = {
     "membership": measure_membership,
     "directory": measure_directory,
@@ -486,6 +496,7 @@
     "returns": measure_returns,
     "waiting": measure_waiting,
     "placement": measure_placement,
+    "placement_by_peers": measure_placement_by_peers,
 }
 
 
--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -163,25 +163,28 @@
             has no capacity for the call.
         rng: Random number generator.
     """
-    shuffled = rng.sample(records, len(records))
-    near = [record for record in shuffled if record.identity in preferred]
-    far = [record for record in shuffled if record.identity not in preferred]
+    near = [record for record in records if record.identity in preferred]
+    far = [record for record in records if record.identity not in preferred]
+    holding = [record for record in records if record.address in holders]
+    rng.shuffle(near)
+    rng.shuffle(holding)
 
     def with_capacity(some: Iterable[targets.TargetRecord], limit: int):
         found = filter(None, map(candidate_with_capacity, some))
         return list(itertools.islice(found, limit))
 
-    sample = with_capacity(near, SAMPLE_SIZE) + with_capacity(far[:1], 1)
+    sample = with_capacity(near, SAMPLE_SIZE)
+    if far:
+        sample += with_capacity([rng.choice(far)], 1)
     sampled = {candidate.record.identity for candidate in sample}
     sample += with_capacity(
-        (
-            record
-            for record in shuffled
-            if record.address in holders and record.identity not in sampled
-        ),
+        (record for record in holding if record.identity not in sampled),
         HOLDER_SAMPLE_SIZE,
     )
-    return sample or with_capacity(far[1:], SAMPLE_SIZE)
+    if sample:
+        return sample
+    rng.shuffle(far)
+    return with_capacity(far, SAMPLE_SIZE)
 
 
 def choose_plain_target(
--- a/packages/chivelb-core/chivelb_core/forwarding/fetch_plan.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/fetch_plan.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import heapq
 
 from chivelb_core.document import model as model_lib
 from chivelb_core.forwarding import call as call_lib
@@ -36,6 +37,11 @@
     is_store: bool
 
 
+# The two best links to sources of a part, by key of the part and zone of the
+# runner that would fetch it.
+Rankings = dict[tuple[str, str], list[Link]]
+
+
 @dataclasses.dataclass(slots=True)
 class FetchPlan:
     """Plan of how a runner obtains the KV cache of a prompt.
@@ -69,6 +75,7 @@
     directory: parts_lib.PartDirectory,
     links: dict[str, Link],
     now: float,
+    rankings: Rankings | None = None,
 ) -> FetchPlan:
     """Plans how a runner obtains the KV cache of a prompt.
 
@@ -84,7 +91,10 @@
         directory: Directory of the parts that sources hold.
         links: Usable sources by address.
         now: Monotonic time in seconds.
+        rankings: Rankings of the sources so far, extended by this call; pass
+            the same to plan the same prompt for several runners.
     """
+    rankings = {} if rankings is None else rankings
     complete_parts, held_tokens = directory.held_prefix(
         address, sharing_scope, prompt, now
     )
@@ -95,7 +105,7 @@
     for index, part in enumerate(prompt.parts):
         key = parts_lib.part_key(sharing_scope, part.part_id)
         link = _preferred_link(
-            key, part.tokens, address, zone, directory, links
+            key, part.tokens, address, zone, directory, links, rankings
         )
         if index < complete_parts:
             # The runner may evict a part that it holds before using it. A
@@ -145,29 +155,35 @@
     zone: str,
     directory: parts_lib.PartDirectory,
     links: dict[str, Link],
+    rankings: Rankings,
 ) -> Link | None:
     """Returns the preferred link to a source of a complete part, or None.
 
-    Links are ordered by kind of source, zone, latency, then bandwidth.
+    A runner is no source for itself, so that the two best are ranked.
     """
-    best = None
-    best_rank = None
-    for source_address in directory.complete_sources(key, tokens):
-        link = links.get(source_address)
-        if link is None or source_address == address:
-            continue
-        # Stores are preferred: a runner may evict a part before it is
-        # fetched.
-        rank = (
-            not link.is_store,
-            link.zone != zone,
-            link.setup_s,
-            -link.bytes_per_s,
-            source_address,
+    ranked = rankings.get((key, zone))
+    if ranked is None:
+        sources = directory.complete_sources(key, tokens)
+        usable = [links[source] for source in sources if source in links]
+        ranked = rankings[key, zone] = heapq.nsmallest(
+            2, usable, key=lambda link: _link_rank(link, zone)
         )
-        if best_rank is None or rank < best_rank:
-            best, best_rank = link, rank
-    return best
+    return next((link for link in ranked if link.address != address), None)
+
+
+def _link_rank(link: Link, zone: str) -> tuple:
+    """Returns the sort key of a link for runners of a zone, best first.
+
+    Links are ordered by kind of source, zone, latency, then bandwidth. Stores
+    are preferred: a runner may evict a part before it is fetched.
+    """
+    return (
+        not link.is_store,
+        link.zone != zone,
+        link.setup_s,
+        -link.bytes_per_s,
+        link.address,
+    )
 
 
 def plan_storage(
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -98,11 +98,12 @@
         if not candidates:
             return None
         links = self._links_to_holders(call, candidates, engine, now)
+        rankings: fetch_plan_lib.Rankings = {}
         best = None
         best_cost = 0.0
         for candidate in candidates:
             placement = self._plan_placement(
-                call, candidate, engine, links, now
+                call, candidate, engine, links, rankings, now
             )
             cost = self._cost(placement, engine)
             if best is None or cost < best_cost:
@@ -142,6 +143,7 @@
         candidate: choice_lib.TargetCandidate,
         engine: document.EngineConfig,
         links: dict[str, fetch_plan_lib.Link],
+        rankings: fetch_plan_lib.Rankings,
         now: float,
     ) -> choice_lib.Placement:
         record = candidate.record
@@ -155,6 +157,7 @@
             directory=self.directory,
             links=links,
             now=now,
+            rankings=rankings,
         )
         return choice_lib.Placement(candidate, plan, salt)
 
