Saves of parts are spread over the stores

Test failing before: parts spread by capacity. Change: weighted rendezvous hashing on the free capacity within the zone.

--- a/packages/chivelb-core/chivelb_core/forwarding/fetch_plan.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/fetch_plan.py
@@ -6,7 +6,9 @@
 
 from collections.abc import Callable
 import dataclasses
+import hashlib
 import heapq
+import math
 
 from chivelb_core.document import model as model_lib
 from chivelb_core.forwarding import call as call_lib
@@ -197,7 +199,11 @@
 ) -> list[str]:
     """Selects a store for each part that no store holds yet.
 
-    The last part belongs to one request or session and is not stored.
+    The last part belongs to one request or session and is not stored. Stores of
+    the runner's zone come first. Among them the parts are spread by weighted
+    rendezvous hashing on the free capacity: instances that store the same part
+    at the same time choose the same store, and no store's link has to carry
+    most of the transfers.
 
     Args:
         prompt: The prompt.
@@ -220,9 +226,25 @@
         fitting_stores = [
             s for s in stores if free_tokens(s.address) >= part.tokens
         ]
-        if fitting_stores:
-            store_addresses[index] = min(
-                fitting_stores,
-                key=lambda s: (s.zone != zone, s.setup_s, s.address),
-            ).address
+        in_zone = [store for store in fitting_stores if store.zone == zone]
+        candidates = in_zone or fitting_stores
+        if candidates:
+            store_addresses[index] = max(
+                (store.address for store in candidates),
+                key=lambda address: _rendezvous_score(
+                    key, address, free_tokens(address)
+                ),
+            )
     return store_addresses
+
+
+def _rendezvous_score(key: str, address: str, weight: int) -> float:
+    """Returns the score of a store for a part; the highest is chosen.
+
+    A store is chosen for a share of the parts that is proportional to its
+    weight.
+    """
+    digest = hashlib.blake2b(f"{key}/{address}".encode(), digest_size=8)
+    # In the open interval from 0 to 1.
+    fraction = (int.from_bytes(digest.digest(), "big") + 0.5) / 2**64
+    return weight / -math.log(fraction)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -205,6 +205,45 @@
     assert saves() == ["", "", ""]
 
 
+def choose_stores(free_tokens, part_count):
+    """Returns the store of each of many parts of 100 tokens."""
+    stores = [link(name, is_store=True) for name in free_tokens]
+    chosen = []
+    for number in range(part_count):
+        parts = (
+            forwarding.Part(f"shared{number}", 100),
+            forwarding.Part("own", 10),
+        )
+        chosen += fetch_plan.plan_storage(
+            forwarding.Prompt("m", parts, 110, 100),
+            SALT,
+            directory=make_directory(),
+            stores=stores,
+            free_tokens=free_tokens.__getitem__,
+            zone="z1",
+        )[:1]
+    return chosen
+
+
+def test_parts_are_spread_over_stores_by_their_free_capacity():
+    # Load pattern: many large shared parts that are all new at the same time.
+    chosen = choose_stores({"s1": 10_000, "s2": 10_000, "s3": 40_000}, 600)
+    counts = [chosen.count(name) for name in ("s1", "s2", "s3")]
+    assert 60 < counts[0] < 140
+    assert 60 < counts[1] < 140
+    assert 340 < counts[2] < 460
+
+
+def test_instances_that_store_a_part_at_the_same_time_choose_the_same_store():
+    free_tokens = {f"s{number}": 50_000 for number in range(20)}
+    # Their knowledge of the free capacity differs a little.
+    other = {name: free - 100 * len(name) for name, free in free_tokens.items()}
+    first = choose_stores(free_tokens, 200)
+    second = choose_stores(other, 200)
+    differing = sum(a != b for a, b in zip(first, second, strict=True))
+    assert differing <= 4
+
+
 def test_weight_versions_and_isolated_workspaces_have_separate_scopes():
     shared = builders.make_call(isolated=False)
     alone = builders.make_call(isolated=True, workspace="x")
