Fleets reserve their port ranges, so that concurrent test runs cannot clash

Cause: ranges were chosen by process id modulo 110, and test_programs took ephemeral ports that other processes use for outgoing connections. A lock on a file reserves a range for the life of a process.

--- a/packages/chivelb-cli/chivelb_cli/fleet.py
+++ b/packages/chivelb-cli/chivelb_cli/fleet.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import fcntl
 import hashlib
 import os
 import pathlib
@@ -16,6 +17,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from typing import Any
 
@@ -34,13 +36,36 @@
 def _iterate_ports() -> Iterator[int]:
     """Yields candidate ports below the ephemeral range of the system.
 
-    Each process uses a port range derived from its process id, so that fleets
-    in concurrent processes rarely compete for the same ports. The ports of
-    the range are repeated endlessly.
+    Each process reserves a port range for as long as it runs, so that fleets
+    in concurrent processes never compete for the same ports. The ports of the
+    range are repeated endlessly.
     """
-    start = FIRST_PORT + os.getpid() % PORT_RANGE_COUNT * PORTS_PER_RANGE
-    while True:
-        yield from range(start, start + PORTS_PER_RANGE)
+    with _reserve_port_range() as start:
+        while True:
+            yield from range(start, start + PORTS_PER_RANGE)
+
+
+@contextlib.contextmanager
+def _reserve_port_range() -> Iterator[int]:
+    """Reserves a port range by a lock on a file that names it.
+
+    Yields:
+        The first port of the range.
+
+    Raises:
+        RuntimeError: Other processes have reserved all ranges.
+    """
+    for number in range(PORT_RANGE_COUNT):
+        start = FIRST_PORT + number * PORTS_PER_RANGE
+        path = pathlib.Path(tempfile.gettempdir(), f"chivelb-ports-{start}")
+        with path.open("w") as file:
+            try:
+                fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except OSError:
+                continue
+            yield start
+            return
+    raise RuntimeError(f"all {PORT_RANGE_COUNT} port ranges are reserved")
 
 
 _port_candidates = _iterate_ports()
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -6,10 +6,10 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 
 import aiohttp
+from chivelb_cli import fleet
 
 ROOT = pathlib.Path(__file__).parent.parent
 CONTROL_IP, ENTRY_IP = "127.0.1.11", "127.0.1.12"
@@ -29,23 +29,12 @@
 }
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
-
-
 class InstancePair:
     """An entry and a control instance, their addresses and their logs."""
 
     def __init__(self, directory):
         self.directory = directory
-        ports = free_ports(5)
+        ports = [fleet.free_port() for _ in range(5)]
         self.front, self.ready, self.control, self.metrics, self.peer = ports
         self.seed = f"{CONTROL_IP}:{self.control}"
 
