Commands reach a leader that is not among the configured voters

When the leader froze at 2.0 s, one that had joined later, 10.1.0.41, was elected; submit_command and the reads asked only the three configured voters, which named the leader in vain.

--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -212,8 +212,16 @@
         return False
 
     def _voters_leader_first(self) -> list[str]:
-        names = self.voters()
-        return sorted(names, key=lambda name: name != self._known_leader)
+        """Returns the names of the known voters, the leader's first.
+
+        The leader may be an instance that is not configured as a voter: one
+        that joined the group later, as more were added or others replaced.
+        """
+        names = [self._known_leader]
+        if self.voter_service is not None:
+            names += self.voter_service.voter_names()
+        names += self.voters()
+        return list(dict.fromkeys(name for name in names if name))
 
     async def _request(self, name: str, request) -> tuple[bool, object]:
         """Returns whether a request was sent, and its reply if any."""
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -118,6 +118,14 @@
         member = self.voter.group.members.get(self.voter.leader)
         return member.name if member is not None else ""
 
+    def voter_names(self) -> list[str]:
+        """Returns the names of the group's voters, the leader's first."""
+        if self.voter is None:
+            return []
+        group = self.voter.group
+        names = [group.members[voter].name for voter in sorted(group.voters)]
+        return sorted(names, key=lambda name: name != self.leader_name())
+
     # Startup: recover, bootstrap the group, or rejoin as a new member.
 
     @mode.Service.task
