--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -55,6 +55,7 @@
         self.gossip = gossip
         self.voter_service = None
         self._known_leader = ""
+        self._behind_since: float | None = None
         hub.register_handler(
             messages.VersionAnnouncement, self._on_version_announcement
         )
@@ -296,6 +297,7 @@
         self, peer: str, announcement: messages.VersionAnnouncement
     ) -> None:
         if announcement.version > self.context.version:
+            self._note_behind()
             self._pull(peer)
 
     def _on_pull(self, peer: str, pull: messages.Pull) -> object:
@@ -333,15 +335,36 @@
                         newer
                     )
                 elif newer:
+                    self._note_behind()
                     self._pull(peer)
         if document_state is not None and self.context.apply_document_state(
             document_state
         ):
-            _log.info(
-                "document version applied", version=document_state.version
-            )
+            self._log_applied(peer, document_state)
             self.push_latest()
 
+    def _note_behind(self) -> None:
+        """Records when it was first known that a newer version exists."""
+        if self._behind_since is None:
+            self._behind_since = context_lib.monotonic()
+
+    def _log_applied(
+        self, peer: str, document_state: document.DocumentState
+    ) -> None:
+        # ``behind_ms`` is the time for which this instance knew of a newer
+        # version without having it; 0 if the version came unannounced.
+        behind_s = 0.0
+        if self._behind_since is not None:
+            behind_s = context_lib.monotonic() - self._behind_since
+            self._behind_since = None
+        _log.info(
+            "document version applied",
+            version=document_state.version,
+            number=document_state.number,
+            received_from=peer,
+            behind_ms=round(behind_s * 1000),
+        )
+
     def _pull(self, peer: str) -> None:
         self.add_future(self._pull_from(peer))
 
@@ -363,4 +386,5 @@
                 if member.version > max(self.context.version, 0)
             ]
             if ahead:
+                self._note_behind()
                 await self._pull_from(self.context.rng.choice(ahead))
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -11,6 +11,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node import settings as settings_lib
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.links import traffic
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import authentication
 from chivelb_node.wire import codec
@@ -65,6 +66,7 @@
         peer_bytes = context.metrics.peer_bytes
         self._bytes_in = peer_bytes.labels("in", "udp")
         self._bytes_out = peer_bytes.labels("out", "udp")
+        self._messages = traffic.MessageCounter(context.metrics)
         self._authenticator: authentication.DatagramAuthenticator | None = None
         if hub.ring is not None:
             self._authenticator = authentication.DatagramAuthenticator(
@@ -174,6 +176,7 @@
             # "garbage": authenticated, but not a valid message.
             metrics.peer_frames.labels("garbage").inc()
             return
+        self._messages.count_received(type(message), len(data))
         if isinstance(
             message, _MEMBERSHIP_MESSAGES
         ) and not self.hub.is_partitioned(sender):
@@ -209,5 +212,6 @@
             return
         data = self._authenticator.sign(codec.encode(codec.Envelope(message)))
         self._bytes_out.inc(len(data))
+        self._messages.count_sent(type(message), len(data))
         host, port = settings_lib.split_address(state.member.address)
         self._transport.sendto(data, (host, port))
--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 import itertools
@@ -15,6 +16,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node import settings as settings_lib
 from chivelb_node.links import partition_hook
+from chivelb_node.links import traffic
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import authentication
 from chivelb_node.wire import codec
@@ -112,6 +114,8 @@
         peer_bytes = context.metrics.peer_bytes
         self._bytes_in = peer_bytes.labels("in", "tcp")
         self._bytes_out = peer_bytes.labels("out", "tcp")
+        self._messages = traffic.MessageCounter(context.metrics)
+        self._congestion = traffic.CongestionWatch(context.metrics)
         self.add_seeds(context.settings.peers.seeds)
 
     def add_seeds(self, seeds: list[str]) -> None:
@@ -156,6 +160,7 @@
             return
         data = codec.encode(codec.Envelope(body))
         for peer in peers:
+            self._messages.count_sent(type(body), len(data))
             self._send_encoded(peer, data)
 
     async def request(
@@ -218,7 +223,9 @@
         return pending
 
     def _send_envelope(self, peer: str, envelope: codec.Envelope) -> None:
-        self._send_encoded(peer, codec.encode(envelope))
+        data = codec.encode(envelope)
+        self._messages.count_sent(type(envelope.body), len(data))
+        self._send_encoded(peer, data)
 
     def _send_encoded(self, peer: str, data: bytes) -> None:
         if self.ring is None or self.is_partitioned(peer):
@@ -418,6 +425,7 @@
                 "message can't be decoded", peer=link.peer, detail=str(error)
             )
             return
+        self._messages.count_received(type(envelope.body), len(data))
         if envelope.reply_to:
             future = self._pending_replies.get(envelope.reply_to)
             if future is not None and not future.done():
@@ -460,6 +468,10 @@
             result = await result
         return result
 
+    def _unsent_bytes(self) -> Iterator[tuple[str, int]]:
+        for peer, link in self.links.items():
+            yield peer, link.writer.transport.get_write_buffer_size()
+
     def _close_link(self, link: Link, reason: str) -> None:
         if self.links.get(link.peer) is link:
             del self.links[link.peer]
@@ -495,6 +507,7 @@
                 self.ring.refresh()
             except (OSError, authentication.AuthenticationError) as error:
                 _log.error("key file can't be loaded", detail=str(error))
+            self._congestion.observe(self._unsent_bytes())
             now = context_lib.monotonic()
             for link in list(self.links.values()):
                 if link.key_id not in self.ring.keys:
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -151,6 +151,16 @@
         self.peer_bytes = self._counter(
             "peer_bytes", "Bytes between instances", ("direction", "transport")
         )
+        self.peer_message_bytes = self._counter(
+            "peer_message_bytes",
+            "Encoded bytes between instances by type of message",
+            ("direction", "message"),
+        )
+        self.peer_unsent_bytes = prometheus_client.Gauge(
+            "chivelb_peer_unsent_bytes",
+            "Bytes that wait to be sent, on all links to other instances",
+            registry=self.registry,
+        )
         self.in_progress = prometheus_client.Gauge(
             "chivelb_requests_in_progress",
             "Requests in progress",
