--- a/tests/builders.py
+++ b/tests/builders.py
@@ -38,6 +38,14 @@
     )
 
 
+def make_replacement(number, new_document) -> changes.DocumentReplacement:
+    return changes.DocumentReplacement(number, new_document, b"{}")
+
+
+def encode_deltas(deltas) -> bytes:
+    return msgspec.msgpack.encode(deltas)
+
+
 def make_model(**options) -> model_lib.Model:
     """Returns a model of which two runners may load weights at a time."""
     values = {
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -157,3 +157,24 @@
     reporting._on_load_report("p", messages.LoadReport(b"\xff"))
     assert context.load.running("a", context_lib.monotonic()) == 2
     assert "cannot decode loads" in capsys.readouterr().out
+
+
+class RegionGossip:
+    """A region with one entry instance and one control instance beside."""
+
+    def zone_members(self, zone):
+        return ["i1", "front", "core"]
+
+    def peers_in_region(self):
+        return ["core", "front"]
+
+    def is_control_instance(self, name):
+        return name == "core"
+
+
+# Guards against reports to instances that place no calls: they take bytes and
+# time of the instances that acknowledge documents.
+def test_control_instances_get_no_load_reports():
+    context, _ = make_reporting()
+    reporting = load_sharing.LoadReporting(context, FakeHub(), RegionGossip())
+    assert reporting._peers(reporting.same_zone) == ["front"]
