Document versions reach each instance in at most three copies; repair is hedged

Callers saw 404, or a request run by an older document, at entry instances that were seconds behind an acknowledged one.

Change: control instances send a version to the entries for which they rank first, one of the entry's zone and one of another; every instance that applies a version announces the number to four peers; pulls go to up to three live peers in turn, 0.2 s apart, those of the zone first.

--- a/packages/chivelb-core/chivelb_core/membership/swim.py
+++ b/packages/chivelb-core/chivelb_core/membership/swim.py
@@ -251,7 +251,7 @@
             self._update_send_counts[sender] = 0
         match message:
             case messages.Ping():
-                self._record_version(sender, message.version)
+                self.record_version(sender, message.version)
                 self._reply(sender, message.sequence, self.local_member.name)
                 if message.joining:
                     self._send_all_members(sender)
@@ -343,7 +343,7 @@
         if probe is None or probe.target != ack.about:
             return
         del self._probes[ack.sequence]
-        self._record_version(ack.about, ack.version)
+        self.record_version(ack.about, ack.version)
         state = self.members.get(ack.about)
         if state is not None and state.member.status == "suspect":
             state.member = replace_member(state.member, status="alive")
@@ -352,7 +352,8 @@
             peer, sequence = probe.requested_by
             self._reply(peer, sequence, ack.about)
 
-    def _record_version(self, name: str, version: int) -> None:
+    def record_version(self, name: str, version: int) -> None:
+        """Records the document version that a member has reported."""
         state = self.members.get(name)
         if state is not None:
             state.version = max(state.version, version)
--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -1,17 +1,20 @@
 """Replicates the document: push, pull and initial load."""
 
 import asyncio
+from collections.abc import Iterator
 import pathlib
 
 from chivelb_core import codes
 from chivelb_core import document
 from chivelb_core.document import changes as changes_lib
+from chivelb_core.document import distribution
 from chivelb_core.document import model as model_lib
 from chivelb_core.document import state as state_lib
 import mode
 import msgspec
 
 from chivelb_node import context as context_lib
+from chivelb_node import timeouts
 from chivelb_node.control import commands
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
@@ -20,6 +23,11 @@
 
 PULL_PERIOD_S = 0.2
 PULL_TIMEOUT_S = 2.0
+# A pull that has no reply after this time is repeated at another peer.
+PULL_HEDGE_DELAY_S = 0.2
+MAX_CONCURRENT_PULLS = 3
+# A version is often announced shortly before a provider's copy arrives.
+PULL_DELAY_S = 0.05
 # Period of the checks for the first document after the start.
 APPLIED_CHECK_PERIOD_S = 0.02
 FIRST_PULL_TIMEOUT_S = 1.0
@@ -56,6 +64,7 @@
         self.voter_service = None
         self._known_leader = ""
         self._behind_since: float | None = None
+        self._newer_version_known = asyncio.Event()
         hub.register_handler(
             messages.VersionAnnouncement, self._on_version_announcement
         )
@@ -267,27 +276,61 @@
     # Distribution.
 
     def push_latest(self) -> None:
-        """Pushes the newest delta.
+        """Sends the newest delta to the receivers of this control instance.
 
-        Pushes the version alone if the delta is not in the history.
+        Sends the version alone if the delta is not in the history.
         """
         version = self.context.version
         deltas = self.context.document_state.deltas_since(version - 1) or []
         body: object = messages.VersionAnnouncement(version)
         if deltas:
             body = messages.Deltas(version - 1, msgspec.msgpack.encode(deltas))
-        self.hub.broadcast(self._push_recipients(), body)
+        self.hub.broadcast(self._receivers(), body)
+        self._announce()
 
-    def _push_recipients(self) -> list[str]:
-        """Returns the peers that a push is sent to.
+    def _receivers(self) -> list[str]:
+        """Returns the peers that this control instance sends versions to.
 
-        These are the peers of the region and, from voters and delegates,
-        the delegates of the other regions. Delegates are the few instances of
-        a region that exchange messages with other regions.
+        They are entry instances of the region, and the delegates of the other
+        regions: the few instances of a region that exchange messages with
+        other regions.
+        """
+        swim = self.gossip.swim
+        name = swim.local_member.name
+        control = [distribution.Peer(name, swim.local_member.zone)]
+        entries = []
+        for peer in self._live_peers_of_region():
+            is_control = self.gossip.is_control_instance(peer.name)
+            (control if is_control else entries).append(peer)
+        names = distribution.receivers(name, control, entries)
+        regions = {state.member.region for state in swim.members.values()}
+        for region in sorted(regions - {swim.local_member.region}):
+            names += swim.delegates(region)
+        return names
+
+    def _live_peers_of_region(self) -> Iterator[distribution.Peer]:
+        members = self.gossip.swim.members
+        for name in self.gossip.peers_in_region():
+            yield distribution.Peer(name, members[name].member.zone)
+
+    def _announce(self, except_for: str = "") -> None:
+        """Announces the version in force to a few peers."""
+        announcement = messages.VersionAnnouncement(self.context.version)
+        announced = distribution.choose_announced(
+            self._announcement_candidates(),
+            self.context.rng,
+            except_for=except_for,
+        )
+        self.hub.broadcast(announced, announcement)
+
+    def _announcement_candidates(self) -> list[str]:
+        """Returns the peers of the region; for delegates, those of others too.
+
+        A delegate thereby also tells the delegates of other regions.
         """
         swim = self.gossip.swim
         names = list(self.gossip.peers_in_region())
-        if self.voter_service is not None or swim.is_delegate:
+        if swim.is_delegate:
             regions = {s.member.region for s in swim.members.values()}
             for region in sorted(regions - {swim.local_member.region}):
                 names += swim.delegates(region)
@@ -296,9 +339,7 @@
     def _on_version_announcement(
         self, peer: str, announcement: messages.VersionAnnouncement
     ) -> None:
-        if announcement.version > self.context.version:
-            self._note_behind()
-            self._pull(peer)
+        self._note_newer_version(peer, announcement.version)
 
     def _on_pull(self, peer: str, pull: messages.Pull) -> object:
         version = self.context.version
@@ -325,23 +366,33 @@
                 if version > self.context.version:
                     document_state = state_lib.decode_document_state(payload)
             case messages.Deltas(payload=payload):
-                newer = [
-                    delta
-                    for delta in _delta_decoder.decode(payload)
-                    if delta.version > self.context.version
-                ]
-                if newer and newer[0].version == self.context.version + 1:
-                    document_state = self.context.document_state.apply_deltas(
-                        newer
-                    )
-                elif newer:
-                    self._note_behind()
-                    self._pull(peer)
+                deltas = _delta_decoder.decode(payload)
+                document_state = self._apply_deltas(peer, deltas)
         if document_state is not None and self.context.apply_document_state(
             document_state
         ):
             self._log_applied(peer, document_state)
-            self.push_latest()
+            self._announce(except_for=peer)
+
+    def _apply_deltas(
+        self, peer: str, deltas: list[state_lib.DocumentDelta]
+    ) -> document.DocumentState | None:
+        """Returns the newer state, or None if there is none or a gap."""
+        current = self.context.version
+        newer = [delta for delta in deltas if delta.version > current]
+        if not newer:
+            return None
+        if newer[0].version != current + 1:
+            self._note_newer_version(peer, newer[-1].version)
+            return None
+        return self.context.document_state.apply_deltas(newer)
+
+    def _note_newer_version(self, peer: str, version: int) -> None:
+        """Records the version of a peer, and pulls it if it is newer."""
+        self.gossip.swim.record_version(peer, version)
+        if version > self.context.version:
+            self._note_behind()
+            self._newer_version_known.set()
 
     def _note_behind(self) -> None:
         """Records when it was first known that a newer version exists."""
@@ -365,9 +416,6 @@
             behind_ms=round(behind_s * 1000),
         )
 
-    def _pull(self, peer: str) -> None:
-        self.add_future(self._pull_from(peer))
-
     async def _pull_from(self, peer: str) -> None:
         reply = await self.hub.request(
             peer, messages.Pull(max(self.context.version, 0)), PULL_TIMEOUT_S
@@ -377,14 +425,55 @@
 
     @mode.Service.task
     async def _anti_entropy(self) -> None:
+        """Pulls newer versions that were announced or that gossip tells of."""
         while not self.should_stop:
-            await self.sleep(PULL_PERIOD_S)
-            members = self.gossip.swim.members
-            ahead = [
-                name
-                for name, member in members.items()
-                if member.version > max(self.context.version, 0)
-            ]
-            if ahead:
+            known = self._newer_version_known
+            if await timeouts.wait_for_event(known, PULL_PERIOD_S):
+                await self.sleep(PULL_DELAY_S)
+            known.clear()
+            peers = self._peers_ahead()
+            if peers:
                 self._note_behind()
-                await self._pull_from(self.context.rng.choice(ahead))
+                await self._pull_from_first(peers)
+
+    def _peers_ahead(self) -> list[str]:
+        swim = self.gossip.swim
+        peers = (
+            distribution.Peer(
+                name,
+                state.member.zone,
+                state.version,
+                state.member.status in ("alive", "suspect"),
+            )
+            for name, state in swim.members.items()
+        )
+        return distribution.pull_order(
+            peers,
+            max(self.context.version, 0),
+            swim.local_member.zone,
+            self.context.rng,
+        )
+
+    async def _pull_from_first(self, peers: list[str]) -> None:
+        """Pulls from the peers in turn until one has sent a newer version.
+
+        The next peer is asked when the one before fails or is slow to reply.
+        """
+        version = self.context.version
+        candidates = iter(peers[:MAX_CONCURRENT_PULLS])
+        pulls: set[asyncio.Task] = set()
+        try:
+            while self.context.version <= version:
+                peer = next(candidates, None)
+                if peer is not None:
+                    pulls.add(asyncio.create_task(self._pull_from(peer)))
+                elif not pulls:
+                    return
+                _, pulls = await asyncio.wait(
+                    pulls,
+                    timeout=PULL_HEDGE_DELAY_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+        finally:
+            for pull in pulls:
+                pull.cancel()
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Iterator
-import contextlib
 import dataclasses
 
 from chivelb_core import routing
@@ -16,6 +15,7 @@
 import msgspec
 
 from chivelb_node import context as context_lib
+from chivelb_node import timeouts
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.telemetry import logs
@@ -193,11 +193,11 @@
 
     async def _report_next(self, group: PeerGroup) -> None:
         """Waits until a report to a group of peers is due, and sends it."""
-        await _wait_for(group.changed, RESEND_PERIOD_S)
+        await timeouts.wait_for_event(group.changed, RESEND_PERIOD_S)
         peers = self._peers(group)
         delay_s = self._delay_s(group, peers, urgent=False)
         if delay_s > group.pacer.min_interval_s:
-            await _wait_for(group.urgent, delay_s)
+            await timeouts.wait_for_event(group.urgent, delay_s)
             delay_s = self._delay_s(group, peers, urgent=True)
         await self.sleep(delay_s)
         group.changed.clear()
@@ -243,10 +243,3 @@
                 continue
             yield messages.SendEntry(identity, *load)
         group.changed_targets.clear()
-
-
-async def _wait_for(event: asyncio.Event, timeout_s: float) -> None:
-    """Waits for an event, at most for a time in seconds."""
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
