--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -1,10 +1,11 @@
 """Reports the load that this instance causes at targets to its peers.
 
-The peers are all other live instances of the region. Those of the same zone
+The peers are the other live instances of the region that place calls. Those of the same zone
 are told sooner: they place most of their calls at the same targets.
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 
@@ -81,6 +82,7 @@
         context: Shared state of the instance.
         hub: Links to peers.
         gossip: Membership.
+        places_calls: Whether an instance places calls at targets.
         same_zone: The peers of this zone.
         other_zones: The peers of the other zones of the region.
     """
@@ -90,12 +92,23 @@
         context: context_lib.InstanceContext,
         hub: hub_lib.Hub,
         gossip: gossip_lib.Gossip,
+        *,
+        places_calls: Callable[[str], bool] = lambda name: True,
     ) -> None:
-        """Creates the service."""
+        """Creates the service.
+
+        Args:
+            context: Shared state of the instance.
+            hub: Links to peers.
+            gossip: Membership.
+            places_calls: Returns whether an instance places calls at targets;
+                load is not reported to others.
+        """
         super().__init__()
         self.context = context
         self.hub = hub
         self.gossip = gossip
+        self.places_calls = places_calls
         self.same_zone = PeerGroup(
             True, load_reports.ReportPacer(SAME_ZONE_DELAY_S)
         )
@@ -226,7 +239,8 @@
         return [
             name
             for name in self.gossip.peers_in_region()
-            if (name in same_zone) == group.in_own_zone
+            if self.places_calls(name)
+            and (name in same_zone) == group.in_own_zone
         ]
 
     def _due_entries(
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -176,5 +176,12 @@
 # time of the instances that acknowledge documents.
 def test_control_instances_get_no_load_reports():
     context, _ = make_reporting()
-    reporting = load_sharing.LoadReporting(context, FakeHub(), RegionGossip())
+    gossip = RegionGossip()
+    reporting = load_sharing.LoadReporting(
+        context,
+        FakeHub(),
+        gossip,
+        places_calls=lambda name: not gossip.is_control_instance(name),
+    )
     assert reporting._peers(reporting.same_zone) == ["front"]
+    assert reporting._peers(reporting.other_zones) == []
