A request to an instance without a link fails at once

Cause: a request whose link could not be opened waited for its time-out, so that repair of the document, confirmations of targets and elections at the start lost 0.4 to 3.5 s on an instance known to refuse connections. Change: the request opens the link first and returns if that fails. Two tests, red before (they ended at their own time-out), show it for a refused connection and an unknown peer.

--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -174,7 +174,8 @@
             timeout_s: Timeout in seconds.
 
         Returns:
-            The reply, or None if the request timed out or was refused.
+            The reply, or None if no link can be opened, or the request timed
+            out or was refused.
         """
         if peer == self.local_name:
             return await self._call_handler(peer, body)
@@ -183,6 +184,8 @@
         self._pending_replies[request_id] = future
         try:
             async with asyncio.timeout(timeout_s):
+                if not await self.connect(peer):
+                    return None
                 self._send_envelope(
                     peer, codec.Envelope(body, request_id=request_id)
                 )
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -1,7 +1,8 @@
 """Reports the load that this instance causes at targets to its peers.
 
-The peers are the other live instances of the region that place calls. Those of the same zone
-are told sooner: they place most of their calls at the same targets.
+The peers are the other live instances of the region that place calls. Those of
+the same zone are told sooner: they place most of their calls at the same
+targets.
 """
 
 import asyncio
