A silent former leader no longer delays commands, leases and reads

Operators got no acknowledgement (SHORT), or a read of the document failed, if the instance that they asked took a leader that had been cut off or frozen for the present one: it waited 3.5 s for that one before it asked the next, longer than the 3 s for the whole command.

Found by reading; that it is the cause of the SHORT in the report is suspected, not shown. Tests red before: a silent former leader, and who is asked next.

--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -1,7 +1,9 @@
 """Replicates the document: push, pull and initial load."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
+import functools
 import pathlib
 
 from chivelb_core import codes
@@ -14,6 +16,7 @@
 import msgspec
 
 from chivelb_node import context as context_lib
+from chivelb_node import hedging
 from chivelb_node import timeouts
 from chivelb_node.control import commands
 from chivelb_node.links import gossip as gossip_lib
@@ -26,6 +29,9 @@
 # A pull that has no reply after this time is repeated at another peer.
 PULL_HEDGE_DELAY_S = 0.2
 MAX_CONCURRENT_PULLS = 3
+# The leader replies once a majority has synced a command, which takes some
+# tens of milliseconds.
+VOTER_HEDGE_DELAY_S = 0.5
 # A version is often announced shortly before a provider's copy arrives.
 PULL_DELAY_S = 0.05
 # Period of the checks for the first document after the start.
@@ -211,16 +217,52 @@
         """
         request = messages.CommandRequest(kind, payload)
         deadline = context_lib.monotonic() + timeout_s
-        while context_lib.monotonic() < deadline:
-            for name in self._voters_leader_first():
-                _, reply = await self._request(name, request)
-                if isinstance(reply, messages.CommandReply):
-                    self._known_leader = reply.leader
-                    if reply.applied:
-                        return True
+        while (remaining_s := deadline - context_lib.monotonic()) > 0:
+            reply = await self._ask_voters(
+                request,
+                min(REQUEST_TIMEOUT_S, remaining_s),
+                accept=lambda reply: reply.applied,
+            )
+            if reply is not None:
+                return True
             await asyncio.sleep(RETRY_PERIOD_S)
         return False
 
+    async def _ask_voters(
+        self,
+        request: messages.CommandRequest
+        | messages.LeaseRequest
+        | messages.ReadRequest,
+        timeout_s: float,
+        *,
+        accept: Callable[[object], bool],
+    ) -> object | None:
+        """Sends an idempotent request to the voters, to the leader first.
+
+        Args:
+            request: The request.
+            timeout_s: Time-out of the request to each voter, in seconds.
+            accept: Returns whether a reply is that of the leader.
+
+        Returns:
+            The accepted reply, or None if there is none.
+        """
+
+        def is_accepted(reply: object | None) -> bool:
+            if reply is None:
+                return False
+            self._known_leader = reply.leader
+            return accept(reply)
+
+        return await hedging.first_accepted(
+            (
+                functools.partial(self.hub.request, name, request, timeout_s)
+                for name in self._voters_leader_first()
+            ),
+            delay_s=VOTER_HEDGE_DELAY_S,
+            accept=is_accepted,
+        )
+
     def _voters_leader_first(self) -> list[str]:
         """Returns the names of the known voters, the leader's first.
 
@@ -255,23 +297,19 @@
         request = messages.LeaseRequest(
             lease, self.context.settings.instance.name, expected, request_id
         )
-        for name in self._voters_leader_first():
-            _, reply = await self._request(name, request)
-            if isinstance(reply, messages.LeaseReply):
-                self._known_leader = reply.leader
-                if reply.token:
-                    return reply.token
-        return 0
+        reply = await self._ask_voters(
+            request, REQUEST_TIMEOUT_S, accept=lambda reply: reply.token != 0
+        )
+        return 0 if reply is None else reply.token
 
     async def read_linearizable_version(self) -> int | None:
         """Returns the version of a linearizable read, or None on failure."""
-        for name in self._voters_leader_first():
-            _, reply = await self._request(name, messages.ReadRequest())
-            if isinstance(reply, messages.ReadReply):
-                self._known_leader = reply.leader
-                if reply.current:
-                    return reply.version
-        return None
+        reply = await self._ask_voters(
+            messages.ReadRequest(),
+            REQUEST_TIMEOUT_S,
+            accept=lambda reply: reply.current,
+        )
+        return None if reply is None else reply.version
 
     # Distribution.
 
@@ -455,25 +493,13 @@
         )
 
     async def _pull_from_first(self, peers: list[str]) -> None:
-        """Pulls from the peers in turn until one has sent a newer version.
-
-        The next peer is asked when the one before fails or is slow to reply.
-        """
+        """Pulls from the peers in turn until one has sent a newer version."""
         version = self.context.version
-        candidates = iter(peers[:MAX_CONCURRENT_PULLS])
-        pulls: set[asyncio.Task] = set()
-        try:
-            while self.context.version <= version:
-                peer = next(candidates, None)
-                if peer is not None:
-                    pulls.add(asyncio.create_task(self._pull_from(peer)))
-                elif not pulls:
-                    return
-                _, pulls = await asyncio.wait(
-                    pulls,
-                    timeout=PULL_HEDGE_DELAY_S,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-        finally:
-            for pull in pulls:
-                pull.cancel()
+        await hedging.first_accepted(
+            (
+                functools.partial(self._pull_from, peer)
+                for peer in peers[:MAX_CONCURRENT_PULLS]
+            ),
+            delay_s=PULL_HEDGE_DELAY_S,
+            accept=lambda _: self.context.version > version,
+        )
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -66,3 +66,59 @@
     replica, hub = make_replica("v6", group=("v6", "v7"))
     assert asyncio.run(replica.submit_command("weights", b"", 2.0))
     assert hub.asked == ["v6"]
+
+
+class SilentLeaderHub(FakeHub):
+    """One instance accepts requests and never replies."""
+
+    silent = "v1"
+
+    async def request(self, peer, body, timeout_s):
+        if peer == self.silent:
+            self.asked.append(peer)
+            await asyncio.Event().wait()
+        if isinstance(body, messages.LeaseRequest):
+            self.asked.append(peer)
+            token = 9 if peer == self.leader else 0
+            return messages.LeaseReply(token, self.leader)
+        return await super().request(peer, body, timeout_s)
+
+
+def make_replica_with_silent_leader():
+    replica, _ = make_replica("v2")
+    replica.hub = SilentLeaderHub("v2")
+    replica._known_leader = SilentLeaderHub.silent
+    return replica
+
+
+def run_within_limit(request):
+    async def run():
+        async with asyncio.timeout(5):
+            return await request
+
+    return asyncio.run(run())
+
+
+# Guards against operators who get no acknowledgement, and readers who get no
+# document, because the instance that they ask waits for a leader that was
+# replaced.
+def test_a_silent_former_leader_does_not_delay_commands_leases_and_reads():
+    replica = make_replica_with_silent_leader()
+    assert run_within_limit(replica.submit_command("replace", b"", 3_600.0))
+    replica = make_replica_with_silent_leader()
+    assert run_within_limit(replica.read_linearizable_version()) == 7
+    replica = make_replica_with_silent_leader()
+    assert run_within_limit(replica.acquire_lease("l", "r", 0)) == 9
+
+
+def test_the_leader_that_replied_is_asked_first_the_next_time():
+    replica = make_replica_with_silent_leader()
+    assert run_within_limit(replica.submit_command("replace", b"", 3_600.0))
+    replica.hub.asked.clear()
+    assert run_within_limit(replica.submit_command("replace", b"", 3_600.0))
+    assert replica.hub.asked == ["v2"]
+
+
+def test_without_any_reply_a_command_ends_at_its_timeout():
+    replica, _ = make_replica("nobody")
+    assert not run_within_limit(replica.submit_command("replace", b"", 0.05))
