A request whose link closes ends at once

Cause: the kernel closes a silent link after 1 s of unacknowledged bytes, but the request on it waited on for its own time-out: 2 s for a pull of the document, as long as a version may take to be in force on a small site, 3.5 s for a command. Change: closing the link in use ends the requests that wait on it. The test, red before, closes one of two links.

--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -65,6 +65,19 @@
     used_at: float
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class PendingReply:
+    """A request that waits for its reply.
+
+    Attributes:
+        peer: Name of the peer that it was sent to.
+        future: Gets the reply, or None if the link to the peer closes.
+    """
+
+    peer: str
+    future: asyncio.Future
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class PendingLink:
     """A link that is being opened.
@@ -104,7 +117,7 @@
         self.addresses: dict[str, tuple[str, str]] = {}
         self.links: dict[str, Link] = {}
         self._handlers: dict[type, Handler] = {}
-        self._pending_replies: dict[int, asyncio.Future] = {}
+        self._pending_replies: dict[int, PendingReply] = {}
         self._request_ids = itertools.count(1)
         self._pending_links: dict[str, PendingLink] = {}
         self._reconnect_at: dict[str, float] = {}
@@ -174,14 +187,14 @@
             timeout_s: Timeout in seconds.
 
         Returns:
-            The reply, or None if no link can be opened, or the request timed
-            out or was refused.
+            The reply, or None if no link can be opened, the link closes, or
+            the request times out or is refused.
         """
         if peer == self.local_name:
             return await self._call_handler(peer, body)
         request_id = next(self._request_ids)
         future = asyncio.get_running_loop().create_future()
-        self._pending_replies[request_id] = future
+        self._pending_replies[request_id] = PendingReply(peer, future)
         try:
             async with asyncio.timeout(timeout_s):
                 if not await self.connect(peer):
@@ -430,9 +443,9 @@
             return
         self._messages.count_received(type(envelope.body), len(data))
         if envelope.reply_to:
-            future = self._pending_replies.get(envelope.reply_to)
-            if future is not None and not future.done():
-                future.set_result(envelope.body)
+            pending = self._pending_replies.get(envelope.reply_to)
+            if pending is not None and not pending.future.done():
+                pending.future.set_result(envelope.body)
             return
         handler = self._handlers.get(type(envelope.body))
         result = None
@@ -479,9 +492,16 @@
         if self.links.get(link.peer) is link:
             del self.links[link.peer]
             _log.debug("link closed", peer=link.peer, detail=reason)
+            self._fail_requests(link.peer)
         with contextlib.suppress(OSError, RuntimeError):
             link.writer.close()
 
+    def _fail_requests(self, peer: str) -> None:
+        """Ends the requests whose replies the closed link will not bring."""
+        for pending in self._pending_replies.values():
+            if pending.peer == peer and not pending.future.done():
+                pending.future.set_result(None)
+
     # Service.
 
     async def on_start(self) -> None:
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -1,7 +1,8 @@
-"""Requests to instances that can't be reached."""
+"""Requests to instances that can't be reached or fall silent."""
 
 import asyncio
 import socket
+import types
 
 import builders
 from chivelb_node.links import hub as hub_lib
@@ -38,3 +39,55 @@
             return await make_hub().request("?", messages.Pull(1), 3_600.0)
 
     assert asyncio.run(run()) is None
+
+
+class OpenTransport:
+    """Takes all bytes."""
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+class OpenWriter:
+    """Writer of a connection that nothing arrives from."""
+
+    transport = OpenTransport()
+
+    def write(self, data):
+        pass
+
+    def close(self):
+        pass
+
+
+def open_link(hub, peer):
+    authenticator = types.SimpleNamespace(sign=lambda data: b"")
+    link = hub_lib.Link(
+        peer, "z1", "", OpenWriter(), authenticator, authenticator, 0.0
+    )
+    hub.links[peer] = link
+    return link
+
+
+# Guards against a request that waits for its time-out after its connection was
+# found to be silent, while another instance would reply.
+def test_a_request_whose_link_closes_fails_before_its_timeout():
+    async def run():
+        hub = make_hub()
+        link = open_link(hub, "silent")
+        open_link(hub, "other")
+        requests = {
+            peer: asyncio.create_task(
+                hub.request(peer, messages.Pull(1), 3_600.0)
+            )
+            for peer in ("silent", "other")
+        }
+        await asyncio.sleep(0)
+        hub._close_link(link, "test")
+        async with asyncio.timeout(10):
+            reply = await requests["silent"]
+        waits = not requests["other"].done()
+        requests["other"].cancel()
+        return reply, waits
+
+    assert asyncio.run(run()) == (None, True)
