Reports are merged and paced by bytes as well as by messages

Hypothesis: what instances tell each other is bounded by messages, not bytes, so that it grows with the traffic and again fills the links of a busier site. Change: events of a part that follow each other become one, and a report delays the next by its size at 32 KB/s to all peers together, by 1 s at most.

--- a/packages/chivelb-core/chivelb_core/routing/load_reports.py
+++ b/packages/chivelb-core/chivelb_core/routing/load_reports.py
@@ -1,11 +1,12 @@
-"""Pace of the load reports that an instance sends to its peers.
+"""Pace of the reports that an instance sends to its peers.
 
 Each report goes to all peers of a group, so that an instance of a large group
 would spend most of its time on reports if it sent one for each change. The
-interval between reports therefore grows with the group: the number of messages
-sent in a second stays the same. A change that takes up much of a target is
-urgent and is reported sooner, because peers that do not know of it would place
-further work there.
+interval between reports therefore grows with the group and with the size of
+the reports: the number of messages and bytes sent in a second stays the same,
+so that documents and requests on the same links are not delayed. A change that
+takes up much of a target is urgent and is reported sooner, because peers that
+do not know of it would place further work there.
 """
 
 import dataclasses
@@ -13,6 +14,11 @@
 # Messages of an instance to all peers of a group together.
 MESSAGES_PER_S = 60.0
 URGENT_MESSAGES_PER_S = 400.0
+# Bytes of an instance to all peers of a group together, also if urgent.
+BYTES_PER_S = 32_000.0
+# A large report delays the next one for at most this time: receivers discard
+# what is not reported again.
+MAX_DELAY_BY_SIZE_S = 1.0
 # A change is urgent from these fractions of the target's capacity on. Single
 # requests to a target with few slots are too short to be worth a message.
 URGENT_SLOT_FRACTION = 0.25
@@ -28,11 +34,23 @@
         messages_per_s: Messages to all peers of the group together, unless a
             change is urgent.
         sent_at: Monotonic time of the last report, in seconds.
+        sent_bytes: Bytes of the last report to all peers together.
     """
 
     min_interval_s: float
     messages_per_s: float = MESSAGES_PER_S
     sent_at: float = float("-inf")
+    sent_bytes: int = 0
+
+    def record_sent(self, now: float, *, sent_bytes: int) -> None:
+        """Records a report.
+
+        Args:
+            now: Monotonic time in seconds.
+            sent_bytes: Its size in bytes, to all peers together.
+        """
+        self.sent_at = now
+        self.sent_bytes = sent_bytes
 
     def delay_s(self, now: float, *, peer_count: int, urgent: bool) -> float:
         """Returns the time until a change may be reported, in seconds.
@@ -46,7 +64,10 @@
             urgent: Whether the change takes up much of a target.
         """
         rate = URGENT_MESSAGES_PER_S if urgent else self.messages_per_s
-        due_at = self.sent_at + peer_count / rate
+        delay_by_size_s = min(
+            MAX_DELAY_BY_SIZE_S, self.sent_bytes / BYTES_PER_S
+        )
+        due_at = self.sent_at + max(peer_count / rate, delay_by_size_s)
         return max(self.min_interval_s, due_at - now)
 
 
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -223,9 +223,9 @@
         now = context_lib.monotonic()
         entries = list(self._due_entries(group, now))
         if peers and entries:
-            group.pacer.sent_at = now
-            report = messages.LoadReport(packing.pack(entries))
-            self.hub.broadcast(peers, report)
+            payload = packing.pack(entries)
+            self.hub.broadcast(peers, messages.LoadReport(payload))
+            group.pacer.record_sent(now, sent_bytes=len(peers) * len(payload))
 
     def _delay_s(
         self, group: PeerGroup, peers: list[str], *, urgent: bool
--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -23,6 +23,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.links import part_batches
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import messages
 from chivelb_node.wire import packing
@@ -309,10 +310,14 @@
     def _flush_updates(self) -> None:
         self._has_outgoing.clear()
         updates, self._outgoing = self._outgoing, []
-        if updates:
-            self._pacer.sent_at = context_lib.monotonic()
-            batch = messages.PartUpdateBatch(packing.pack(updates))
-            self._send_to_zone(batch)
+        if not updates:
+            return
+        merged = list(part_batches.merge_updates(updates))
+        payload = packing.pack(merged)
+        peer_count = self._send_to_zone(messages.PartUpdateBatch(payload))
+        self._pacer.record_sent(
+            context_lib.monotonic(), sent_bytes=peer_count * len(payload)
+        )
 
     async def _fetch_listing(self, address: str) -> None:
         page = await self.client.fetch_listing(address)
@@ -326,10 +331,16 @@
         self._queue_update(update, now)
         _log.info("source listed", source=address, parts=len(page.events))
 
-    def _send_to_zone(self, update: Any) -> None:
+    def _send_to_zone(self, update: Any) -> int:
+        """Sends a message to the other entry instances of the zone.
+
+        Returns:
+            The number of receivers.
+        """
         own_name = self.context.settings.instance.name
         peers = [name for name in self.zone_entries() if name != own_name]
         self.hub.broadcast(peers, update)
+        return len(peers)
 
     def _apply_update(self, update: messages.PartUpdates, now: float) -> bool:
         if update.listing:
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -58,6 +58,26 @@
     assert sent <= 10.0 * load_reports.MESSAGES_PER_S + peer_count
 
 
+# Guards against reports that fill a link because each of them is large.
+@pytest.mark.parametrize("report_bytes", [100, 1_000, 20_000])
+@pytest.mark.parametrize("urgent", [False, True])
+def test_bytes_a_second_do_not_grow_with_the_reports(report_bytes, urgent):
+    pacer = load_reports.ReportPacer(min_interval_s=0.005)
+    now, sent_bytes = 0.0, 0
+    while now < 20.0:
+        sent_bytes += report_bytes
+        pacer.record_sent(now, sent_bytes=report_bytes)
+        now += pacer.delay_s(now, peer_count=1, urgent=urgent)
+    assert sent_bytes <= 20.0 * load_reports.BYTES_PER_S + report_bytes
+
+
+def test_a_very_large_report_does_not_stop_the_next_ones():
+    pacer = load_reports.ReportPacer(min_interval_s=0.005)
+    pacer.record_sent(0.0, sent_bytes=10_000_000)
+    delay_s = pacer.delay_s(0.0, peer_count=19, urgent=False)
+    assert delay_s <= load_reports.MAX_DELAY_BY_SIZE_S
+
+
 def test_an_urgent_change_is_reported_sooner():
     pacer = load_reports.ReportPacer(min_interval_s=0.005, sent_at=1.0)
     urgent_s = pacer.delay_s(1.01, peer_count=18, urgent=True)
