Voter client in a module of its own; changes too go past a silent former leader

replica.py had grown to 505 lines and held three things: the start, the commands to the voters, and the distribution of versions.

--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -96,11 +96,11 @@
         )
         self.voter_service: voter_service.VoterService | None = None
         self.claim_keeper_service: claim_keeper.ClaimKeeperService | None = None
-        if settings.instance.name in self.replica.voters():
+        if settings.instance.name in self.replica.voter_client.voters():
             self.voter_service = voter_service.VoterService(
                 self.context, self.hub, self.replica.push_latest
             )
-            self.replica.voter_service = self.voter_service
+            self.replica.voter_client.voter_service = self.voter_service
         if settings.instance.name in self.claims.keepers:
             self.claim_keeper_service = claim_keeper.ClaimKeeperService(
                 self.context, self.hub
--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -1,12 +1,10 @@
 """Replicates the document: push, pull and initial load."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Iterator
 import functools
 import pathlib
 
-from chivelb_core import codes
 from chivelb_core import document
 from chivelb_core.document import changes as changes_lib
 from chivelb_core.document import distribution
@@ -18,7 +16,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node import hedging
 from chivelb_node import timeouts
-from chivelb_node.control import commands
+from chivelb_node.control import voter_client as voter_client_lib
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.telemetry import logs
@@ -29,21 +27,14 @@
 # A pull that has no reply after this time is repeated at another peer.
 PULL_HEDGE_DELAY_S = 0.2
 MAX_CONCURRENT_PULLS = 3
-# The leader replies once a majority has synced a command, which takes some
-# tens of milliseconds.
-VOTER_HEDGE_DELAY_S = 0.5
 # A version is often announced shortly before a provider's copy arrives.
 PULL_DELAY_S = 0.05
 # Period of the checks for the first document after the start.
 APPLIED_CHECK_PERIOD_S = 0.02
 FIRST_PULL_TIMEOUT_S = 1.0
-CHANGE_TIMEOUT_S = 6.0
-REQUEST_TIMEOUT_S = 3.5
-RETRY_PERIOD_S = 0.1
 FIRST_CHANGE_ID = "first-document"
 _log = logs.get_logger("replica")
 _delta_decoder = msgspec.msgpack.Decoder(list[state_lib.DocumentDelta])
-_result_decoder = msgspec.msgpack.Decoder(state_lib.ChangeResult)
 
 
 class ReplicaService(mode.Service):
@@ -53,7 +44,7 @@
         context: Shared state of the instance.
         hub: Links to peers.
         gossip: Cluster membership.
-        voter_service: Voter of this instance, or None.
+        voter_client: Submits commands to the voters.
     """
 
     def __init__(
@@ -67,8 +58,7 @@
         self.context = context
         self.hub = hub
         self.gossip = gossip
-        self.voter_service = None
-        self._known_leader = ""
+        self.voter_client = voter_client_lib.VoterClient(context, hub)
         self._behind_since: float | None = None
         self._newer_version_known = asyncio.Event()
         hub.register_handler(
@@ -78,24 +68,15 @@
         hub.register_handler(messages.Deltas, self._on_deltas)
         hub.register_handler(messages.FullDocument, self._on_full)
 
-    def voters(self) -> list[str]:
-        """Returns the names of the configured voters."""
-        control = self.context.settings.control
-        if control.voters:
-            return control.voters
-        if self.context.settings.instance.data_dir:
-            return [self.context.settings.instance.name]
-        return []
-
     # Startup.
 
     @mode.Service.task
     async def _start(self) -> None:
         await self._pull_highest()
-        if self.context.version < 0 and not self.voters():
+        if self.context.version < 0 and not self.voter_client.voters():
             self._load_file()
         while not self.should_stop and self.context.version < 1:
-            if self.voter_service is not None and self.voter_service.is_leader:
+            if self.voter_client.is_leader:
                 await self._propose_file()
             await self._pull_until_applied()
         if self.context.version >= 1:
@@ -153,164 +134,12 @@
             return
         operations = changes_lib.diff_documents(document.Document(), loaded)
         # Every voter proposes the same change id: only one is accepted.
-        await self.submit_change(
+        await self.voter_client.submit_change(
             document.Change(
                 FIRST_CHANGE_ID, 0, operations, whole=True, author="file"
             )
         )
 
-    # Changes.
-
-    async def submit_change(
-        self, change: document.Change
-    ) -> state_lib.ChangeResult | codes.ErrorDetail:
-        """Submits a change to the voters.
-
-        Changes are idempotent: a change id that is sent again, through any
-        instance, gets its first result.
-
-        Args:
-            change: The change.
-
-        Returns:
-            The result, or an error that says whether the change may still be
-            accepted.
-        """
-        payload = commands.encode(change)
-        if not self.voters():
-            return codes.ErrorDetail(
-                codes.NO_QUORUM,
-                "neither voters nor a data directory are configured",
-            )
-        deadline = context_lib.monotonic() + CHANGE_TIMEOUT_S
-        uncertain = False
-        while context_lib.monotonic() < deadline:
-            for name in self._voters_leader_first():
-                sent, reply = await self._request(
-                    name, messages.ChangeRequest(payload)
-                )
-                if isinstance(reply, messages.ChangeReply):
-                    uncertain = uncertain or reply.appended
-                    self._known_leader = reply.leader
-                    if reply.payload:
-                        return _result_decoder.decode(reply.payload)
-                else:
-                    uncertain = uncertain or sent
-            await asyncio.sleep(RETRY_PERIOD_S)
-        if uncertain:
-            return codes.ErrorDetail(codes.CHANGE_UNKNOWN)
-        return codes.ErrorDetail(codes.NO_QUORUM)
-
-    async def submit_command(
-        self, kind: str, payload: bytes, timeout_s: float
-    ) -> bool:
-        """Submits an idempotent command to the voters.
-
-        Args:
-            kind: Kind of the log entry: ``replace`` or ``weights``.
-            payload: The encoded command.
-            timeout_s: Seconds after which no further attempt is made.
-
-        Returns:
-            True if the command is committed. If False, it may still be
-            committed, now or later.
-        """
-        request = messages.CommandRequest(kind, payload)
-        deadline = context_lib.monotonic() + timeout_s
-        while (remaining_s := deadline - context_lib.monotonic()) > 0:
-            reply = await self._ask_voters(
-                request,
-                min(REQUEST_TIMEOUT_S, remaining_s),
-                accept=lambda reply: reply.applied,
-            )
-            if reply is not None:
-                return True
-            await asyncio.sleep(RETRY_PERIOD_S)
-        return False
-
-    async def _ask_voters(
-        self,
-        request: messages.CommandRequest
-        | messages.LeaseRequest
-        | messages.ReadRequest,
-        timeout_s: float,
-        *,
-        accept: Callable[[object], bool],
-    ) -> object | None:
-        """Sends an idempotent request to the voters, to the leader first.
-
-        Args:
-            request: The request.
-            timeout_s: Time-out of the request to each voter, in seconds.
-            accept: Returns whether a reply is that of the leader.
-
-        Returns:
-            The accepted reply, or None if there is none.
-        """
-
-        def is_accepted(reply: object | None) -> bool:
-            if reply is None:
-                return False
-            self._known_leader = reply.leader
-            return accept(reply)
-
-        return await hedging.first_accepted(
-            (
-                functools.partial(self.hub.request, name, request, timeout_s)
-                for name in self._voters_leader_first()
-            ),
-            delay_s=VOTER_HEDGE_DELAY_S,
-            accept=is_accepted,
-        )
-
-    def _voters_leader_first(self) -> list[str]:
-        """Returns the names of the known voters, the leader's first.
-
-        The leader may be an instance that is not configured as a voter: one
-        that joined the group later, as more were added or others replaced.
-        """
-        names = [self._known_leader]
-        if self.voter_service is not None:
-            names += self.voter_service.voter_names()
-        names += self.voters()
-        return list(dict.fromkeys(name for name in names if name))
-
-    async def _request(self, name: str, request) -> tuple[bool, object]:
-        """Returns whether a request was sent, and its reply if any."""
-        if not await self.hub.connect(name):
-            return False, None
-        return True, await self.hub.request(name, request, REQUEST_TIMEOUT_S)
-
-    async def acquire_lease(
-        self, lease: str, request_id: str, expected: int
-    ) -> int:
-        """Requests a named lease from the voters.
-
-        Args:
-            lease: Name of the lease.
-            request_id: Id of the request; a resend gets the same token.
-            expected: Fencing token of the lease that was seen to expire.
-
-        Returns:
-            The fencing token, or 0 if the lease was not granted.
-        """
-        request = messages.LeaseRequest(
-            lease, self.context.settings.instance.name, expected, request_id
-        )
-        reply = await self._ask_voters(
-            request, REQUEST_TIMEOUT_S, accept=lambda reply: reply.token != 0
-        )
-        return 0 if reply is None else reply.token
-
-    async def read_linearizable_version(self) -> int | None:
-        """Returns the version of a linearizable read, or None on failure."""
-        reply = await self._ask_voters(
-            messages.ReadRequest(),
-            REQUEST_TIMEOUT_S,
-            accept=lambda reply: reply.current,
-        )
-        return None if reply is None else reply.version
-
     # Distribution.
 
     def push_latest(self) -> None:
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -98,7 +98,6 @@
         hub.register_handler(messages.JoinRequest, self._on_join)
         hub.register_handler(messages.ChangeRequest, self._on_change)
         hub.register_handler(messages.CommandRequest, self._on_command)
-        hub.register_handler(messages.LeaseRequest, self._on_lease)
         hub.register_handler(messages.ReadRequest, self._on_read)
 
     @property
@@ -473,19 +472,6 @@
             applied is not None, self.document_state.version, self.leader_name()
         )
 
-    async def _on_lease(
-        self, peer: str, request: messages.LeaseRequest
-    ) -> messages.LeaseReply:
-        if not self.is_leader:
-            return messages.LeaseReply(0, self.leader_name())
-        command = commands.LeaseCommand(
-            request.lease,
-            f"{request.holder}/{request.request_id}",
-            request.expected,
-        )
-        _, token = await self.propose("lease", commands.encode(command))
-        return messages.LeaseReply(token or 0, self.leader_name())
-
     async def _on_read(
         self, peer: str, request: messages.ReadRequest
     ) -> messages.ReadReply:
--- a/packages/chivelb-node/chivelb_node/edge/operators.py
+++ b/packages/chivelb-node/chivelb_node/edge/operators.py
@@ -126,7 +126,7 @@
         """
         current = False
         if request.query.get("current"):
-            newest = await self.replica.read_linearizable_version()
+            newest = await self.replica.voter_client.read_linearizable_version()
             if newest is None or newest > self.context.version:
                 raise responses.RequestError(
                     codes.NO_QUORUM,
@@ -163,8 +163,8 @@
         the snapshot contains every accepted change. Without a quorum the
         newest local state is served with ``X-Current: 0``.
         """
-        newest = await self.replica.read_linearizable_version()
-        voter_service = self.replica.voter_service
+        newest = await self.replica.voter_client.read_linearizable_version()
+        voter_service = self.replica.voter_client.voter_service
         document_state = self.context.document_state
         if voter_service is not None:
             min_version = max(newest or 0, self.context.version)
@@ -208,7 +208,7 @@
     ) -> state_lib.ChangeResult | codes.ErrorDetail:
         """Restores redacted secrets in a change and submits it."""
         complete_change = restore_secrets(change, self.context.document)
-        outcome = await self.replica.submit_change(complete_change)
+        outcome = await self.replica.voter_client.submit_change(complete_change)
         number = outcome.code
         if isinstance(outcome, codes.ErrorDetail):
             number = outcome.code.number
--- a/packages/chivelb-node/chivelb_node/edge/status.py
+++ b/packages/chivelb-node/chivelb_node/edge/status.py
@@ -155,7 +155,7 @@
         return status
 
     def _add_voter(self, status: InstanceStatus) -> None:
-        voter_service = self.replica.voter_service
+        voter_service = self.replica.voter_client.voter_service
         if voter_service is None:
             return
         if voter_service.failure:
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -111,7 +111,7 @@
 
 
 class LeaseRequest(msgspec.Struct, rename="camel", frozen=True):
-    """Asks for a named lease under a new fencing token.
+    """Asks for a named lease under a new fencing token; no longer sent.
 
     Attributes:
         lease: Name of the lease.
@@ -128,7 +128,7 @@
 
 
 class LeaseReply(msgspec.Struct, rename="camel", frozen=True):
-    """A voter's reply to a lease request.
+    """A voter's reply to a lease request; no longer sent.
 
     Attributes:
         token: Fencing token; 0 if the lease was not granted.
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -128,6 +128,6 @@
         gossip = StaticGossip(members, member.name, rng)
         replica = replica_lib.ReplicaService(context, hub, gossip)
         if member.anchor:
-            replica.voter_service = object()
+            replica.voter_client.voter_service = object()
         replicas[member.name] = replica
     return replicas, network
