A starting instance asks for versions first, and pulls one document

Change: peers are asked for their version alone (a pull that no version can satisfy, so that instances of the previous release answer it too); the highest is pulled from up to three that have it, control instances first. It still waits for all that it can reach: a second test shows that one peer ahead of all others decides.

--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -23,6 +23,8 @@
 from chivelb_node.wire import messages
 
 PULL_PERIOD_S = 0.2
+# Version of a pull that asks for the version of the receiver alone.
+NO_VERSION_IS_NEWER = 2**62
 PULL_TIMEOUT_S = 2.0
 # A pull that has no reply after this time is repeated at another peer.
 PULL_HEDGE_DELAY_S = 0.2
@@ -95,18 +97,34 @@
             pull.cancel()
 
     async def _pull_highest(self) -> None:
-        """Pulls from every known peer and applies the highest version."""
+        """Asks every known peer for its version, and pulls the highest one."""
         peers = list(self.hub.addresses)
-        pull = messages.Pull(max(self.context.version, 0))
+        question = messages.Pull(NO_VERSION_IS_NEWER)
         replies = await asyncio.gather(
             *(
-                self.hub.request(peer, pull, FIRST_PULL_TIMEOUT_S)
+                self.hub.request(peer, question, FIRST_PULL_TIMEOUT_S)
                 for peer in peers
             )
         )
-        for peer, reply in zip(peers, replies, strict=True):
-            if reply is not None:
-                self._apply_update(peer, reply)
+        versions = {
+            peer: reply.version
+            for peer, reply in zip(peers, replies, strict=True)
+            if isinstance(reply, messages.VersionAnnouncement)
+        }
+        highest = max(versions.values(), default=0)
+        if highest > max(self.context.version, 0):
+            names = [name for name in peers if versions.get(name) == highest]
+            await self._pull_from_first(self._control_instances_first(names))
+
+    def _control_instances_first(self, names: list[str]) -> list[str]:
+        """Returns instances in random order, those without callers first."""
+        return sorted(
+            names,
+            key=lambda name: (
+                not self.gossip.is_control_instance(name),
+                self.context.rng.random(),
+            ),
+        )
 
     def _load_file(self) -> None:
         loaded = self._read_file()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -46,6 +46,11 @@
     return msgspec.msgpack.encode(deltas)
 
 
+def encode_state(context) -> bytes:
+    """Returns the document state of a context, as instances send it."""
+    return msgspec.msgpack.encode(context.document_state.to_replica())
+
+
 def make_model(**options) -> model_lib.Model:
     """Returns a model of which two runners may load weights at a time."""
     values = {
--- a/tests/test_document_distribution.py
+++ b/tests/test_document_distribution.py
@@ -163,3 +163,55 @@
 
     asyncio.run(run())
     assert [peer for _, peer, _ in network.requests] == ["front-4"]
+
+
+# Guards against a flood of whole documents at the start of an instance, which
+# fills its link for longer than its callers wait for it.
+def test_a_starting_instance_receives_few_copies_of_the_document():
+    members = replicas_lib.make_members(control_count=6, entry_count=62)
+    replicas, network = replicas_lib.make_replicas(members)
+    for name, replica in replicas.items():
+        if name != "front-0":
+            context = replica.context
+            context.apply_document_state(make_next_state(context))
+    starting = replicas["front-0"]
+    starting.context.version = -1
+    starting.context.readiness.clear()
+    starting.hub.addresses = {name: ("", "") for name in replicas}
+    del starting.hub.addresses["front-0"]
+
+    async def run():
+        await run_services(
+            {"front-0": starting}, starting.context.readiness.is_set
+        )
+
+    asyncio.run(run())
+    assert starting.context.version == 2
+    size = len(builders.encode_state(replicas["core-0"].context))
+    assert network.received["front-0"].total() / size <= MAX_COPIES
+
+
+# Guards against a restarted instance that serves by an old document because
+# the first instance to reply was behind.
+def test_a_starting_instance_takes_the_highest_version_that_it_can_reach():
+    members = replicas_lib.make_members(control_count=3, entry_count=9)
+    replicas, _ = replicas_lib.make_replicas(members)
+    context = replicas["front-5"].context
+    context.apply_document_state(make_next_state(context, routes=5))
+    starting = replicas["front-0"]
+    starting.context.version = -1
+    starting.context.readiness.clear()
+    starting.hub.addresses = {m.name: ("", "") for m in members[:-1]}
+    del starting.hub.addresses["front-0"]
+    versions_at_readiness = []
+    starting.context.readiness.set = lambda: versions_at_readiness.append(
+        starting.context.version
+    )
+
+    async def run():
+        await run_services(
+            {"front-0": starting}, lambda: bool(versions_at_readiness)
+        )
+
+    asyncio.run(run())
+    assert versions_at_readiness == [2]
