--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -7,15 +7,14 @@
 import contextlib
 import dataclasses
 import itertools
-import socket
 from typing import Any
 
 import mode
-import msgspec
 
 from chivelb_node import context as context_lib
 from chivelb_node import settings as settings_lib
 from chivelb_node.links import partition_hook
+from chivelb_node.links import peer_link
 from chivelb_node.links import traffic
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import authentication
@@ -24,7 +23,6 @@
 
 CONNECT_TIMEOUT_S = 0.5
 HANDSHAKE_TIMEOUT_S = 1.0
-MAX_HELLO_BYTES = 512
 MAX_QUEUED_FRAMES = 2_000
 MAX_WRITE_BUFFER_BYTES = 16_777_216
 RECONNECT_DELAY_S = 0.2
@@ -32,39 +30,11 @@
 # Period of the checks for unusable links and for a changed key file.
 CHECK_PERIOD_S = 0.5
 MAX_UNAUTHENTICATED_LINKS = 64
-# These detect a peer that became unreachable without a TCP reset.
-USER_TIMEOUT_MS = 1_000
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 
 Handler = Callable[[str, Any], Awaitable[Any] | Any]
 _log = logs.get_logger("hub")
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Link:
-    """An open TCP connection between this instance and a peer.
-
-    Attributes:
-        peer: Name of the peer.
-        zone: Zone of the peer.
-        key_id: Id of the shared key that authenticates the link.
-        writer: Writer of the TCP connection.
-        outgoing: Signs the frames sent to the peer.
-        incoming: Verifies the frames received from the peer.
-        used_at: Monotonic time of the last frame, in seconds.
-    """
-
-    peer: str
-    zone: str
-    key_id: str
-    writer: asyncio.StreamWriter
-    outgoing: authentication.FrameAuthenticator
-    incoming: authentication.FrameAuthenticator
-    used_at: float
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class PendingReply:
     """A request that waits for its reply.
@@ -115,7 +85,7 @@
             context.settings.faults.cut_file
         )
         self.addresses: dict[str, tuple[str, str]] = {}
-        self.links: dict[str, Link] = {}
+        self.links: dict[str, peer_link.Link] = {}
         self._handlers: dict[type, Handler] = {}
         self._pending_replies: dict[int, PendingReply] = {}
         self._request_ids = itertools.count(1)
@@ -256,7 +226,7 @@
         if pending is not None and len(pending.frames) < MAX_QUEUED_FRAMES:
             pending.frames.append(data)
 
-    def _write(self, link: Link, data: bytes) -> None:
+    def _write(self, link: peer_link.Link, data: bytes) -> None:
         transport = link.writer.transport
         if transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
             # The peer has stopped reading: it is unreachable or suspended.
@@ -270,10 +240,9 @@
     # Opening and accepting links.
 
     async def _connect_link(self, peer: str, pending: PendingLink) -> None:
-        address, _ = self.addresses[peer]
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                link, reader = await self._handshake_as_client(peer, address)
+                link, reader = await self._open_link(peer)
         except (
             OSError,
             TimeoutError,
@@ -291,43 +260,13 @@
         for data in pending.frames:
             self._write(link, data)
 
-    async def _handshake_as_client(
-        self, peer: str, address: str
-    ) -> tuple[Link, asyncio.StreamReader]:
-        host, port = settings_lib.split_address(address)
-        reader, writer = await asyncio.open_connection(host, port)
-        try:
-            own_hello = self._make_hello(self.ring.signing_key_id)
-            _write_hello(writer, own_hello)
-            peer_hello = await _read_hello(reader)
-            if peer_hello.name != peer or peer_hello.key_id != own_hello.key_id:
-                raise authentication.AuthenticationError(
-                    f"expected hello of {peer!r} with key id "
-                    f"{own_hello.key_id!r}, got hello of "
-                    f"{peer_hello.name!r} with {peer_hello.key_id!r}"
-                )
-            key = self.ring.keys[own_hello.key_id]
-            link = Link(
-                peer,
-                peer_hello.zone,
-                own_hello.key_id,
-                writer,
-                authentication.FrameAuthenticator(
-                    key, own_hello, peer_hello, "out"
-                ),
-                authentication.FrameAuthenticator(
-                    key, own_hello, peer_hello, "in"
-                ),
-                context_lib.monotonic(),
-            )
-            # Each side proves that it has the key by the MAC of an empty frame.
-            mac = await reader.readexactly(authentication.MAC_BYTES)
-            link.incoming.verify(mac, b"")
-            writer.write(link.outgoing.sign(b""))
-        except BaseException:
-            writer.close()
-            raise
-        return link, reader
+    async def _open_link(
+        self, peer: str
+    ) -> tuple[peer_link.Link, asyncio.StreamReader]:
+        address, _ = self.addresses[peer]
+        own_hello = self._make_hello(self.ring.signing_key_id)
+        key = self.ring.keys[own_hello.key_id]
+        return await peer_link.open_link(peer, address, own_hello, key)
 
     def _make_hello(self, key_id: str) -> authentication.Hello:
         instance = self.context.settings.instance
@@ -342,7 +281,13 @@
         self._unauthenticated_links += 1
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                link = await self._handshake_as_server(reader, writer)
+                link = await peer_link.accept_link(
+                    reader,
+                    writer,
+                    keys=self.ring.keys,
+                    make_hello=self._make_hello,
+                    is_refused=self._is_refused,
+                )
         except (
             OSError,
             TimeoutError,
@@ -358,43 +303,18 @@
             self._unauthenticated_links -= 1
         self._register_link(link, reader)
 
-    async def _handshake_as_server(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> Link:
-        peer_hello = await _read_hello(reader)
-        key = self.ring.keys.get(peer_hello.key_id)
-        if key is None:
-            raise authentication.AuthenticationError(
-                f"hello with unknown key id {peer_hello.key_id!r}"
-            )
-        now = context_lib.monotonic()
-        if self.partition.is_partitioned(now, peer_hello.name, peer_hello.zone):
-            raise authentication.AuthenticationError(
-                "peer is partitioned off by the test hook"
-            )
-        own_hello = self._make_hello(peer_hello.key_id)
-        _write_hello(writer, own_hello)
-        link = Link(
-            peer_hello.name,
-            peer_hello.zone,
-            peer_hello.key_id,
-            writer,
-            authentication.FrameAuthenticator(key, peer_hello, own_hello, "in"),
-            authentication.FrameAuthenticator(
-                key, peer_hello, own_hello, "out"
-            ),
-            now,
+    def _is_refused(self, hello: authentication.Hello) -> bool:
+        """Returns whether the test hook refuses the sender of a hello."""
+        return self.partition.is_partitioned(
+            context_lib.monotonic(), hello.name, hello.zone
         )
-        writer.write(link.outgoing.sign(b""))
-        mac = await reader.readexactly(authentication.MAC_BYTES)
-        link.incoming.verify(mac, b"")
-        return link
 
-    def _register_link(self, link: Link, reader: asyncio.StreamReader) -> None:
+    def _register_link(
+        self, link: peer_link.Link, reader: asyncio.StreamReader
+    ) -> None:
         # If two instances connect to each other at the same time, both links
         # are read and the newer one is used for writing.
         self.links[link.peer] = link
-        _set_keepalive(link.writer)
         task = asyncio.create_task(self._read_frames(link, reader))
         self._background_tasks.add(task)
         task.add_done_callback(self._background_tasks.discard)
@@ -402,7 +322,7 @@
     # Receiving.
 
     async def _read_frames(
-        self, link: Link, reader: asyncio.StreamReader
+        self, link: peer_link.Link, reader: asyncio.StreamReader
     ) -> None:
         reason = "closed"
         try:
@@ -431,7 +351,7 @@
         finally:
             self._close_link(link, reason)
 
-    def _handle_frame(self, link: Link, data: bytes) -> None:
+    def _handle_frame(self, link: peer_link.Link, data: bytes) -> None:
         try:
             envelope = codec.decode(data)
         except codec.WireError as error:
@@ -459,12 +379,15 @@
         task.add_done_callback(self._background_tasks.discard)
 
     async def _reply_later(
-        self, link: Link, envelope: codec.Envelope, result: Awaitable[Any]
+        self,
+        link: peer_link.Link,
+        envelope: codec.Envelope,
+        result: Awaitable[Any],
     ) -> None:
         self._reply(link, envelope, await result)
 
     def _reply(
-        self, link: Link, envelope: codec.Envelope, reply: Any | None
+        self, link: peer_link.Link, envelope: codec.Envelope, reply: Any | None
     ) -> None:
         """Sends the result of a handler if the message was a request."""
         if not envelope.request_id:
@@ -488,7 +411,7 @@
         for peer, link in self.links.items():
             yield peer, link.writer.transport.get_write_buffer_size()
 
-    def _close_link(self, link: Link, reason: str) -> None:
+    def _close_link(self, link: peer_link.Link, reason: str) -> None:
         if self.links.get(link.peer) is link:
             del self.links[link.peer]
             _log.debug("link closed", peer=link.peer, detail=reason)
@@ -541,50 +464,3 @@
                     self._close_link(
                         link, "peer is partitioned off by the test hook"
                     )
-
-
-def _set_keepalive(writer: asyncio.StreamWriter) -> None:
-    """Sets socket options so that the kernel closes dead connections."""
-    sock = writer.get_extra_info("socket")
-    if sock is None:
-        return
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-    )
-    for level, option, value in options:
-        sock.setsockopt(level, option, value)
-
-
-def _write_hello(
-    writer: asyncio.StreamWriter, hello: authentication.Hello
-) -> None:
-    data = msgspec.json.encode(hello)
-    writer.write(len(data).to_bytes(2, "big") + data)
-
-
-async def _read_hello(reader: asyncio.StreamReader) -> authentication.Hello:
-    try:
-        size = int.from_bytes(await reader.readexactly(2), "big")
-        if size > MAX_HELLO_BYTES:
-            raise authentication.AuthenticationError(
-                f"hello of {size} bytes exceeds the limit of {MAX_HELLO_BYTES}"
-            )
-        data = await reader.readexactly(size)
-        hello = msgspec.json.decode(data, type=authentication.Hello)
-    except asyncio.IncompleteReadError:
-        raise authentication.AuthenticationError(
-            "connection closed before hello"
-        ) from None
-    except msgspec.MsgspecError:
-        raise authentication.AuthenticationError(
-            f"malformed hello of {size} bytes"
-        ) from None
-    if hello.magic != authentication.MAGIC.decode():
-        raise authentication.AuthenticationError(
-            f"hello of another protocol: magic {hello.magic!r}"
-        )
-    return hello
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -6,6 +6,7 @@
 
 import builders
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.links import peer_link
 from chivelb_node.wire import authentication
 from chivelb_node.wire import messages
 
@@ -62,7 +63,7 @@
 
 def open_link(hub, peer):
     authenticator = types.SimpleNamespace(sign=lambda data: b"")
-    link = hub_lib.Link(
+    link = peer_link.Link(
         peer, "z1", "", OpenWriter(), authenticator, authenticator, 0.0
     )
     hub.links[peer] = link
