--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -246,6 +246,7 @@
         except (
             OSError,
             TimeoutError,
+            asyncio.IncompleteReadError,
             authentication.AuthenticationError,
             ValueError,
         ) as error:
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -92,3 +92,26 @@
         return reply, waits
 
     assert asyncio.run(run()) == (None, True)
+
+
+# Guards against an exception that nobody sees, and a peer that is asked again
+# and again without a pause, when a peer closes in the middle of a handshake.
+def test_a_peer_that_closes_during_the_handshake_counts_as_unreachable():
+    async def close_after_hello(reader, writer):
+        await peer_link._read_hello(reader)
+        hello = authentication.make_hello("open", "closing", "z1")
+        peer_link._write_hello(writer, hello)
+        await writer.drain()
+        writer.close()
+
+    async def run():
+        hub = make_hub()
+        server = await asyncio.start_server(close_after_hello, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        hub.addresses["closing"] = (f"127.0.0.1:{port}", "z1")
+        pending = hub._start_connecting("closing")
+        await asyncio.wait([pending.task])
+        server.close()
+        return pending.task.exception(), "closing" in hub._reconnect_at
+
+    assert asyncio.run(run()) == (None, True)
