A control instance that pulled a version sends it on to its entries

Cause, found by reading the distribution of: announcements reach control instances within milliseconds, their own log the commit with the next heartbeat (60 ms); one that pulled the version first then had nothing new to publish and left out the entries it provides for, which fell back on announcements. Change: a version applied from a peer is passed on as one committed by the own voter. Test red before (nothing sent to seven entries).

--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -257,7 +257,15 @@
             document_state
         ):
             self._log_applied(peer, document_state)
-            self._announce(except_for=peer)
+            self._pass_on(peer)
+
+    def _pass_on(self, received_from: str) -> None:
+        """Passes on a version that a peer sent."""
+        if self.voter_client.voter_service is not None:
+            # Its voter, which commits the version as well, is slower.
+            self.push_latest()
+        else:
+            self._announce(except_for=received_from)
 
     def _apply_deltas(
         self, peer: str, deltas: list[state_lib.DocumentDelta]
--- a/tests/test_document_distribution.py
+++ b/tests/test_document_distribution.py
@@ -215,3 +215,24 @@
 
     asyncio.run(run())
     assert versions_at_readiness == [2]
+
+
+# Guards against a control instance that learns of a version from a peer before
+# its voter commits it, and then leaves out the entries that it provides for.
+def test_a_control_instance_that_pulled_a_version_sends_it_on():
+    members = replicas_lib.make_members(control_count=3, entry_count=9)
+    replicas, network = replicas_lib.make_replicas(members)
+    provider = replicas["core-1"]
+    state = make_next_state(provider.context, routes=5)
+    body = messages.Deltas(1, builders.encode_deltas(state.deltas_since(1)))
+
+    async def run():
+        provider._on_deltas("front-8", body)
+        await asyncio.sleep(0)
+
+    asyncio.run(run())
+    told = [
+        name for name in replicas if network.received[name][messages.Deltas]
+    ]
+    assert told == provider._receivers()
+    assert told
