Half the messages of reports to the own zone

Change: 30 messages a second of each kind to the own zone instead of 60, 120 instead of 400 if urgent.

--- a/packages/chivelb-core/chivelb_core/routing/load_reports.py
+++ b/packages/chivelb-core/chivelb_core/routing/load_reports.py
@@ -12,8 +12,8 @@
 import dataclasses
 
 # Messages of an instance to all peers of a group together.
-MESSAGES_PER_S = 60.0
-URGENT_MESSAGES_PER_S = 400.0
+MESSAGES_PER_S = 30.0
+URGENT_MESSAGES_PER_S = 120.0
 # Bytes of an instance to all peers of a group together, also if urgent.
 BYTES_PER_S = 32_000.0
 # A large report delays the next one for at most this time: receivers discard
