--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -34,12 +34,15 @@
         last_event_id: Id of the last event sent, or empty.
         status: HTTP status sent to the caller; 0 before the head is sent.
         first_byte_at: Monotonic time of the first byte in seconds, or None.
+        framing: What ends the response of the target that replied last, or
+            None.
     """
 
     head_sent: bool = False
     last_event_id: str = ""
     status: int = 0
     first_byte_at: float | None = None
+    framing: ports.Framing | None = None
 
 
 class Forwarder:
@@ -181,6 +184,7 @@
             assignment.save_addresses = reservation.save_addresses
         call.attempts += 1
         reply = await self.target_port.send(call, message, assignment)
+        delivery.framing = reply.framing
         try:
             if reply.is_stream and reply.status == 200:
                 await self._forward_stream(reply, caller, delivery, reservation)
@@ -385,6 +389,10 @@
             retry_after_s=None
             if error_detail is None
             else error_detail.retry_after_s,
+            framing=None
+            if delivery.framing is None
+            else delivery.framing.value,
+            last_event=delivery.last_event_id,
             first_ms=first_ms,
             took_ms=round((now - call.arrived_at) * 1000),
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/ports.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/ports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import dataclasses
+import enum
 from typing import Protocol
 
 from chivelb_core import codes
@@ -56,6 +57,14 @@
     new_connection: bool = False
 
 
+class Framing(enum.Enum):
+    """What ends the body of a response: its length, a last chunk, a close."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 class Reply(Protocol):
     """The response of a target.
 
@@ -64,12 +73,14 @@
         headers: End-to-end headers as received.
         length: Length of the body in bytes, or None if unknown.
         is_stream: Whether the body is an event stream.
+        framing: What ends the body.
     """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     length: int | None
     is_stream: bool
+    framing: Framing
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body; raises ``AttemptError`` if it ends early."""
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -35,6 +35,7 @@
         self.is_stream = is_stream
         self.headers = list(headers)
         self.length = None
+        self.framing = ports.Framing.CHUNKED
         self.closed = False
 
     async def chunks(self):
