A stream that ends in the middle of an event is not complete

Callers saw: a stream without its last events, framed as complete. Cause: the end of the transport (a close where the answer has no length, or the last chunk) was taken for the end of the stream; split_events returned with bytes in its buffer and the forwarder finished the response. Now split_events raises StreamError, which fails the attempt: the stream goes on at another target where its route allows that, and is aborted otherwise. An event that exceeds its limit used to end in an unhandled exception and takes the same way now. Blank lines behind the last event are forwarded instead of dropped.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -202,13 +202,22 @@
         reservation: admission_lib.Reservation,
     ) -> None:
         batches = events.split_events(reply.chunks())
-        async with contextlib.aclosing(batches):
-            async for batch in batches:
-                self.admission_queue.record_first_event(reservation)
-                await self._send_head(reply, caller, delivery)
-                await caller.send_body(batch)
-                event_id = events.last_event_id(batch)
-                delivery.last_event_id = event_id or delivery.last_event_id
+        try:
+            async with contextlib.aclosing(batches):
+                async for batch in batches:
+                    self.admission_queue.record_first_event(reservation)
+                    await self._send_head(reply, caller, delivery)
+                    await caller.send_body(batch)
+                    event_id = events.last_event_id(batch)
+                    delivery.last_event_id = event_id or delivery.last_event_id
+        except events.StreamError as error:
+            raise calls.AttemptError(
+                attempt_lib.Outcome(
+                    calls.OutcomeKind.UNKNOWN,
+                    codes.OUTCOME_UNKNOWN,
+                    str(error),
+                )
+            ) from None
         await self._send_head(reply, caller, delivery)
         await caller.finish()
 
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -7,6 +7,7 @@
 
 DONE_EVENT = b"data: [DONE]"
 EVENT_DELIMITER = b"\n\n"
+LINE_ENDS = b"\r\n"
 MAX_EVENT_BYTES = 262_144
 MAX_OFFSET_DIGITS = 9
 
@@ -36,8 +37,11 @@
 async def split_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     """Yields runs of complete events; buffers an incomplete last event.
 
+    Blank lines after the last event form a run of their own.
+
     Raises:
-        StreamError: An event exceeds ``MAX_EVENT_BYTES``.
+        StreamError: An event exceeds ``MAX_EVENT_BYTES``, or the stream ends
+            in the middle of an event.
     """
     incomplete = b""
     async for chunk in chunks:
@@ -50,6 +54,10 @@
             yield data[: end + 2]
         if len(incomplete) > MAX_EVENT_BYTES:
             raise StreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+    if incomplete.strip(LINE_ENDS):
+        raise StreamError(f"stream ended {len(incomplete)} bytes into an event")
+    if incomplete:
+        yield incomplete
 
 
 def last_event_id(run: bytes) -> str:
@@ -100,7 +108,7 @@
             elif event == DONE_EVENT:
                 done = True
                 kept.append(event)
-            elif event.startswith(b":"):
+            elif not event or event.startswith(b":"):
                 is_verbatim = False
             else:
                 raise StreamError(
