A resume that fails does not finish the stream

Callers saw: the events of the first target, then the body of another target's failure, framed as complete. Cause: within one answer, a resume that was answered with 500 (or with anything but an event stream) went through the path of ordinary bodies, which ends by finishing the response. Once events were sent, a reply that is no event stream now fails the attempt: a further target is asked while the route's maximum allows it, then the response is aborted.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -188,6 +188,8 @@
         try:
             if reply.is_stream and reply.status == 200:
                 await self._forward_stream(reply, caller, delivery, reservation)
+            elif delivery.head_sent:
+                raise _failed_resume(reply)
             else:
                 await self._forward_body(call, reply, caller, delivery)
         finally:
@@ -430,6 +432,17 @@
         ) from None
 
 
+def _failed_resume(reply: ports.Reply) -> calls.AttemptError:
+    """Returns the error of a resume that was answered without a stream."""
+    return calls.AttemptError(
+        attempt_lib.Outcome(
+            calls.OutcomeKind.UNKNOWN,
+            codes.TARGET_FAILED,
+            f"resume answered with status {reply.status}",
+        )
+    )
+
+
 def _prefer_attempt_outcome(
     last_outcome: attempt_lib.Outcome | None, error: responses.RequestError
 ) -> responses.RequestError:
