A stream is not framed by the length of its first target

Callers would see: events above the first target's Content-Length lost and the response framed as complete, where another target continues a stream. Cause: the length of the first reply framed the whole response, and aiohttp discards what exceeds it. A stream's length is no longer passed on; its end is the last chunk. FakeCaller.send_head takes the length as well.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -267,7 +267,9 @@
             delivery.head_sent = True
             delivery.status = reply.status
             delivery.first_byte_at = context_lib.monotonic()
-            await caller.send_head(reply)
+            # Another target may continue a stream, with another length.
+            length = None if reply.is_stream else reply.length
+            await caller.send_head(reply, length)
 
     def _should_retry_status(
         self, call: forwarding.Call, reply: ports.Reply
--- a/packages/chivelb-node/chivelb_node/forwarding/ports.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/ports.py
@@ -109,8 +109,13 @@
 class CallerPort(Protocol):
     """Sends the response of a call to its caller."""
 
-    async def send_head(self, reply: Reply) -> None:
-        """Sends the head of a response."""
+    async def send_head(self, reply: Reply, length: int | None) -> None:
+        """Sends the head of a response.
+
+        Args:
+            reply: The response.
+            length: Length of the body in bytes; None if it is not known yet.
+        """
 
     async def send_body(self, data: bytes) -> None:
         """Sends bytes of the body."""
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -75,7 +75,7 @@
         self.end = ""
         self.error_detail = None
 
-    async def send_head(self, reply):
+    async def send_head(self, reply, length):
         assert self.status is None, "a second response head"
         self.status = reply.status
 
