An aborted response is reset where a close would end it

Callers of HTTP/1.0 saw a stream that broke off, or that the stop of a process cut, as complete: they get neither chunks nor a length, so that the close of the connection ends the response, and an abort closes it. Such a connection is now reset; others are closed as before, so that events on their way still arrive.

--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
+import socket
+import struct
 
+from aiohttp import http
 from aiohttp import http_exceptions
 from aiohttp import web
 from chivelb_core import codes
@@ -146,6 +150,25 @@
         )
 
 
+def abort_response(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Closes a connection so that its response is seen as incomplete.
+
+    A response with neither chunks nor a length ends with its connection, which
+    is therefore reset.
+    """
+    if request.transport is None:
+        return
+    has_end = response.content_length is not None or response.chunked
+    if not has_end and request.version < http.HttpVersion11:
+        linger = struct.pack("ii", 1, 0)
+        sock = request.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    request.transport.abort()
+
+
 def make_protocol_factory(
     context: context_lib.InstanceContext, handler: Handler
 ) -> Callable[[], CallerConnection]:
--- a/tests/test_cut_streams.py
+++ b/tests/test_cut_streams.py
@@ -105,6 +105,17 @@
     assert not received.is_framed_as_complete
 
 
+# Guards against a stop of the process that looks like the end of a stream to
+# such a caller.
+def test_a_stream_cut_by_a_stop_is_reset_for_a_caller_without_chunks():
+    received = wire_calls.run_call(
+        wire_calls.make_request(wire_calls.STREAM_PATH, version="1.0"),
+        [*scripted.stream(E1, **ECHO), 60.0],
+        stop_after=E1,
+    )
+    assert not received.is_framed_as_complete
+
+
 # Guards against events that were dropped because their lines end with CRLF.
 def test_events_whose_lines_end_with_crlf_reach_the_caller():
     crlf = [event.replace(b"\n", b"\r\n") for event in (E1, E2)]
--- a/tests/wire_calls.py
+++ b/tests/wire_calls.py
@@ -64,7 +64,13 @@
         return decoded
 
 
-async def _receive(port, request, idle_s):
+def _cancel_other_tasks():
+    """Cancels all tasks but this one, as the end of the process does."""
+    for task in asyncio.all_tasks() - {asyncio.current_task()}:
+        task.cancel()
+
+
+async def _receive(port, request, idle_s, stop_after):
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(request)
     data = b""
@@ -72,6 +78,8 @@
         async with asyncio.timeout(idle_s):
             while chunk := await reader.read(65_536):
                 data += chunk
+                if stop_after and data.endswith(stop_after):
+                    _cancel_other_tasks()
                 if data.endswith(scripted.END):
                     break
     except ConnectionResetError:
@@ -83,7 +91,7 @@
     return data, False
 
 
-def run_call(request, *scripts, idle_s=10.0, **options):
+def run_call(request, *scripts, idle_s=10.0, stop_after=b"", **options):
     """Sends a request to an instance that has one target for each script.
 
     A call tries the targets in the order of the scripts.
@@ -92,6 +100,7 @@
         request: The caller's request.
         scripts: Steps of each target, as in ``scripted.ScriptedTarget``.
         idle_s: Time after which the caller stops waiting for more bytes.
+        stop_after: Bytes after which the instance stops; empty for never.
         options: Further fields of the targets' records, each a list with one
             value for each target.
     """
@@ -124,7 +133,9 @@
                 await caller_side.on_start()
                 port = caller_side.servers[0].sockets[0].getsockname()[1]
                 try:
-                    data, was_reset = await _receive(port, request, idle_s)
+                    data, was_reset = await _receive(
+                        port, request, idle_s, stop_after
+                    )
                 finally:
                     await caller_side.on_stop()
                     pool.close()
