Events whose lines end with CRLF are forwarded

Callers saw an empty stream, framed as complete: events were told apart by two LF alone, so that a stream with CRLF was one event without an end, and what stood in the buffer at its end was dropped. An empty line after LF or CRLF now ends an event, as in the standard of server-sent events.

--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -7,6 +7,8 @@
 
 DONE_EVENT = b"data: [DONE]"
 EVENT_DELIMITER = b"\n\n"
+# Behind a line that ends with LF or CRLF.
+CRLF_EVENT_DELIMITER = b"\n\r\n"
 LINE_ENDS = b"\r\n"
 MAX_EVENT_BYTES = 262_144
 MAX_OFFSET_DIGITS = 9
@@ -46,12 +48,10 @@
     incomplete = b""
     async for chunk in chunks:
         data = incomplete + chunk if incomplete else chunk
-        end = data.rfind(EVENT_DELIMITER)
-        if end < 0:
-            incomplete = data
-        else:
-            incomplete = data[end + 2 :]
-            yield data[: end + 2]
+        end = _end_of_events(data)
+        incomplete = data[end:]
+        if end:
+            yield data[:end]
         if len(incomplete) > MAX_EVENT_BYTES:
             raise StreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
     if incomplete.strip(LINE_ENDS):
@@ -60,6 +60,16 @@
         yield incomplete
 
 
+def _end_of_events(data: bytes) -> int:
+    """Returns the offset behind the last complete event; 0 for none."""
+    end = 0
+    for delimiter in (EVENT_DELIMITER, CRLF_EVENT_DELIMITER):
+        start = data.rfind(delimiter)
+        if start >= 0:
+            end = max(end, start + len(delimiter))
+    return end
+
+
 def last_event_id(run: bytes) -> str:
     """Returns the id of the last event in a run of events, or empty."""
     start = run.rfind(b"id:")
