A reset within an answer of a plain service is not its end

Shown by a scripted target that resets: red before. The error of the connection is now read after the body; a reset is an unknown outcome, an orderly close stays the end of the answer (test added).

--- a/packages/chivelb-node/chivelb_node/links/services.py
+++ b/packages/chivelb-node/chivelb_node/links/services.py
@@ -140,6 +140,8 @@
             codes.OUTCOME_UNKNOWN,
             f"response lacks the id of attempt {attempt_id}",
         )
+    # Read before the body, whose end releases the connection.
+    protocol = response.connection and response.connection.protocol
     chunks = []
     size = 0
     async for chunk in response.content.iter_any():
@@ -152,6 +154,14 @@
                 f"response exceeds {MAX_RESPONSE_BYTES} bytes",
             )
         chunks.append(chunk)
+    # aiohttp takes any end of the connection for the end of a response without
+    # a length; after a reset the error of the connection is one of the system.
+    if protocol is not None and isinstance(protocol.exception(), OSError):
+        raise _attempt_error(
+            _KIND.UNKNOWN,
+            codes.OUTCOME_UNKNOWN,
+            "connection was reset within the response",
+        )
     return ServiceResponse(
         response.status, end_to_end(response.headers), b"".join(chunks)
     )
--- a/tests/test_cut_streams.py
+++ b/tests/test_cut_streams.py
@@ -126,24 +126,17 @@
     assert received.is_framed_as_complete
 
 
-# Guards against a reset that was taken for the end of an answer without a
-# length, in the client of plain services.
-def test_an_answer_of_a_plain_service_that_is_reset_is_not_complete():
-    target = scripted.ScriptedTarget(
-        [
-            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\n\r\nhel",
-            0.1,
-            scripted.RESET,
-        ]
-    )
+def call_plain_service(*steps):
+    """Returns the answer of a plain service that sends the steps."""
+    head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\n\r\n"
+    target = scripted.ScriptedTarget([head, *steps])
 
     async def run():
         session = runners.make_session()
         async with target.serve(), session:
-            record = builders.make_record(address=target.address)
-            await services.call_service(
+            return await services.call_service(
                 session,
-                record,
+                builders.make_record(address=target.address),
                 method="GET",
                 path="/a",
                 headers={},
@@ -152,5 +145,16 @@
                 timeout_s=5.0,
             )
 
+    return asyncio.run(run())
+
+
+# Guards against a reset that was taken for the end of an answer without a
+# length, in the client of plain services.
+def test_an_answer_of_a_plain_service_that_is_reset_is_not_complete():
     with pytest.raises(attempt_lib.AttemptError):
-        asyncio.run(run())
+        call_plain_service(b"hel", 0.1, scripted.RESET)
+
+
+def test_an_answer_of_a_plain_service_may_end_with_its_connection():
+    response = call_plain_service(b"hello", 0.1, scripted.CLOSE)
+    assert response.body == b"hello"
