--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -70,6 +70,9 @@
         deadline: Monotonic time after which the client no longer waits, in
             seconds.
         fingerprint: Digest of workspace, path and body.
+        takes_up_stream: Whether the client takes up a stream that broke off.
+        resumes: Request id of the attempt that brought the first event of that
+            stream; empty if the client does not tell.
         attempts: Number of times the request was sent to a target.
         tried: Identities of the targets that the request was sent to.
     """
@@ -85,6 +88,8 @@
     arrived_at: float
     deadline: float
     fingerprint: str = ""
+    takes_up_stream: bool = False
+    resumes: str = ""
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
 
--- a/packages/chivelb-core/chivelb_core/targets/record.py
+++ b/packages/chivelb-core/chivelb_core/targets/record.py
@@ -41,6 +41,9 @@
             A target's own announcement must have a lease, as
             ``validate_record`` requires; records that an instance derives from
             heartbeats have 0.
+        software_version: Version of the target's software, which stays the
+            same for an identity; empty if unknown. What two versions write
+            does not fit together in one stream.
     """
 
     identity: str
@@ -63,6 +66,7 @@
     bytes_per_token: int = 1_024
     checks_fencing: bool = True
     lease_s: float = 5.0
+    software_version: str = ""
 
     @property
     def order(self) -> tuple[int, int]:
--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -38,6 +38,10 @@
         wait_s: Seconds that the caller waits, or None if not specified.
         prompt: Description of the prompt, or None.
         at: Monotonic time when the request head was read, in seconds.
+        last_event_id: Id of the last event that the caller has of a stream
+            that it takes up; empty for none.
+        resumes: Request id of the attempt that brought the first event of that
+            stream; empty if not specified.
     """
 
     request_id: str
@@ -47,6 +51,8 @@
     wait_s: float | None
     prompt: forwarding.Prompt | None
     at: float
+    last_event_id: str = ""
+    resumes: str = ""
 
 
 async def wait_until_ready(
@@ -129,6 +135,8 @@
         prompt=request_head.prompt,
         arrived_at=request_head.at,
         deadline=request_head.at + wait_s,
+        takes_up_stream=bool(request_head.last_event_id),
+        resumes=request_head.resumes,
     )
 
 
--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -127,6 +127,7 @@
                 address=record.address,
                 state=record.state,
                 weight_version=record.weight_version,
+                software_version=record.software_version,
                 incarnation=record.incarnation,
                 sequence=record.sequence,
             )
@@ -240,4 +241,5 @@
         record.service,
         record.slots,
         record.weight_version,
+        record.software_version,
     )
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -449,6 +449,7 @@
   bytesPerToken @17 :Int64;
   checksFencing @18 :Bool;
   leaseS @19 :Float64;
+  softwareVersion @20 :Text;
 }
 
 struct TouchBlocks {
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -41,6 +41,7 @@
     "Slots": 4,
     "State": "ready",
     "Sequence": 7,
+    "Version": "v1.2",
     "born": 11,
     "Models": [{"Name": "m", "Version": 2}],
 }
@@ -134,6 +135,7 @@
     assert record.identity == "i"
     assert (record.incarnation, record.sequence) == (11, 7)
     assert record.weight_version == "2"
+    assert record.software_version == "v1.2"
 
 
 @pytest.mark.parametrize(
