--- a/tests/wire_calls.py
+++ b/tests/wire_calls.py
@@ -12,7 +12,7 @@
 
 HEAD = (
     "POST {path} HTTP/{version}\r\nHost: a.example\r\nX-Key: key-w\r\n"
-    "X-Request-Id: r-1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\n"
+    "X-Request-Id: {request_id}\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\n"
     "{extra}\r\nab"
 )
 # Paths of the routes in ``builders.make_routed_document``.
@@ -20,8 +20,10 @@
 STREAM_PATH = "/once/a"
 
 
-def make_request(path, *, version="1.1", extra=""):
-    return HEAD.format(path=path, version=version, extra=extra).encode()
+def make_request(path, *, version="1.1", extra="", request_id="r-1"):
+    return HEAD.format(
+        path=path, version=version, extra=extra, request_id=request_id
+    ).encode()
 
 
 class Received:
@@ -91,60 +93,82 @@
     return data, False
 
 
-def run_call(request, *scripts, idle_s=10.0, stop_after=b"", **options):
+def run_call(request, *scripts, **options):
     """Sends a request to an instance that has one target for each script.
 
-    A call tries the targets in the order of the scripts.
-
     Args:
         request: The caller's request.
         scripts: Steps of each target, as in ``scripted.ScriptedTarget``.
-        idle_s: Time after which the caller stops waiting for more bytes.
+        options: As in ``run_calls``.
+    """
+    targets = [scripted.ScriptedTarget(script) for script in scripts]
+    return run_calls([request], targets, **options)[0]
+
+
+def run_calls(requests, targets, *, idle_s=10.0, stop_after=b"", **options):
+    """Sends requests, one after the other, to an instance.
+
+    A call tries the targets in the order in which they are given.
+
+    Args:
+        requests: The requests of callers.
+        targets: The scripted targets.
+        idle_s: Time after which a caller stops waiting for more bytes.
         stop_after: Bytes after which the instance stops; empty for never.
         options: Further fields of the targets' records, each a list with one
             value for each target.
+
+    Returns:
+        What the caller of each request received.
     """
 
     async def run():
-        servers = [scripted.ScriptedTarget(script) for script in scripts]
         pool = http_pool.HttpPool()
-        async with asyncio.timeout(20):
-            async with _serve_all(servers):
-                context = builders.make_context(
+        async with asyncio.timeout(30), _serve_all(targets):
+            records = {
+                f"t{number}": {
+                    "service": "lm",
+                    "address": target.address,
+                    "weight_version": "1",
                     **{
-                        f"t{number}": {
-                            "service": "lm",
-                            "address": server.address,
-                            "weight_version": "1",
-                            **{k: v[number] for k, v in options.items()},
-                        }
-                        for number, server in enumerate(servers)
-                    }
-                )
-                harness = fake_ports.ForwardingHarness(context)
-                harness.forwarder.target_port = target_client.TargetClient(pool)
-                _prefer_in_order(harness)
-                caller_side = caller_server.CallerServer(
-                    context,
-                    harness.forwarder,
-                    caller_address="127.0.0.1:0",
-                    readiness_address="127.0.0.1:0",
-                )
-                await caller_side.on_start()
-                port = caller_side.servers[0].sockets[0].getsockname()[1]
-                try:
-                    data, was_reset = await _receive(
-                        port, request, idle_s, stop_after
-                    )
-                finally:
-                    await caller_side.on_stop()
-                    pool.close()
-        requests = {f"t{n}": s.requests for n, s in enumerate(servers)}
-        return Received(data, was_reset, requests)
+                        name: values[number] for name, values in options.items()
+                    },
+                }
+                for number, target in enumerate(targets)
+            }
+            harness = fake_ports.ForwardingHarness(
+                builders.make_context(**records)
+            )
+            harness.forwarder.target_port = target_client.TargetClient(pool)
+            _prefer_in_order(harness)
+            async with _serve_callers(harness) as port:
+                received = [
+                    await _receive(port, request, idle_s, stop_after)
+                    for request in requests
+                ]
+            pool.close()
+        at_targets = {f"t{n}": t.requests for n, t in enumerate(targets)}
+        return [Received(*each, at_targets) for each in received]
 
     return asyncio.run(run())
 
 
+@contextlib.asynccontextmanager
+async def _serve_callers(harness):
+    """Yields the port of an instance that serves callers."""
+    server = caller_server.CallerServer(
+        harness.context,
+        harness.forwarder,
+        caller_address="127.0.0.1:0",
+        readiness_address="127.0.0.1:0",
+    )
+    await server.on_start()
+    try:
+        yield server.servers[0].sockets[0].getsockname()[1]
+    finally:
+        await server.on_stop()
+
+
 @contextlib.asynccontextmanager
 async def _serve_all(servers):
     async with contextlib.AsyncExitStack() as stack:
