An answer of a model call goes on only at the software version that began it

The same cause elsewhere: chivelbd continued an answer on another runner under the same weight version, whatever its software.

--- a/packages/chivelb-node/chivelb_node/edge/dispatch.py
+++ b/packages/chivelb-node/chivelb_node/edge/dispatch.py
@@ -257,8 +257,7 @@
         usable = [
             record
             for record in records
-            if record.weight_version in call.versions
-            and record.identity not in call.tried
+            if call.may_go_to(record) and record.identity not in call.tried
         ]
         suspect = self.context.crash_suspects.is_suspect(call.fingerprint, now)
         usable = self._isolate_suspects(usable, now, suspect=suspect)
@@ -296,7 +295,7 @@
             record
             for record in records
             if call.total_tokens >= LARGE_CALL_FRACTION * record.room_tokens
-            and record.weight_version in call.versions
+            and call.may_go_to(record)
         ]
         if not reservable:
             return
--- a/packages/chivelb-node/chivelb_node/edge/model_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/model_calls.py
@@ -37,6 +37,8 @@
         tokens: Number of tokens sent.
         version: Weight version that produced the tokens; a continuation must
             use the same one.
+        software_version: Software version of the target that produced them; a
+            continuation must use the same one.
         attempts: Number of attempts dispatched.
         first_token_at: Monotonic time of the first token, in seconds.
         last_token_at: Monotonic time of the latest token, in seconds.
@@ -46,6 +48,7 @@
     batches: list[bytes] = dataclasses.field(default_factory=list)
     tokens: int = 0
     version: str = ""
+    software_version: str = ""
     attempts: int = 0
     first_token_at: float | None = None
     last_token_at: float = 0.0
@@ -176,6 +179,7 @@
         record = grant.record
         attempt_id = self._attempt_id(call, progress, record)
         progress.version = record.weight_version
+        progress.software_version = record.software_version
         payload = {
             "request_id": call.request_id,
             "model": call.model,
@@ -232,9 +236,10 @@
             return False
         response_started = bool(progress.tokens)
         if response_started:
-            # An answer can only be continued by the weight version that
-            # started it.
+            # An answer can only be continued by the versions of weights and
+            # software that started it.
             call.versions = [progress.version]
+            call.software_version = progress.software_version
         retryable = attempt_lib.may_retry(
             outcome,
             repeatable=call.repeatable,
--- a/packages/chivelb-node/chivelb_node/edge/parsing.py
+++ b/packages/chivelb-node/chivelb_node/edge/parsing.py
@@ -9,6 +9,7 @@
 from chivelb_core import codes
 from chivelb_core import document
 from chivelb_core import kv_cache
+from chivelb_core import targets
 from chivelb_core.kv_cache import keys as keys_lib
 
 from chivelb_node import context as context_lib
@@ -47,6 +48,8 @@
         reuse_probability: Probability that the prompt prefix is used again; an
             initial value until the owner of its directory shard has replied.
         tried: Targets on which an attempt of the call has failed.
+        software_version: Software version that a target must have to continue
+            the answer; None if the answer has not begun.
     """
 
     request_id: str
@@ -69,6 +72,13 @@
     holdings: dict[str, int] = dataclasses.field(default_factory=dict)
     reuse_probability: float = 0.3
     tried: set[str] = dataclasses.field(default_factory=set)
+    software_version: str | None = None
+
+    def may_go_to(self, record: targets.TargetRecord) -> bool:
+        """Returns whether a target has versions that may serve the call."""
+        return record.weight_version in self.versions and (
+            self.software_version in (None, record.software_version)
+        )
 
     @property
     def prompt_tokens(self) -> int:
