Split membership/swim.py: updates, members, delegates

The two `+ 2` and the two pings of the own region on leaving stood without a reason.

updates.py now holds the queue of updates and the rotation, members.py a member's state and when an update supersedes it, delegates.py the choice of delegates. `+ 2` is log_group_size, the size of the group plus one. The public names stay importable from swim.py.

--- a/packages/chivelb-core/chivelb_core/membership/swim.py
+++ b/packages/chivelb-core/chivelb_core/membership/swim.py
@@ -7,51 +7,32 @@
 """
 
 import dataclasses
-import hashlib
-import math
 import random
 
-import msgspec
-
+from chivelb_core.membership import delegates as delegates_lib
+from chivelb_core.membership import members as members_lib
 from chivelb_core.membership import messages
+from chivelb_core.membership import updates as updates_lib
 
 PROBE_PERIOD_S = 1.0
 ACK_TIMEOUT_S = 0.3
 INDIRECT_PROBES = 3
 SUSPICION_FACTOR = 3.0
-MAX_UPDATES_PER_DATAGRAM = 12
-# A datagram with fewer updates also carries members that have not changed.
-REFRESHED_PER_DATAGRAM = 5
-RETRANSMIT_FACTOR = 6
 # A suspect is pinged by every member after this fraction of the time that it
 # has to refute, so that nobody declares a member dead that answers.
 CONFIRMATION_FRACTION = 0.5
-DELEGATES_PER_REGION = 2
 DEAD_RETENTION_S = 300.0
 DEAD_PROBE_PERIOD_S = 1.0
 PAUSE_THRESHOLD_S = 3.0
 # Time after the start in which an instance asks for all members.
 JOINING_S = 8.0
 
-_STATUS_PRECEDENCE = {"alive": 0, "suspect": 1, "dead": 2, "left": 3}
-
-
-@dataclasses.dataclass(slots=True)
-class MemberState:
-    """Local state of another instance.
-
-    Attributes:
-        member: Newest known state.
-        changed_at: Monotonic time of the newest change of status, in seconds.
-        version: Highest document version that it has reported.
-        confirming: Whether this instance has pinged it since it became
-            suspect.
-    """
-
-    member: messages.Member
-    changed_at: float
-    version: int = 0
-    confirming: bool = False
+MemberState = members_lib.MemberState
+replace_member = members_lib.replace_member
+DELEGATES_PER_REGION = delegates_lib.DELEGATES_PER_REGION
+MAX_UPDATES_PER_DATAGRAM = updates_lib.MAX_UPDATES_PER_DATAGRAM
+REFRESHED_PER_DATAGRAM = updates_lib.REFRESHED_PER_DATAGRAM
+RETRANSMIT_FACTOR = updates_lib.RETRANSMIT_FACTOR
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,11 +72,10 @@
         "version",
         "_rng",
         "_probe_order",
-        "_refresh_order",
         "_probes",
         "_sequence",
         "_next_probe_at",
-        "_update_send_counts",
+        "_updates",
         "_outbox",
         "_changes",
         "_last_tick_at",
@@ -118,11 +98,12 @@
         self.version = 0
         self._rng = rng
         self._probe_order: list[str] = []
-        self._refresh_order: list[str] = []
         self._probes: dict[int, Probe] = {}
         self._sequence = rng.randrange(2**32)
         self._next_probe_at = now + rng.random() * PROBE_PERIOD_S
-        self._update_send_counts: dict[str, int] = {local_member.name: 0}
+        self._updates = updates_lib.UpdateQueue(
+            local_member.name, self.members, rng
+        )
         self._outbox: list[tuple[str, messages.Message]] = []
         self._changes: list[messages.Member] = []
         self._last_tick_at = now
@@ -163,14 +144,12 @@
     def delegates(self, region: str) -> list[str]:
         """Returns the delegates of a region, which may include this instance.
 
-        Delegates are the ``DELEGATES_PER_REGION`` live members with the lowest
-        hash of region and name, so that all instances choose the same ones.
+        They are chosen among the live members.
         """
         names = self.live_members(region)
         if region == self.local_member.region:
             names.append(self.local_member.name)
-        names.sort(key=lambda name: _digest(f"{region}/{name}"))
-        return names[:DELEGATES_PER_REGION]
+        return delegates_lib.choose_delegates(region, names)
 
     @property
     def is_delegate(self) -> bool:
@@ -207,10 +186,11 @@
             status="left",
             incarnation=self.local_member.incarnation + 1,
         )
-        self._update_send_counts[self.local_member.name] = 0
-        for name in (
-            self.live_members(self.local_member.region) + self.live_members()
-        ):
+        self._updates.schedule(self.local_member.name)
+        # The members of this instance's region, which all track it, are pinged
+        # twice: one ping may be lost, and after the stop nothing is sent again.
+        region_members = self.live_members(self.local_member.region)
+        for name in region_members + self.live_members():
             self._ping(name, now)
 
     def tick(self, now: float) -> None:
@@ -248,7 +228,7 @@
         if known is not None and known.member.status != "alive":
             # The sender is alive but not known as such: send it its status,
             # so that it refutes it with a higher incarnation.
-            self._update_send_counts[sender] = 0
+            self._updates.schedule(sender)
         match message:
             case messages.Ping():
                 self.record_version(sender, message.version)
@@ -319,7 +299,10 @@
             (
                 peer,
                 messages.Ack(
-                    sequence, about, version, self._pick_updates(peer)
+                    sequence,
+                    about,
+                    version,
+                    self._pick_updates(peer),
                 ),
             )
         )
@@ -384,7 +367,9 @@
                 (
                     helper,
                     messages.PingRequest(
-                        sequence, target, self._pick_updates(helper)
+                        sequence,
+                        target,
+                        self._pick_updates(helper),
                     ),
                 )
             )
@@ -401,21 +386,25 @@
         ]
         if dead:
             name = self._rng.choice(dead)
-            self._update_send_counts[name] = 0
+            self._updates.schedule(name)
             self._ping_unrecorded(name)
 
     def _ping_unrecorded(self, name: str) -> None:
         """Pings a member without a probe: a missing ack has no effect."""
         self._outbox.append(
-            (name, messages.Ping(0, self.version, self._pick_updates(name)))
+            (
+                name,
+                messages.Ping(0, self.version, self._pick_updates(name)),
+            )
         )
 
     # Status.
 
     def suspicion_timeout_s(self) -> float:
         """Returns the time within which a suspect may refute, in seconds."""
-        size = len(self.live_members(self.local_member.region)) + 2
-        return SUSPICION_FACTOR * max(1.0, math.log10(size)) * PROBE_PERIOD_S
+        others = self.live_members(self.local_member.region)
+        periods = max(1.0, updates_lib.log_group_size(len(others)))
+        return SUSPICION_FACTOR * periods * PROBE_PERIOD_S
 
     def _mark_suspect(self, name: str, now: float) -> None:
         state = self.members.get(name)
@@ -444,7 +433,7 @@
                 and not member.anchor
             ):
                 del self.members[name]
-                self._update_send_counts.pop(name, None)
+                self._updates.remove(name)
 
     def _merge(self, update: messages.Member, now: float) -> None:
         if update.name == self.local_member.name:
@@ -458,14 +447,7 @@
             ):
                 self._set_member(update, now)
             return
-        known = state.member
-        is_newer = update.incarnation > known.incarnation
-        is_same = update.incarnation == known.incarnation
-        if is_newer or (
-            is_same
-            and _STATUS_PRECEDENCE[update.status]
-            > _STATUS_PRECEDENCE[known.status]
-        ):
+        if members_lib.supersedes(update, state.member):
             self._set_member(update, now)
 
     def _should_track(self, update: messages.Member) -> bool:
@@ -486,7 +468,7 @@
         self.local_member = replace_member(
             self.local_member, incarnation=update.incarnation + 1
         )
-        self._update_send_counts[self.local_member.name] = 0
+        self._updates.schedule(self.local_member.name)
 
     def _set_member(self, member: messages.Member, now: float) -> None:
         state = self.members.get(member.name)
@@ -499,73 +481,18 @@
         state.member = member
         state.changed_at = now
         state.confirming = False
-        self._update_send_counts[member.name] = 0
+        self._updates.schedule(member.name)
         self._changes.append(member)
 
-    # Piggybacked updates.
-
     def _pick_updates(self, receiver: str) -> list[messages.Member]:
-        max_sends = RETRANSMIT_FACTOR * math.ceil(
-            math.log10(len(self.members) + 2)
-        )
-        names = sorted(
-            self._update_send_counts,
-            key=lambda name: (
-                # The receiver must learn its own status to refute it, and
-                # others that of this instance if it has refuted one.
-                name not in (receiver, self.local_member.name),
-                self._update_send_counts[name],
-                -_STATUS_PRECEDENCE[self._get_member(name).status],
-            ),
-        )[:MAX_UPDATES_PER_DATAGRAM]
-        picked = []
-        for name in names:
-            picked.append(self._get_member(name))
-            self._update_send_counts[name] += 1
-            if (
-                self._update_send_counts[name] >= max_sends
-                and name != self.local_member.name
-            ):
-                del self._update_send_counts[name]
-        picked += self._next_refreshed(REFRESHED_PER_DATAGRAM - len(picked))
-        return picked
-
-    def _next_refreshed(self, count: int) -> list[messages.Member]:
-        """Returns the next members in a rotation over all of them.
-
-        An update is sent a limited number of times and may miss a receiver;
-        the rotation repairs that.
-        """
-        refreshed = []
-        while len(refreshed) < min(count, len(self.members)):
-            if not self._refresh_order:
-                self._refresh_order = list(self.members)
-                self._rng.shuffle(self._refresh_order)
-            name = self._refresh_order.pop()
-            if name in self.members:
-                refreshed.append(self.members[name].member)
-        return refreshed
-
-    def _get_member(self, name: str) -> messages.Member:
-        if name == self.local_member.name:
-            return self.local_member
-        return self.members[name].member
+        return self._updates.pick(receiver, self.local_member)
 
     def check_invariants(self) -> None:
         """Asserts the invariants of the class."""
         assert self.local_member.name not in self.members, (
             f"{self.local_member.name} is in its own table of other members"
         )
-        for name in self._update_send_counts:
+        for name in self._updates.send_counts:
             assert name == self.local_member.name or name in self.members, (
                 f"{self.local_member.name} has updates of unknown member {name}"
             )
-
-
-def replace_member(member: messages.Member, **changes) -> messages.Member:
-    """Returns a copy of a member with some attributes changed."""
-    return msgspec.structs.replace(member, **changes)
-
-
-def _digest(text: str) -> bytes:
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
