Split control/voter_service.py: first membership and log entries

The initial group and the parsing of member ids stood in it and in the simulation of the control group.

group_entry.py now decides and joins, log_entries.py applies an entry, consensus/group.py has original_member_id, instance_name and initial_group. The public names stay importable from voter_service.py.

Ran test_consensus.py, test_claims.py, test_site_state.py, test_voter_client.py, test_document_distribution.py and test_console.py: 85 passed.

--- a/packages/chivelb-core/chivelb_core/consensus/group.py
+++ b/packages/chivelb-core/chivelb_core/consensus/group.py
@@ -4,6 +4,8 @@
 state.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 
 from chivelb_core import codes
@@ -94,3 +96,26 @@
             codes.CHANGE_INVALID, "change leaves the group without voters"
         )
     return None
+
+
+def original_member_id(name: str) -> str:
+    """Returns the member id of an instance in a new group."""
+    return f"{name}/1"
+
+
+def instance_name(member_id: str) -> str:
+    """Returns the name of the instance that a member id belongs to."""
+    return member_id.split("/")[0]
+
+
+def initial_group(names: Iterable[str]) -> Group:
+    """Returns a new group in which each instance votes.
+
+    Args:
+        names: Names of the instances.
+    """
+    members = {}
+    for name in names:
+        member_id = original_member_id(name)
+        members[member_id] = Member(member_id, name, True)
+    return Group(members)
--- a/packages/chivelb-core/chivelb_core/testing/control_group.py
+++ b/packages/chivelb-core/chivelb_core/testing/control_group.py
@@ -100,13 +100,16 @@
         self.joining: dict[str, str] = {}
         self._proposals: dict[tuple[int, int], bytes] = {}
         self._lost_disk_count = 0
-        initial_group = group_lib.Group(
-            {f"{n}/1": group_lib.Member(f"{n}/1", n, True) for n in names}
+        snapshot = snapshots.encode_snapshot(
+            group_lib.initial_group(names), b""
         )
-        snapshot = snapshots.encode_snapshot(initial_group, b"")
         for name in names:
             self.disks[name] = Disk(
-                f"{name}/1", states.HardState(), (0, 0), snapshot, []
+                group_lib.original_member_id(name),
+                states.HardState(),
+                (0, 0),
+                snapshot,
+                [],
             )
             self.start(name)
 
@@ -335,7 +338,7 @@
         disk.entries += effects.entries
 
     def _send(self, name: str, message: Any) -> None:
-        receiver = message.to_member.split("/")[0]
+        receiver = group_lib.instance_name(message.to_member)
         if (name, receiver) in self.blocked_links:
             return
         self.in_flight.append(Packet(name, receiver, message))
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import random
-import secrets
 from typing import Any
 
 from chivelb_core import codes
@@ -20,6 +19,8 @@
 
 from chivelb_node import context as context_lib
 from chivelb_node.control import commands
+from chivelb_node.control import group_entry
+from chivelb_node.control import log_entries
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.storage import voter_files
 from chivelb_node.telemetry import logs
@@ -27,14 +28,14 @@
 
 TICK_S = 0.03
 SNAPSHOT_INTERVAL_ENTRIES = 4_000
-HELLO_PERIOD_S = 0.3
-HELLO_TIMEOUT_S = 0.5
 APPLY_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 1.0
-JOIN_PERIOD_S = 0.5
 # Kinds of log entries that a ``CommandRequest`` may propose, all of them
 # idempotent. Changes and leases have requests of their own.
 COMMAND_KINDS = frozenset({"replace", "weights"})
+HELLO_PERIOD_S = group_entry.HELLO_PERIOD_S
+HELLO_TIMEOUT_S = group_entry.HELLO_TIMEOUT_S
+JOIN_PERIOD_S = group_entry.JOIN_PERIOD_S
 _log = logs.get_logger("voter")
 _CONSENSUS_MESSAGES = (
     consensus_messages.VoteRequest,
@@ -125,7 +126,7 @@
         names = [group.members[voter].name for voter in sorted(group.voters)]
         return sorted(names, key=lambda name: name != self.leader_name())
 
-    # Startup: recover, bootstrap the group, or rejoin as a new member.
+    # Startup: recover, or enter a group without state on the disk.
 
     @mode.Service.task
     async def _main(self) -> None:
@@ -145,47 +146,11 @@
         self._state_was_read = True
         if member_id:
             return
-        settings = self.context.settings.control
-        names = settings.voters or [self.name]
-        initial_group = _initial_group(names)
-        if settings.start == "join":
-            await self._join(names)
-            return
-        if names == [self.name] or settings.start == "found":
-            self._create(f"{self.name}/1", initial_group)
-            return
-        while not self.should_stop:
-            voter_states = await self._query_other_voters(names)
-            joined = [s for s in voter_states if s.member_id]
-            others = len(names) - 1
-            if any(self._is_rejoining(s) for s in joined):
-                # This instance voted before and lost its disk, or the group
-                # was restored from a snapshot without it.
-                await self._join([s.name for s in joined])
-                return
-            if len(voter_states) == others:
-                self._create(f"{self.name}/1", initial_group)
-                return
-            await self.sleep(HELLO_PERIOD_S)
-
-    def _is_rejoining(self, state: messages.VoterState) -> bool:
-        """Returns whether a peer reports that this is not a first start."""
-        group = snapshots.decode_group(state.group)
-        original_id = f"{self.name}/1"
-        return self.name in state.witnessed or original_id not in group.members
-
-    async def _query_other_voters(
-        self, names: list[str]
-    ) -> list[messages.VoterState]:
-        hello = messages.VoterHello(self.name, "")
-        replies = await asyncio.gather(
-            *(
-                self.hub.request(name, hello, HELLO_TIMEOUT_S)
-                for name in names
-                if name != self.name
-            )
+        membership = await group_entry.find_membership(
+            self, self.hub, self.context.settings
         )
-        return [r for r in replies if isinstance(r, messages.VoterState)]
+        if membership is not None:
+            self._create(membership)
 
     def _on_hello(
         self, peer: str, hello: messages.VoterHello
@@ -206,43 +171,16 @@
             self.leader_name(),
         )
 
-    async def _join(self, names: list[str]) -> None:
-        """Joins an existing group under a new member id.
-
-        Args:
-            names: Names of the instances to ask; one of them may be the
-                leader.
-        """
-        member_id = f"{self.name}/{secrets.token_hex(4)}"
-        _log.warning(
-            "no state on disk; joining as a new member", member=member_id
-        )
-        while not self.should_stop:
-            for name in names:
-                reply = await self.hub.request(
-                    name,
-                    messages.JoinRequest(self.name, member_id),
-                    HELLO_TIMEOUT_S,
-                )
-                if isinstance(reply, messages.JoinReply) and reply.accepted:
-                    # The group is learned from the replicated log alone.
-                    self._create(member_id, group_lib.Group())
-                    return
-            await self.sleep(JOIN_PERIOD_S)
-
-    def _create(self, member_id: str, group: group_lib.Group) -> None:
-        self._files.create(member_id)
-        if group.members:
+    def _create(self, membership: group_entry.Membership) -> None:
+        self._files.create(membership.member_id)
+        if membership.group.members:
             data = snapshots.encode_snapshot(
-                group,
-                state_lib.encode_document_state(self._initial_document_state()),
+                membership.group,
+                state_lib.encode_document_state(document.DocumentState()),
             )
             self._files.write_snapshot(0, 0, data)
         self._recover()
 
-    def _initial_document_state(self) -> document.DocumentState:
-        return document.DocumentState()
-
     def _recover(self) -> None:
         recovered = self._files.recover()
         self._seen_voters = self._files.read_seen_voters()
@@ -335,12 +273,13 @@
         await self._compact()
 
     def _send(self, message: consensus_messages.Message) -> None:
-        member = self.voter.group.members.get(message.to_member)
-        name = member.name if member else message.to_member.split("/")[0]
+        receiver = message.to_member
+        member = self.voter.group.members.get(receiver)
+        name = member.name if member else group_lib.instance_name(receiver)
         self.hub.send(name, message)
 
     def _on_message(self, peer: str, message: Any) -> None:
-        sender = message.from_member.split("/")[0]
+        sender = group_lib.instance_name(message.from_member)
         if self.voter is None or sender != peer:
             return
         if peer not in self._seen_voters:
@@ -358,23 +297,7 @@
     def _apply(self, entries: list) -> None:
         before = self.document_state.version
         for entry in entries:
-            result: Any = None
-            if entry.kind == "change":
-                change = commands.decode_change(entry.data)
-                result = self.document_state.apply_change(change)
-            elif entry.kind == "lease":
-                lease = commands.decode_lease(entry.data)
-                result = self.document_state.grant_lease(
-                    lease.lease, lease.holder, lease.expected
-                )
-            elif entry.kind == "replace":
-                replacement = commands.decode_replacement(entry.data)
-                result = self.document_state.replace(replacement)
-            elif entry.kind == "weights":
-                weights = commands.decode_weights(entry.data)
-                result = self.document_state.set_weight_version(
-                    weights.model, weights.version
-                )
+            result = log_entries.apply_entry(self.document_state, entry)
             future = self._pending_proposals.pop(
                 (entry.index, entry.term), None
             )
@@ -524,12 +447,3 @@
         step = replacement_lib.plan_membership_change(self.voter)
         if step is not None:
             self.voter.propose_group(step, now)
-
-
-def _initial_group(names: list[str]) -> group_lib.Group:
-    return group_lib.Group(
-        {
-            f"{name}/1": group_lib.Member(f"{name}/1", name, True)
-            for name in names
-        }
-    )
