--- a/packages/chivelb-cli/chivelb_cli/lab/faults.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/faults.py
@@ -5,6 +5,9 @@
 from aiohttp import web
 import msgspec
 
+# A hung request ends only with its connection or its process.
+HANG_S = 3_600.0
+
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
     """Faults injected into one simulated target.
--- a/packages/chivelb-cli/chivelb_cli/lab/service.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/service.py
@@ -61,7 +61,7 @@
             await asyncio.sleep(self.arguments.work_s)
             self.executions.append(body)
             if self.faults.hang:
-                await asyncio.sleep(3600)
+                await asyncio.sleep(faults_lib.HANG_S)
             if self.faults.late_s:
                 await asyncio.sleep(self.faults.late_s)
         finally:
@@ -86,17 +86,11 @@
 
     async def list_executions(self, request: web.Request) -> web.Response:
         """Serves the bodies of executed requests, for tests."""
-        return web.Response(
-            body=msgspec.json.encode(self.executions),
-            content_type="application/json",
-        )
+        return serving.json_response(self.executions)
 
     async def state(self, request: web.Request) -> web.Response:
         """Serves the number of executed requests, for tests."""
-        return web.Response(
-            body=msgspec.json.encode({"executed": len(self.executions)}),
-            content_type="application/json",
-        )
+        return serving.json_response({"executed": len(self.executions)})
 
     async def leave(self, request: web.Request) -> web.Response:
         """Makes the target reject requests, as before a planned stop."""
@@ -140,16 +134,4 @@
 
 def run(arguments: argparse.Namespace) -> int:
     """Runs ``chivelb lab service``."""
-
-    async def main() -> None:
-        target = PlainTarget(arguments)
-        await serving.serve(
-            target.app(),
-            arguments.host,
-            arguments.port,
-            target.background_tasks,
-            as_json=arguments.json,
-        )
-
-    asyncio.run(main())
-    return 0
+    return serving.run_target(PlainTarget, arguments)
--- a/packages/chivelb-cli/chivelb_cli/lab/serving.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/serving.py
@@ -1,13 +1,62 @@
 """Runs the HTTP server of a simulated target until a stop signal."""
 
+import argparse
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import json
 import signal
+from typing import Any
+from typing import Protocol
 
 from aiohttp import web
+import msgspec
+
+
+class SimulatedTarget(Protocol):
+    """A target that ``run_target`` serves."""
+
+    def app(self) -> web.Application:
+        """Returns the application with all routes."""
+
+    def background_tasks(self, port: int) -> list[Awaitable]:
+        """Returns the coroutines to run alongside the server on a port."""
+
+
+def run_target(
+    create: Callable[[argparse.Namespace], SimulatedTarget],
+    arguments: argparse.Namespace,
+) -> int:
+    """Runs a simulated target until a stop signal.
+
+    Args:
+        create: Creates the target, in the event loop that serves it.
+        arguments: Command-line arguments with the address to listen on.
+
+    Returns:
+        Exit code of the process.
+    """
+
+    async def main() -> None:
+        target = create(arguments)
+        await serve(
+            target.app(),
+            arguments.host,
+            arguments.port,
+            target.background_tasks,
+            as_json=arguments.json,
+        )
+
+    asyncio.run(main())
+    return 0
+
+
+def json_response(value: Any) -> web.Response:
+    """Returns a response with a value encoded as JSON."""
+    return web.Response(
+        body=msgspec.json.encode(value), content_type="application/json"
+    )
 
 
 async def serve(
--- a/packages/chivelb-cli/chivelb_cli/lab/store.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/store.py
@@ -1,7 +1,6 @@
 """Simulated KV cache store."""
 
 import argparse
-import asyncio
 import dataclasses
 import random
 import time
@@ -144,14 +143,14 @@
         )
         if not is_renewal:
             if now < self._owner_lease_ends_at and body.owner != self._owner:
-                return _json_response(
+                return serving.json_response(
                     {"token": 0, "capacity": 0, "generation": 0, "refs": []}
                 )
             self._owner = body.owner
             self._owner_token += 1
         self._owner_lease_ends_at = now + OWNER_LEASE_S
         refs = [] if is_renewal else self._sealed_refs()
-        return _json_response(
+        return serving.json_response(
             {
                 "token": self._owner_token,
                 "capacity": self.capacity,
@@ -185,7 +184,7 @@
             if block is not None and block.generation == freed.generation:
                 del self.blocks[freed.key]
                 self._event_log.remove([freed.key])
-        return _json_response({"freed": True})
+        return serving.json_response({"freed": True})
 
     async def write(self, request: web.Request) -> web.Response:
         """Writes blocks; each is readable once it is sealed."""
@@ -216,7 +215,7 @@
                 body.anchor,
                 [(ref.key, b"") for ref in sealed],
             )
-        return _json_response(msgspec.to_builtins(sealed))
+        return serving.json_response(msgspec.to_builtins(sealed))
 
     async def read(self, request: web.Request) -> web.Response:
         """Reads blocks up to the first that is not available.
@@ -238,7 +237,7 @@
             size += block.length
         await self.link.transfer(size, self.faults.link_factor)
         self.blocks_read += len(contents)
-        return _json_response(contents)
+        return serving.json_response(contents)
 
     async def state(self, request: web.Request) -> web.Response:
         """Serves internal state for tests.
@@ -246,7 +245,7 @@
         ``bytes`` is the size of all blocks; ``moved`` is the number of bytes
         transferred over the link so far, as ``link_bytes`` of a runner.
         """
-        return _json_response(
+        return serving.json_response(
             {
                 "blocks": len(self.blocks),
                 "bytes": sum(b.length for b in self.blocks.values()),
@@ -294,24 +293,6 @@
         ]
 
 
-def _json_response(value) -> web.Response:
-    return web.Response(
-        body=msgspec.json.encode(value), content_type="application/json"
-    )
-
-
 def run(arguments: argparse.Namespace) -> int:
     """Runs ``chivelb lab store``."""
-
-    async def main() -> None:
-        store = Store(arguments)
-        await serving.serve(
-            store.app(),
-            arguments.host,
-            arguments.port,
-            store.background_tasks,
-            as_json=arguments.json,
-        )
-
-    asyncio.run(main())
-    return 0
+    return serving.run_target(Store, arguments)
--- a/packages/chivelb-cli/chivelb_cli/lab/weights.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/weights.py
@@ -5,7 +5,6 @@
 import time
 
 from aiohttp import web
-import msgspec
 
 from chivelb_cli.lab import serving
 
@@ -66,14 +65,11 @@
 
         In the reply, ``loads`` are these downloads.
         """
-        return web.Response(
-            body=msgspec.json.encode(
-                {
-                    "most_at_once": self.peak_active_downloads,
-                    "loads": self.downloaded_versions,
-                }
-            ),
-            content_type="application/json",
+        return serving.json_response(
+            {
+                "most_at_once": self.peak_active_downloads,
+                "loads": self.downloaded_versions,
+            }
         )
 
 
