Split fleet.py: ports and polling

ports.py reserves port ranges, polling.py waits for conditions and calls the operator API. All public names stay importable from fleet.py.

--- a/packages/chivelb-cli/chivelb_cli/fleet.py
+++ b/packages/chivelb-cli/chivelb_cli/fleet.py
@@ -4,87 +4,36 @@
 zones, whose processes all run on this machine.
 """
 
-import asyncio
-from collections.abc import Iterator
 import contextlib
 import dataclasses
-import fcntl
 import hashlib
 import os
 import pathlib
 import secrets
 import signal
-import socket
 import subprocess
 import sys
-import tempfile
 import time
 from typing import Any
 
 import aiohttp
 import msgspec
 
-START_TIMEOUT_S = 15.0
-STOP_TIMEOUT_S = 8.0
-POLL_INTERVAL_S = 0.05
-FIRST_PORT = 10_000
-PORT_RANGE_COUNT = 110
-PORTS_PER_RANGE = 200
-OPERATOR_KEY = "lab-operator-key"
-
-
-def _iterate_ports() -> Iterator[int]:
-    """Yields candidate ports below the ephemeral range of the system.
-
-    Each process reserves a port range for as long as it runs, so that fleets
-    in concurrent processes never compete for the same ports. The ports of the
-    range are repeated endlessly.
-    """
-    with _reserve_port_range() as start:
-        while True:
-            yield from range(start, start + PORTS_PER_RANGE)
-
-
-@contextlib.contextmanager
-def _reserve_port_range() -> Iterator[int]:
-    """Reserves a port range by a lock on a file that names it.
-
-    Yields:
-        The first port of the range.
-
-    Raises:
-        RuntimeError: Other processes have reserved all ranges.
-    """
-    for number in range(PORT_RANGE_COUNT):
-        start = FIRST_PORT + number * PORTS_PER_RANGE
-        path = pathlib.Path(tempfile.gettempdir(), f"chivelb-ports-{start}")
-        with path.open("w") as file:
-            try:
-                fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            except OSError:
-                continue
-            yield start
-            return
-    raise RuntimeError(f"all {PORT_RANGE_COUNT} port ranges are reserved")
-
-
-_port_candidates = _iterate_ports()
+from chivelb_cli import polling
+from chivelb_cli import ports
 
+STOP_TIMEOUT_S = 8.0
+START_TIMEOUT_S = polling.START_TIMEOUT_S
+POLL_INTERVAL_S = polling.POLL_INTERVAL_S
+OPERATOR_KEY = polling.OPERATOR_KEY
+FIRST_PORT = ports.FIRST_PORT
+PORT_RANGE_COUNT = ports.PORT_RANGE_COUNT
+PORTS_PER_RANGE = ports.PORTS_PER_RANGE
 
-def free_port() -> int:
-    """Returns a loopback port that is free for both TCP and UDP."""
-    for port in _port_candidates:
-        with (
-            socket.socket() as tcp,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
-        ):
-            try:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-    raise RuntimeError(f"no free loopback port, last tried {port}")
+free_port = ports.free_port
+wait_for = polling.wait_for
+operator_get = polling.operator_get
+operator_post = polling.operator_post
 
 
 @dataclasses.dataclass(slots=True)
@@ -437,7 +386,7 @@
             log = self.folder / f"{name}.log"
             tail = log.read_text(errors="replace")[-800:]
             raise RuntimeError(f"{name} exited with code {code}: {tail}")
-        return await _is_ready(session, instance.url)
+        return await polling.is_ready(session, instance.url)
 
     async def wait_targets(
         self, session: aiohttp.ClientSession, count: int
@@ -465,68 +414,3 @@
             await wait_for(
                 knows_targets, f"{instance.name} to know {count} targets"
             )
-
-
-async def wait_for(condition, what: str, timeout_s: float = START_TIMEOUT_S):
-    """Polls an async condition until it returns a true value.
-
-    Args:
-        condition: Called without arguments; returns an awaitable.
-        what: Description of the condition, for the error message.
-        timeout_s: Longest wait in seconds.
-
-    Returns:
-        The first true value.
-
-    Raises:
-        TimeoutError: The condition does not hold in time.
-    """
-    deadline = time.monotonic() + timeout_s
-    while True:
-        value = await condition()
-        if value:
-            return value
-        if time.monotonic() >= deadline:
-            raise TimeoutError(f"timed out waiting for {what}")
-        await asyncio.sleep(POLL_INTERVAL_S)
-
-
-async def _is_ready(session: aiohttp.ClientSession, url: str) -> bool:
-    try:
-        async with session.get(f"{url}/ready") as response:
-            return response.status == 200
-    except (aiohttp.ClientError, TimeoutError):
-        return False
-
-
-async def operator_get(
-    session: aiohttp.ClientSession, url: str, path: str
-) -> Any | None:
-    """Sends a GET request to the operator API.
-
-    Returns:
-        The decoded response; None when the request fails.
-    """
-    headers = {"X-Operator-Key": OPERATOR_KEY}
-    try:
-        async with session.get(f"{url}{path}", headers=headers) as response:
-            if response.status != 200:
-                return None
-            return msgspec.json.decode(await response.read())
-    except (aiohttp.ClientError, TimeoutError):
-        return None
-
-
-async def operator_post(
-    session: aiohttp.ClientSession, url: str, path: str, body: Any
-) -> tuple[int, Any]:
-    """Sends a POST request to the operator API.
-
-    Returns:
-        HTTP status and decoded response.
-    """
-    headers = {"X-Operator-Key": OPERATOR_KEY}
-    async with session.post(
-        f"{url}{path}", data=msgspec.json.encode(body), headers=headers
-    ) as response:
-        return response.status, msgspec.json.decode(await response.read())
