Split edge/console.py: forms and pages

console_forms.py parses a form and builds its change, console_pages.py renders. Form, COLLECTIONS, MAX_FORM_FIELDS, parse_form and build_operation stay importable from console.py. Behaviour unchanged.

--- a/packages/chivelb-node/chivelb_node/edge/console.py
+++ b/packages/chivelb-node/chivelb_node/edge/console.py
@@ -9,8 +9,6 @@
 import json
 import secrets
 import time
-import types
-import typing
 
 from aiohttp import web
 from chivelb_core import codes
@@ -22,6 +20,8 @@
 import msgspec
 
 from chivelb_node import context as context_lib
+from chivelb_node.edge import console_forms
+from chivelb_node.edge import console_pages
 from chivelb_node.edge import html
 from chivelb_node.edge import operators
 from chivelb_node.edge import request_bodies
@@ -31,10 +31,12 @@
 COOKIE = "chivelb_operator"
 SESSION_LIFETIME_S = 8 * 3600
 MAX_FORM_BYTES = 262_144
-MAX_FORM_FIELDS = 200
-COLLECTIONS = tuple(model_lib.COLLECTIONS)
-_CHOICES = {"policy": validation.POLICIES}
-Form = dict[str, str]
+MAX_FORM_FIELDS = console_forms.MAX_FORM_FIELDS
+COLLECTIONS = console_forms.COLLECTIONS
+Form = console_forms.Form
+
+parse_form = console_forms.parse_form
+build_operation = console_forms.build_operation
 
 
 class ConsoleHandlers:
@@ -141,7 +143,7 @@
             "<input type=password name=key autofocus></label>"
             "<button>sign in</button></form>"
         )
-        return _page_response("sign in", body)
+        return console_pages.page_response("sign in", body)
 
     async def login(self, request: web.Request) -> web.Response:
         """Starts a session if the operator key is correct."""
@@ -204,7 +206,7 @@
             f"<p>version {cluster.newest}</p>{note if unreachable else ''}"
             f"<h2>instances</h2>{instances}<h2>targets</h2>{targets}"
         )
-        return _page_response("overview", body)
+        return console_pages.page_response("overview", body)
 
     async def listing(self, request: web.Request) -> web.Response:
         """Shows the entries of a collection."""
@@ -214,14 +216,14 @@
             [
                 f'<a href="/console/{collection}/{html.escape(name)}">'
                 f"{html.escape(name)}</a>",
-                html.escape(_summarize(entry)),
+                html.escape(console_pages.summarize(entry)),
             ]
             for name, entry in sorted(entries.items())
         )
         body = html.table(["name", "value"], rows) + (
             f'<p><a href="/console/{collection}/+">add one</a></p>'
         )
-        return _page_response(collection, body)
+        return console_pages.page_response(collection, body)
 
     def _collection(self, request: web.Request) -> str:
         name = request.match_info["collection"]
@@ -244,7 +246,7 @@
             )
         body = self._edit_form(request, collection, name, entries.get(name))
         title = f"new in {collection}" if name == "+" else name
-        return _page_response(title, body)
+        return console_pages.page_response(title, body)
 
     def _edit_form(
         self, request: web.Request, collection: str, name: str, entry
@@ -259,7 +261,7 @@
         else:
             fields.append(html.hidden("part-name", name))
         for field in msgspec.structs.fields(model_lib.COLLECTIONS[collection]):
-            fields.append(_render_field(field, entry))
+            fields.append(console_pages.render_field(field, entry))
         buttons = "<p><button>show the difference</button>"
         if name != "+":
             buttons += (
@@ -280,10 +282,12 @@
             self.context.document, [operation]
         )
         if problems:
-            return _page_response(
-                "invalid change", _render_problems(problems), status=422
+            return console_pages.page_response(
+                "invalid change",
+                console_pages.render_problems(problems),
+                status=422,
             )
-        difference = _render_difference(
+        difference = console_pages.render_difference(
             self.context.document, changed, operation.path
         )
         body = (
@@ -292,10 +296,14 @@
             + html.hidden("base", form.get("base", "0"))
             + html.hidden("change-id", operators.new_change_id())
             + html.hidden("path", operation.path)
-            + html.hidden("value", json.dumps(_redact_value(operation)))
+            + html.hidden(
+                "value", json.dumps(console_forms.redact_value(operation))
+            )
             + "<p><button>apply</button></p></form>"
         )
-        return _page_response(f"difference of {operation.path}", body)
+        return console_pages.page_response(
+            f"difference of {operation.path}", body
+        )
 
     async def apply(self, request: web.Request) -> web.Response:
         """Applies a change that was previewed."""
@@ -332,13 +340,13 @@
     ) -> web.Response:
         path = change.operations[0].path
         if result.code == codes.DONE.number:
-            return _page_response(
+            return console_pages.page_response(
                 "accepted",
                 f"<p class=note>{html.escape(path)} was changed in version "
                 f"{result.version}</p>",
             )
         if result.code == codes.CHANGE_CONFLICT.number:
-            return _page_response(
+            return console_pages.page_response(
                 "conflict",
                 "<p class=fault>another operator has changed the document: the "
                 f"form was based on version {change.base_version}, version "
@@ -347,8 +355,10 @@
                 "show the current entry</a></p>",
                 status=409,
             )
-        return _page_response(
-            "change rejected", _render_problems(result.problems), status=422
+        return console_pages.page_response(
+            "change rejected",
+            console_pages.render_problems(result.problems),
+            status=422,
         )
 
     def _error_page(self, code: codes.ResultCode, detail: str) -> web.Response:
@@ -356,158 +366,6 @@
             f"<p class=fault>{code.number} {html.escape(code.name)}: "
             f"{html.escape(detail)}</p>"
         )
-        return _page_response("request failed", body, status=code.status)
-
-
-def _page_response(title: str, body: str, status: int = 200) -> web.Response:
-    return web.Response(
-        text=html.page(title, body, menu=COLLECTIONS),
-        content_type="text/html",
-        status=status,
-        headers={
-            "Content-Security-Policy": (
-                "default-src 'none'; style-src 'unsafe-inline'; "
-                "form-action 'self'; frame-ancestors 'none'"
-            ),
-            "Cache-Control": "no-store",
-        },
-    )
-
-
-def parse_form(body: bytes) -> Form:
-    """Parses a URL-encoded form.
-
-    Raises:
-        responses.RequestError: The form is not valid UTF-8 or has too many
-            fields.
-    """
-    # Imported here because only forms need it.
-    import urllib.parse
-
-    try:
-        pairs = urllib.parse.parse_qsl(
-            body.decode("ascii"),
-            keep_blank_values=True,
-            errors="strict",
-            max_num_fields=MAX_FORM_FIELDS,
-        )
-    except (UnicodeDecodeError, ValueError) as error:
-        raise responses.RequestError(codes.BAD_ENCODING, str(error)) from None
-    return dict(pairs)
-
-
-def build_operation(
-    form: Form, current: document.Document
-) -> document.Operation:
-    """Builds a change operation from the fields of a form.
-
-    Args:
-        form: The form fields.
-        current: The document in force, for secrets that are left unchanged.
-
-    Raises:
-        responses.RequestError: A field is invalid.
-    """
-    collection = form.get("collection", "")
-    if collection not in model_lib.COLLECTIONS:
-        raise responses.RequestError(
-            codes.BAD_FIELD,
-            validation.describe_choices(collection, list(COLLECTIONS)),
-        )
-    path = f"{collection}/{form.get('part-name', '')}"
-    if form.get("delete"):
-        return document.Operation(path, None)
-    value = {}
-    for field in msgspec.structs.fields(model_lib.COLLECTIONS[collection]):
-        raw = form.get(field.name, "")
-        if raw or field.required:
-            value[field.name] = _parse_field(field, raw)
-    operation = document.Operation(path, value)
-    change = document.Change("", 0, [operation])
-    return operators.restore_secrets(change, current).operations[0]
-
-
-def _parse_field(field, raw: str) -> typing.Any:
-    if isinstance(field.type, types.GenericAlias):
-        return [item.strip() for item in raw.split(",") if item.strip()]
-    try:
-        return msgspec.convert(raw, field.type, strict=False)
-    except msgspec.ValidationError as error:
-        raise responses.RequestError(
-            codes.BAD_FIELD, f"{field.name}: {raw[:80]!r}: {error}"
-        ) from None
-
-
-def _render_field(field, entry) -> str:
-    value = getattr(entry, field.name) if entry is not None else ""
-    if entry is None and field.default is not msgspec.NODEFAULT:
-        value = field.default
-    if field.name == "cache_secret" and entry is not None:
-        value = operators.SECRET_PLACEHOLDER
-    choices = _CHOICES.get(field.name)
-    if typing.get_origin(field.type) is typing.Literal:
-        choices = typing.get_args(field.type)
-    if field.type is bool:
-        choices = ("true", "false")
-        value = str(value).lower()
-    if choices is not None:
-        return html.choice_field(field.name, value, choices)
-    if isinstance(value, list):
-        value = ", ".join(value)
-    return html.text_field(
-        field.name, "" if value is None else value, required=field.required
-    )
-
-
-def _summarize(entry: msgspec.Struct) -> str:
-    fields = msgspec.to_builtins(entry)
-    fields.pop("cache_secret", None)
-    fields.pop("key_hashes", None)
-    return ", ".join(f"{name}={value}" for name, value in fields.items())
-
-
-def _redact_value(operation: document.Operation) -> typing.Any:
-    """Returns the operation's value with a placeholder for its secret.
-
-    The preview page embeds the value, and secrets must not leave the server.
-    """
-    if not isinstance(operation.value, dict):
-        return operation.value
-    if "cache_secret" not in operation.value:
-        return operation.value
-    return {**operation.value, "cache_secret": operators.SECRET_PLACEHOLDER}
-
-
-def _render_problems(problems: list[validation.Problem]) -> str:
-    items = "".join(
-        f"<li>{html.escape(p.path)}: {html.escape(p.message)}</li>"
-        for p in problems
-    )
-    return f"<ul class=fault>{items}</ul>"
-
-
-def _render_difference(
-    old: document.Document, new: document.Document, path: str
-) -> str:
-    collection, _, name = path.partition("/")
-    before = getattr(old, collection).get(name)
-    after = getattr(new, collection).get(name)
-    old_fields = msgspec.to_builtins(before) if before is not None else {}
-    new_fields = msgspec.to_builtins(after) if after is not None else {}
-    rows = []
-    for field in sorted(old_fields.keys() | new_fields.keys()):
-        if old_fields.get(field) == new_fields.get(field):
-            continue
-        cells = [old_fields.get(field, ""), new_fields.get(field, "")]
-        if field == "cache_secret":
-            cells = ["(secret)", "(another secret)"]
-        rows.append(
-            [
-                html.escape(field),
-                f"<del>{html.escape(cells[0])}</del>",
-                f"<ins>{html.escape(cells[1])}</ins>",
-            ]
+        return console_pages.page_response(
+            "request failed", body, status=code.status
         )
-    if not rows:
-        return "<p class=note>no difference</p>"
-    return html.table(["field", "current", "new"], rows)
