Simulations: shared steps, named constants, converge, claim_keepers

Cause: the simulations of the control group and of the claim keepers each had the code that takes or drops a message and chooses a step. Times and counts stood as bare numbers. settle meant "restore all and wait for a common log" in one simulation and "record an outcome" in the other. claim_site.py did not name what it simulates.

testing/steps.py holds the shared code; control_group.settle is now converge; claim_site.py is now claim_keepers.py, beside control_group.py and swim_group.py; the numbers have names and units. Two assertions of the simulations name the bad value.

No check changed.

--- a/packages/chivelb-cli/chivelb_cli/bench/soak.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/soak.py
@@ -7,14 +7,14 @@
 import random
 import time
 
-from chivelb_core.testing import claim_site
+from chivelb_core.testing import claim_keepers
 from chivelb_core.testing import control_group
 from chivelb_core.testing import swim_group
 
 STEPS_PER_ROUND = 2_000
-# Steps between two calls of ``settle``, which heals all links, starts all
+# Steps between two calls of ``converge``, which heals all links, starts all
 # voters and waits for a leader.
-SETTLE_INTERVAL_STEPS = 250
+CONVERGE_INTERVAL_STEPS = 250
 INSTANCE_NAMES = [f"n{number}" for number in range(7)]
 
 
@@ -54,15 +54,15 @@
     group = control_group.ControlGroupSimulation(seed, voter_names)
     for step in range(STEPS_PER_ROUND):
         control_group.take_random_step(group, rng)
-        if step % SETTLE_INTERVAL_STEPS == 0:
-            group.settle()
-    leader = group.settle()
+        if step % CONVERGE_INTERVAL_STEPS == 0:
+            group.converge()
+    leader = group.converge()
     assert group.propose(leader, b"last")
-    group.settle()
+    group.converge()
     steps["control group"] += group.check_count
-    claims = claim_site.ClaimSimulation()
+    claims = claim_keepers.ClaimSimulation()
     for _ in range(STEPS_PER_ROUND):
-        claim_site.take_random_step(claims, rng)
+        claim_keepers.take_random_step(claims, rng)
     steps["claims"] += claims.check_count
     steps["membership"] += _run_membership(seed, rng)
 
--- a/packages/chivelb-core/chivelb_core/testing/claim_site.py
+++ b/packages/chivelb-core/chivelb_core/testing/claim_keepers.py
@@ -13,6 +13,13 @@
 from chivelb_core import claims
 from chivelb_core.claims import keeper as keeper_lib
 from chivelb_core.claims import messages
+from chivelb_core.testing import steps as steps_lib
+
+# Invariant checks after which a random run begins to use a new key.
+CHECKS_PER_KEY = 40
+# Newest keys that a random run uses.
+KEYS_IN_USE = 4
+EXPIRY_STEP_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,7 +125,10 @@
         keeper = self.keepers[name]
         for other in others:
             records, more = self.keepers[other].list_claims("")
-            assert not more
+            assert not more, (
+                f"{other} lists more than one page of claims, "
+                f"{len(records)} on the first"
+            )
             keeper.merge_claims(records)
         self.disks[name] += keeper.take_unsynced_records()
         self.serving.add(name)
@@ -141,12 +151,11 @@
             position: Position in ``in_flight``, modulo its length.
             duplicate: Whether a copy stays in flight.
         """
-        if not self.in_flight:
+        packet = steps_lib.take_packet(
+            self.in_flight, position, duplicate=duplicate
+        )
+        if packet is None:
             return
-        position %= len(self.in_flight)
-        packet = self.in_flight[position]
-        if not duplicate:
-            del self.in_flight[position]
         if isinstance(packet.message, messages.ClaimReply):
             self._handle_reply(packet)
         else:
@@ -234,8 +243,7 @@
 
     def drop(self, position: int) -> None:
         """Drops a message in flight."""
-        if self.in_flight:
-            del self.in_flight[position % len(self.in_flight)]
+        steps_lib.drop_packet(self.in_flight, position)
 
     def expire(self, seconds: float) -> None:
         """Advances the time and removes expired claims.
@@ -262,14 +270,20 @@
 def take_random_step(simulation: ClaimSimulation, rng: random.Random) -> None:
     """Runs one random step, chosen by weight."""
     name = rng.choice(simulation.names)
-    # Every 40 checks a new key comes into use. Each step picks one of the four
-    # newest keys, so that requests compete for a key and old keys are left.
-    key = f"key-{max(0, simulation.check_count // 40 - rng.randrange(4))}"
+    # Each step picks one of the newest keys, so that requests compete for a key
+    # and old keys are left.
+    newest = simulation.check_count // CHECKS_PER_KEY
+    key = f"key-{max(0, newest - rng.randrange(KEYS_IN_USE))}"
     steps = [
-        (30, lambda: simulation.deliver(rng.randrange(1 << 16))),
+        (30, lambda: simulation.deliver(steps_lib.random_position(rng))),
         (10, lambda: simulation.deliver(0)),
-        (3, lambda: simulation.deliver(rng.randrange(1 << 16), duplicate=True)),
-        (2, lambda: simulation.drop(rng.randrange(1 << 16))),
+        (
+            3,
+            lambda: simulation.deliver(
+                steps_lib.random_position(rng), duplicate=True
+            ),
+        ),
+        (2, lambda: simulation.drop(steps_lib.random_position(rng))),
         (6, lambda: simulation.arrive(key)),
         (2, simulation.time_out_oldest),
         (1, simulation.crash_entry_instance),
@@ -278,7 +292,6 @@
         (4, lambda: simulation.start(name)),
         (0.3, lambda: simulation.lose_disk(name)),
         (4, lambda: simulation.copy_claims(name)),
-        (1, lambda: simulation.expire(1.0)),
+        (1, lambda: simulation.expire(EXPIRY_STEP_S)),
     ]
-    weights = [weight for weight, _ in steps]
-    rng.choices([step for _, step in steps], weights)[0]()
+    steps_lib.run_weighted_step(steps, rng)
--- a/packages/chivelb-core/chivelb_core/testing/control_group.py
+++ b/packages/chivelb-core/chivelb_core/testing/control_group.py
@@ -12,10 +12,25 @@
 from chivelb_core.consensus import replacement as replacement_lib
 from chivelb_core.consensus import snapshots
 from chivelb_core.consensus import states
+from chivelb_core.testing import steps as steps_lib
 
 MAX_IN_FLIGHT_MESSAGES = 400
 MAX_WAIT_STEPS = 400
 STEP_S = 0.05
+# Steps for which a leader stays isolated. They last longer than any election
+# delay, which is less than twice the election time-out of 1 s.
+ISOLATION_STEPS = 60
+# Times of a usual step of a random run.
+USUAL_STEPS_S = (0.02, 0.1)
+# Time in which the election deadlines of all members pass at once.
+LONG_STEP_S = 2.5
+# Time for which one instance is paused.
+PAUSE_S = 2.0
+# Time from the newest step to the last tick before a crash. All deadlines pass
+# in it, so that the tick has effects.
+CRASH_TICK_DELAY_S = 3.0
+# Newest acknowledged proposals that each check looks up.
+CHECKED_ACKNOWLEDGEMENTS = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -142,7 +157,7 @@
         """Stops an instance after a tick whose effects were not synced."""
         voter = self.voters.get(name)
         if voter is not None:
-            voter.tick(self.now + 3.0)
+            voter.tick(self.now + CRASH_TICK_DELAY_S)
             voter.take_effects()
         self.crash(name)
 
@@ -186,12 +201,11 @@
             position: Position in ``in_flight``, modulo its length.
             duplicate: Whether a copy stays in flight.
         """
-        if not self.in_flight:
+        packet = steps_lib.take_packet(
+            self.in_flight, position, duplicate=duplicate
+        )
+        if packet is None:
             return
-        position %= len(self.in_flight)
-        packet = self.in_flight[position]
-        if not duplicate:
-            del self.in_flight[position]
         voter = self.voters.get(packet.receiver)
         if (
             voter is None
@@ -204,8 +218,7 @@
 
     def drop(self, position: int) -> None:
         """Drops a message in flight."""
-        if self.in_flight:
-            del self.in_flight[position % len(self.in_flight)]
+        steps_lib.drop_packet(self.in_flight, position)
 
     def block_link(self, sender: str, receiver: str) -> None:
         """Drops all messages from one instance to another from now on."""
@@ -225,7 +238,7 @@
                 continue
             self.isolate(name)
             self.propose(name, data)
-            for _ in range(60):
+            for _ in range(ISOLATION_STEPS):
                 self.advance(STEP_S)
                 for _ in range(len(self.in_flight)):
                     self.deliver(0)
@@ -263,7 +276,7 @@
         disk.snapshot = data
         disk.entries = [e for e in disk.entries if e.index > index]
 
-    def settle(self) -> str:
+    def converge(self) -> str:
         """Restores all links and instances, and waits for a common log.
 
         Returns:
@@ -308,6 +321,7 @@
 
     def _process_effects(self, name: str) -> None:
         voter = self.voters[name]
+        # The second time for the effects of ``record_synced``.
         for _ in range(2):
             effects = voter.take_effects()
             self._sync(name, effects)
@@ -347,7 +361,9 @@
 
     def _apply(self, name: str, entry: log_lib.Entry) -> None:
         known = self.committed_entries.setdefault(entry.index, entry)
-        assert known == entry, f"{name} applied a different entry {entry.index}"
+        assert known == entry, (
+            f"{name} applied {entry} at index {entry.index}, not {known}"
+        )
         proposed = self._proposals.pop((entry.index, entry.term), None)
         if proposed is not None:
             self.acknowledged.append((entry.index, proposed))
@@ -397,7 +413,7 @@
                         f"{name} changed committed entry {entry.index} from "
                         f"{committed} to {entry}"
                     )
-        for index, data in self.acknowledged[-3:]:
+        for index, data in self.acknowledged[-CHECKED_ACKNOWLEDGEMENTS:]:
             assert self.committed_entries[index].data == data, (
                 f"acknowledged proposal {data!r} is lost: entry {index} is "
                 f"{self.committed_entries[index]}"
@@ -411,14 +427,19 @@
     name = rng.choice(simulation.names)
     other = rng.choice(simulation.names)
     steps = [
-        (30, lambda: simulation.deliver(rng.randrange(1 << 16))),
+        (30, lambda: simulation.deliver(steps_lib.random_position(rng))),
         (60, lambda: simulation.deliver(0)),
-        (8, lambda: simulation.advance(rng.choice((0.02, 0.1)))),
-        (4, lambda: simulation.deliver(rng.randrange(1 << 16), duplicate=True)),
-        (2, lambda: simulation.drop(rng.randrange(1 << 16))),
+        (8, lambda: simulation.advance(rng.choice(USUAL_STEPS_S))),
+        (
+            4,
+            lambda: simulation.deliver(
+                steps_lib.random_position(rng), duplicate=True
+            ),
+        ),
+        (2, lambda: simulation.drop(steps_lib.random_position(rng))),
         (12, lambda: simulation.propose(name, rng.randbytes(4))),
-        (0.3, lambda: simulation.advance(2.5)),
-        (0.3, lambda: simulation.advance_with_paused(name, 2.0)),
+        (0.3, lambda: simulation.advance(LONG_STEP_S)),
+        (0.3, lambda: simulation.advance_with_paused(name, PAUSE_S)),
         (0.5, lambda: simulation.crash(name)),
         (0.3, lambda: simulation.crash_before_sync(name)),
         (4, lambda: simulation.start(name)),
@@ -432,5 +453,4 @@
         (1, lambda: simulation.compact(name)),
         (0.1, lambda: simulation.lose_disk(name)),
     ]
-    weights = [weight for weight, _ in steps]
-    rng.choices([step for _, step in steps], weights)[0]()
+    steps_lib.run_weighted_step(steps, rng)
--- a/packages/chivelb-core/chivelb_core/testing/swim_group.py
+++ b/packages/chivelb-core/chivelb_core/testing/swim_group.py
@@ -8,6 +8,8 @@
 from chivelb_core.membership import messages
 
 TICK_S = 0.1
+# Seeds of an instance in each other region.
+OTHER_REGION_SEEDS = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,7 +91,11 @@
             member, random.Random(self.rng.random()), self.now
         )
         for other_region, names in self._regions.items():
-            count = self.seed_count if other_region == region else 2
+            count = (
+                self.seed_count
+                if other_region == region
+                else OTHER_REGION_SEEDS
+            )
             seeds = names[:count]
             for other in seeds:
                 swim.add_seed(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -3,7 +3,7 @@
 from chivelb_core import claims
 from chivelb_core.claims import keeper as keeper_lib
 from chivelb_core.claims import messages
-from chivelb_core.testing import claim_site
+from chivelb_core.testing import claim_keepers
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
@@ -18,60 +18,60 @@
 class ClaimMachine(stateful.RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
-        self.site = claim_site.ClaimSimulation(NAMES)
+        self.simulation = claim_keepers.ClaimSimulation(NAMES)
 
     @stateful.rule(key=keys)
     def arrive(self, key):
-        self.site.arrive(key)
+        self.simulation.arrive(key)
 
     @stateful.rule(position=positions, duplicate=strategies.booleans())
     def deliver(self, position, duplicate):
-        self.site.deliver(position, duplicate=duplicate)
+        self.simulation.deliver(position, duplicate=duplicate)
 
     @stateful.rule()
     def deliver_many(self):
         for _ in range(12):
-            self.site.deliver(0)
+            self.simulation.deliver(0)
 
     @stateful.rule(position=positions)
     def drop(self, position):
-        self.site.drop(position)
+        self.simulation.drop(position)
 
     @stateful.rule()
     def time_out(self):
-        self.site.time_out_oldest()
+        self.simulation.time_out_oldest()
 
     @stateful.rule()
     def crash_an_entry_instance(self):
-        self.site.crash_entry_instance()
+        self.simulation.crash_entry_instance()
 
     @stateful.rule(key=keys)
     def settle(self, key):
-        self.site.settle(key)
+        self.simulation.settle(key)
 
     @stateful.rule(name=names)
     def crash(self, name):
-        self.site.crash(name)
+        self.simulation.crash(name)
 
     @stateful.rule(name=names)
     def start(self, name):
-        self.site.start(name)
+        self.simulation.start(name)
 
     @stateful.rule(name=names)
     def lose_disk(self, name):
-        self.site.lose_disk(name)
+        self.simulation.lose_disk(name)
 
     @stateful.rule(name=names)
     def copy_claims(self, name):
-        self.site.copy_claims(name)
+        self.simulation.copy_claims(name)
 
     @stateful.rule()
     def expire(self):
-        self.site.expire(10.0)
+        self.simulation.expire(10.0)
 
     @stateful.invariant()
     def check(self):
-        self.site.check()
+        self.simulation.check()
 
 
 ClaimMachine.TestCase.settings = settings(
@@ -82,11 +82,11 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_long_random_runs_never_dispatch_a_key_twice(seed):
-    site = claim_site.ClaimSimulation(NAMES)
+    simulation = claim_keepers.ClaimSimulation(NAMES)
     rng = random.Random(seed)
     for _ in range(5_000):
-        claim_site.take_random_step(site, rng)
-    assert len(site.dispatched_claims) > 20
+        claim_keepers.take_random_step(simulation, rng)
+    assert len(simulation.dispatched_claims) > 20
 
 
 def request(claim_id, key="k", digest="d"):
@@ -198,14 +198,14 @@
         assert not copied.claim(request("b"), 1.0).granted
 
 
-def deliver(site, keeper, kind, claim_id):
+def deliver(simulation, keeper, kind, claim_id):
     """Delivers the oldest such message of an entry instance and a keeper."""
-    for position, packet in enumerate(site.in_flight):
+    for position, packet in enumerate(simulation.in_flight):
         if (packet.keeper, packet.entry_instance) == (
             keeper,
             claim_id,
         ) and isinstance(packet.message, kind):
-            site.deliver(position)
+            simulation.deliver(position)
             return
 
 
@@ -214,19 +214,19 @@
     # loss of its disk (seed 37 of the random runs): x granted claim-1, lost its
     # disk and granted claim-2, while the round of claim-1 still counted the
     # earlier grant; the key could be dispatched twice.
-    site = claim_site.ClaimSimulation(NAMES)
-    site.arrive("k")
-    deliver(site, "x", messages.ClaimRequest, "claim-1")
-    site.lose_disk("x")
-    site.copy_claims("x")
-    site.arrive("k")
+    simulation = claim_keepers.ClaimSimulation(NAMES)
+    simulation.arrive("k")
+    deliver(simulation, "x", messages.ClaimRequest, "claim-1")
+    simulation.lose_disk("x")
+    simulation.copy_claims("x")
+    simulation.arrive("k")
     for keeper in "xy":
-        deliver(site, keeper, messages.ClaimRequest, "claim-2")
-        deliver(site, keeper, messages.ClaimReply, "claim-2")
-    deliver(site, "z", messages.ClaimRequest, "claim-1")
+        deliver(simulation, keeper, messages.ClaimRequest, "claim-2")
+        deliver(simulation, keeper, messages.ClaimReply, "claim-2")
+    deliver(simulation, "z", messages.ClaimRequest, "claim-1")
     for keeper in "xz":
-        deliver(site, keeper, messages.ClaimReply, "claim-1")
-    assert site.dispatched_claims == {"k": "claim-2"}
+        deliver(simulation, keeper, messages.ClaimReply, "claim-1")
+    assert simulation.dispatched_claims == {"k": "claim-2"}
 
 
 def test_a_grant_after_the_end_of_the_round_does_not_count():
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -84,7 +84,7 @@
         self.group.check()
 
     def teardown(self):
-        self.group.settle()
+        self.group.converge()
 
 
 ControlGroupMachine.TestCase.settings = settings(
@@ -101,21 +101,17 @@
     for step in range(2_500):
         control_group.take_random_step(group, rng)
         if step % 250 == 0:
-            group.settle()
-    leader = group.settle()
+            group.converge()
+    leader = group.converge()
     assert group.propose(leader, b"last")
-    group.settle()
+    group.converge()
     assert group.acknowledged[-1][1] == b"last"
     assert len(group.acknowledged) > 20
 
 
-def settle_and_get_leader(group):
-    return group.settle()
-
-
 def test_an_isolated_leader_steps_down_within_the_election_timeout():
     group = control_group.ControlGroupSimulation(seed=3)
-    name = settle_and_get_leader(group)
+    name = group.converge()
     group.isolate(name)
     isolated_at = group.now
     timeout_s = states.Timing().election_timeout_s + 0.1
@@ -127,7 +123,7 @@
 
 def test_an_isolated_leader_confirms_no_read():
     group = control_group.ControlGroupSimulation(seed=4)
-    name = settle_and_get_leader(group)
+    name = group.converge()
     group.isolate(name)
     round_number = group.voters[name].start_read(group.now)
     for _ in range(10):
@@ -139,7 +135,7 @@
 
 def test_a_returning_isolated_member_does_not_depose_the_leader():
     group = control_group.ControlGroupSimulation(seed=5)
-    name = settle_and_get_leader(group)
+    name = group.converge()
     term = group.voters[name].hard_state.term
     other = next(n for n in NAMES if n != name)
     group.isolate(other)
@@ -147,19 +143,19 @@
         group.advance(0.1)
         while group.in_flight:
             group.deliver(0)
-    assert group.settle() == name
+    assert group.converge() == name
     assert group.voters[name].hard_state.term == term
 
 
 def test_a_second_disk_lost_right_after_a_repair_loses_nothing():
     group = control_group.ControlGroupSimulation(seed=6)
     for number in range(3):
-        name = settle_and_get_leader(group)
+        name = group.converge()
         assert group.propose(name, f"kept {number}".encode())
-        settle_and_get_leader(group)
+        group.converge()
         victim = NAMES[number]
         group.lose_disk(victim)
-        settle_and_get_leader(group)
+        group.converge()
     acknowledged = [data for _, data in group.acknowledged]
     assert acknowledged == [b"kept 0", b"kept 1", b"kept 2"]
     applied = {entry.data for entry in group.committed_entries.values()}
@@ -168,12 +164,12 @@
 
 def test_a_rolled_back_disk_is_detected_and_its_member_excluded():
     group = control_group.ControlGroupSimulation(seed=7)
-    name = settle_and_get_leader(group)
+    name = group.converge()
     victim = next(n for n in NAMES if n != name)
     old = list(group.disks[victim].entries)
     for number in range(5):
         group.propose(name, bytes([number]))
-        settle_and_get_leader(group)
+        group.converge()
     group.crash(victim)
     group.disks[victim].entries = old
     group.start(victim)
@@ -187,7 +183,7 @@
 
 def test_a_late_rejection_does_not_mark_a_member_as_rolled_back():
     group = control_group.ControlGroupSimulation(seed=8)
-    name = settle_and_get_leader(group)
+    name = group.converge()
     leader = group.voters[name]
     other = next(m for m in leader.progress)
     progress = leader.progress[other]
@@ -279,7 +275,7 @@
 
 def test_a_complete_log_wins_the_election_against_a_newer_term():
     group = control_group.ControlGroupSimulation(seed=9)
-    name = settle_and_get_leader(group)
+    name = group.converge()
     other, lost = (n for n in NAMES if n != name)
     group.isolate(other)
     assert group.propose(name, b"kept")
@@ -294,7 +290,7 @@
     group.disks[other].hard_state.term = group.voters[other].hard_state.term
     group.crash(name)
     group.lose_disk(lost)
-    assert group.settle() in NAMES
+    assert group.converge() in NAMES
     assert b"kept" in {entry.data for entry in group.committed_entries.values()}
 
 
