Consensus: say after which index a leader retries; truer names

Cause: messages.py said "the index after which", following.py "the index from which" the leader should retry. leading.py sets next_index to that index plus one, so "after" is true in both. heartbeat_round also rises with each acknowledgement, so it names no heartbeat: it is round_number. may_vote decides only whether a member starts a pre-vote: it is may_start_election. The handlers of both replies began with the same checks; they are now progress_of_sender. Four errors of membership changes did not name the bad value.

Encoded fields (round, match_index) stay. Ran test_consensus.py, test_soak.py and test_wire.py.

--- a/packages/chivelb-core/chivelb_core/consensus/following.py
+++ b/packages/chivelb-core/chivelb_core/consensus/following.py
@@ -13,7 +13,7 @@
     """Handles an append from the leader.
 
     Entries are stored if the previous entry matches. Otherwise the reply
-    carries the index from which the leader should retry.
+    carries the index after which the leader should retry.
     """
     if message.term < member.hard_state.term:
         send_append_reply(member, message, ok=False, index=0)
--- a/packages/chivelb-core/chivelb_core/consensus/group.py
+++ b/packages/chivelb-core/chivelb_core/consensus/group.py
@@ -93,7 +93,8 @@
         )
     if not new.voters:
         return codes.ErrorDetail(
-            codes.CHANGE_INVALID, "change leaves the group without voters"
+            codes.CHANGE_INVALID,
+            f"change leaves the group without voters: {sorted(new.members)}",
         )
     return None
 
--- a/packages/chivelb-core/chivelb_core/consensus/leading.py
+++ b/packages/chivelb-core/chivelb_core/consensus/leading.py
@@ -24,10 +24,9 @@
     """Raises the round number and sends each other member an append.
 
     The appends contain the entries that the receiver lacks. Together they are
-    a heartbeat round, identified by the round number, which each message
-    carries and each reply repeats.
+    a heartbeat. Each carries the round number, which its reply repeats.
     """
-    member.heartbeat_round += 1
+    member.round_number += 1
     member.last_heartbeat_at = now
     for member_id in member.progress:
         send_append(member, member_id, now)
@@ -55,7 +54,7 @@
             previous_term,
             entries,
             member.commit_index,
-            member.heartbeat_round,
+            member.round_number,
         )
     )
 
@@ -84,19 +83,31 @@
     )
 
 
+def progress_of_sender(
+    member: member_lib.Member,
+    reply: messages.AppendReply | messages.SnapshotReply,
+    now: float,
+) -> states.Progress | None:
+    """Returns the progress of the member that replied.
+
+    Steps down if the reply shows a newer term.
+
+    Returns:
+        The progress; None if this member does not lead the sender.
+    """
+    if reply.term > member.hard_state.term:
+        member.step_down(reply.term, "", now)
+    if member.role is not states.Role.LEADER:
+        return None
+    return member.progress.get(reply.from_member)
+
+
 def on_append_reply(
     member: member_lib.Member, reply: messages.AppendReply, now: float
 ) -> None:
     """Handles the reply to an append."""
-    if reply.term > member.hard_state.term:
-        member.step_down(reply.term, "", now)
-        return
-    progress = member.progress.get(reply.from_member)
-    if (
-        member.role is not states.Role.LEADER
-        or progress is None
-        or reply.term < member.hard_state.term
-    ):
+    progress = progress_of_sender(member, reply, now)
+    if progress is None or reply.term < member.hard_state.term:
         return
     progress.last_reply_at = now
     progress.acked_round = max(progress.acked_round, reply.round)
@@ -126,8 +137,8 @@
     """
     if index > progress.match_index:
         progress.match_index = index
-        member.heartbeat_round += 1
-        progress.match_round = member.heartbeat_round
+        member.round_number += 1
+        progress.match_round = member.round_number
 
 
 def check_rollback(
@@ -164,11 +175,8 @@
     member: member_lib.Member, reply: messages.SnapshotReply, now: float
 ) -> None:
     """Handles the reply to a snapshot part."""
-    if reply.term > member.hard_state.term:
-        member.step_down(reply.term, "", now)
-        return
-    progress = member.progress.get(reply.from_member)
-    if member.role is not states.Role.LEADER or progress is None:
+    progress = progress_of_sender(member, reply, now)
+    if progress is None:
         return
     progress.last_reply_at = now
     if reply.index != member.log.base_index:
--- a/packages/chivelb-core/chivelb_core/consensus/member.py
+++ b/packages/chivelb-core/chivelb_core/consensus/member.py
@@ -40,9 +40,10 @@
         last_leader_contact_at: Monotonic time of the newest message from
             the leader, or of the restart, in seconds.
         votes: Ids of the voters that granted a vote.
-        heartbeat_round: Round number that the leader's messages carry. It
-            rises with each heartbeat round and each acknowledgement.
-        last_heartbeat_at: Monotonic time of the newest round, in seconds.
+        round_number: Number that the leader's appends carry and the replies
+            repeat. It rises with each heartbeat and each time that a
+            member's match index rises.
+        last_heartbeat_at: Monotonic time of the newest heartbeat, in seconds.
         group_index: Index of the entry that defined ``group``.
         group_history: Groups with the index of their entry, oldest first.
         effects: Effects collected since the last ``take_effects``.
@@ -71,7 +72,7 @@
         "deadline",
         "last_leader_contact_at",
         "votes",
-        "heartbeat_round",
+        "round_number",
         "last_heartbeat_at",
         "group_index",
         "group_history",
@@ -131,7 +132,7 @@
         self.last_leader_contact_at = now if restarted else float("-inf")
         self.disowned = False
         self.votes: set[str] = set()
-        self.heartbeat_round = 0
+        self.round_number = 0
         self.last_heartbeat_at = float("-inf")
         self.effects = states.Effects()
         self.hard_state_dirty = False
@@ -154,8 +155,8 @@
             self.applied_index = self.commit_index
         return effects
 
-    def may_vote(self) -> bool:
-        """Returns whether this member votes in the current group."""
+    def may_start_election(self) -> bool:
+        """Returns whether this member is a voter whose disk is trusted."""
         return self.member_id in self.group.voters and not self.disowned
 
     def election_delay(self) -> float:
--- a/packages/chivelb-core/chivelb_core/consensus/messages.py
+++ b/packages/chivelb-core/chivelb_core/consensus/messages.py
@@ -33,9 +33,9 @@
         prev_index: Index of the entry before ``entries``.
         prev_term: Term of the entry before ``entries``.
         commit: Commit index of the leader.
-        round: Round number of the leader when it sent the append. The reply
-            repeats it, so that the leader can confirm its leadership for reads
-            and detect a rolled-back disk.
+        round: Round number of the leader (``Member.round_number``) when it
+            sent the append. The reply repeats it, so that the leader can
+            confirm its leadership for reads and detect a rolled-back disk.
     """
 
     to_member: str
@@ -53,8 +53,10 @@
 
     Attributes:
         ok: Whether the previous entry matched.
-        match_index: Highest synced index that matches the leader's log; if
-            not ``ok``, the index after which the leader should retry.
+        match_index: Index up to which the log matches the leader's, synced
+            before the reply is sent. If not ``ok``, the index after which the
+            leader should retry, that is the highest ``prev_index`` of its next
+            append; without meaning if ``term`` is newer than the append's.
     """
 
     to_member: str
--- a/packages/chivelb-core/chivelb_core/consensus/states.py
+++ b/packages/chivelb-core/chivelb_core/consensus/states.py
@@ -24,7 +24,7 @@
         election_timeout_s: Time without contact with the leader after which
             an election may start; an isolated leader also steps down within
             this time.
-        heartbeat_period_s: Period of the leader's heartbeat rounds.
+        heartbeat_period_s: Period of the leader's heartbeats.
     """
 
     election_timeout_s: float = 1.0
--- a/packages/chivelb-core/chivelb_core/consensus/voter.py
+++ b/packages/chivelb-core/chivelb_core/consensus/voter.py
@@ -47,7 +47,7 @@
                 return
             if now - self.last_heartbeat_at >= self.timing.heartbeat_period_s:
                 leading.broadcast(self, now)
-        elif now >= self.deadline and self.may_vote():
+        elif now >= self.deadline and self.may_start_election():
             elections.start_pre_vote(self, now)
 
     def receive(self, message: messages.Message, now: float) -> None:
@@ -114,15 +114,21 @@
         """
         if self.role is not states.Role.LEADER:
             return codes.ErrorDetail(
-                codes.NO_QUORUM, "this member is not the leader"
+                codes.NO_QUORUM,
+                f"{self.member_id} is {self.role.value}, not the leader",
             )
         if self.group_index > self.commit_index:
             return codes.ErrorDetail(
-                codes.CHANGE_CONFLICT, "another membership change is pending"
+                codes.CHANGE_CONFLICT,
+                f"membership change at index {self.group_index} is pending: "
+                f"the commit index is {self.commit_index}",
             )
         if self.commit_index < self.term_start_index:
             return codes.ErrorDetail(
-                codes.NO_QUORUM, "no entry of the current term is committed yet"
+                codes.NO_QUORUM,
+                f"no entry of term {self.hard_state.term} is committed yet: it "
+                f"starts at index {self.term_start_index}, the commit index "
+                f"is {self.commit_index}",
             )
         error = group_lib.validate_group_change(self.group, group)
         if error is not None:
@@ -136,18 +142,18 @@
         """Starts a linearizable read.
 
         Returns:
-            The heartbeat round that must be confirmed, or None if this member
-            is not the leader or has no committed entry of its term.
+            The round number that must be confirmed, or None if this member is
+            not the leader or has no committed entry of its term.
         """
         if self.role is not states.Role.LEADER:
             return None
         if self.commit_index < self.term_start_index:
             return None
         leading.broadcast(self, now)
-        return self.heartbeat_round
+        return self.round_number
 
     def is_read_confirmed(self, round_number: int) -> bool:
-        """Returns whether a majority replied to a heartbeat round."""
+        """Returns whether a majority replied to this round number or later."""
         if self.role is not states.Role.LEADER:
             return False
         acked = {
