Claim keeper: one way to stop and to acknowledge; admission errors

Cause: ClaimKeeperService stopped serving in the same three lines in two places, and the handlers of releases and settlements differed only in the call of the state machine. Four assertions of the admission queue named no value.

Behaviour unchanged.

--- a/packages/chivelb-core/chivelb_core/admission/queue.py
+++ b/packages/chivelb-core/chivelb_core/admission/queue.py
@@ -12,6 +12,9 @@
 
 from chivelb_core import codes
 
+# Largest rounding error, in tokens, of a sum of costs that should be zero.
+COST_ROUNDING = 1e-6
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class QueuedRequest:
@@ -269,13 +272,24 @@
     def check_invariants(self) -> None:
         """Asserts that the counts match the waiting requests."""
         total = 0
-        for class_flows in self.classes.values():
+        for class_name, class_flows in self.classes.items():
             class_total = 0
-            for flow in class_flows.flows.values():
+            for workspace, flow in class_flows.flows.items():
                 waiting = sum(not request.removed for request in flow.requests)
-                assert waiting == flow.waiting
-                assert waiting or abs(flow.cost) < 1e-6
+                assert waiting == flow.waiting, (
+                    f"{class_name}/{workspace} counts {flow.waiting} waiting "
+                    f"requests, not {waiting}"
+                )
+                assert waiting or abs(flow.cost) < COST_ROUNDING, (
+                    f"{class_name}/{workspace} has no waiting request but the "
+                    f"cost {flow.cost}"
+                )
                 class_total += waiting
-            assert class_total == class_flows.waiting
+            assert class_total == class_flows.waiting, (
+                f"{class_name} counts {class_flows.waiting} waiting requests, "
+                f"not {class_total}"
+            )
             total += class_total
-        assert total == self.waiting
+        assert total == self.waiting, (
+            f"the queue counts {self.waiting} waiting requests, not {total}"
+        )
--- a/packages/chivelb-node/chivelb_node/control/claim_keeper.py
+++ b/packages/chivelb-node/chivelb_node/control/claim_keeper.py
@@ -1,9 +1,11 @@
 """Runs a claim keeper on an instance with a data directory."""
 
 import asyncio
+from collections.abc import Callable
 import pathlib
 import secrets
 import time
+from typing import Any
 
 from chivelb_core import claims
 from chivelb_core.claims import keeper as keeper_lib
@@ -109,6 +111,11 @@
         self.serving = True
         _log.info("claim keeper serving", claims=len(self.keeper.records))
 
+    def _stop_serving(self, failure: str) -> None:
+        self.serving = False
+        self.failure = failure
+        _log.error("claim keeper stopped", detail=failure)
+
     async def _copy_from_peers(self) -> bool:
         """Copies the claims of all other keepers.
 
@@ -190,9 +197,7 @@
                 [msgspec.msgpack.encode(record) for record in journal_records]
             )
         except OSError as error:
-            self.serving = False
-            self.failure = f"disk: {error}"
-            _log.error("claim keeper stopped", detail=self.failure)
+            self._stop_serving(f"disk: {error}")
             raise
 
     async def _on_claim(
@@ -209,18 +214,20 @@
     async def _on_release(
         self, peer: str, request: claim_messages.ClaimRelease
     ) -> claim_messages.ClaimAck | None:
-        if not self.serving:
-            return None
-        self.keeper.release(request, time.time())
-        await self._sync()
-        return claim_messages.ClaimAck(self.keeper.name)
+        return await self._acknowledge(self.keeper.release, request)
 
     async def _on_settle(
         self, peer: str, request: claim_messages.ClaimSettle
     ) -> claim_messages.ClaimAck | None:
+        return await self._acknowledge(self.keeper.settle, request)
+
+    async def _acknowledge(
+        self, update: Callable[[Any, float], None], request: Any
+    ) -> claim_messages.ClaimAck | None:
+        """Updates a claim; acknowledges it once its records are synced."""
         if not self.serving:
             return None
-        self.keeper.settle(request, time.time())
+        update(request, time.time())
         await self._sync()
         return claim_messages.ClaimAck(self.keeper.name)
 
@@ -238,12 +245,10 @@
             and self.serving
         ):
             # The peer has seen more records of this keeper than the disk has.
-            self.serving = False
-            self.failure = (
+            self._stop_serving(
                 "stored claims were rolled back to older ones; "
                 "empty the data directory"
             )
-            _log.error("claim keeper stopped", detail=self.failure)
             return
         self.keeper.observe_keeper(peer, hello.life, hello.sequence)
         await self._sync()
