Lab and commands: one announcer from options; errors name the value

Cause: runner, store and service built the same announcer from the same options. The rejections of simulated targets and three errors of commands and benchmarks named no value.

Announcer.from_arguments replaces the copies. Behaviour unchanged but for the texts.

--- a/packages/chivelb-cli/chivelb_cli/bench/claim_cost.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/claim_cost.py
@@ -92,7 +92,9 @@
     ) as response:
         await response.read()
         if response.status != 200:
-            raise RuntimeError(f"call failed with status {response.status}")
+            raise RuntimeError(
+                f"{response.url}: call failed with status {response.status}"
+            )
     return time.perf_counter() - start_time
 
 
--- a/packages/chivelb-cli/chivelb_cli/commands/operate.py
+++ b/packages/chivelb-cli/chivelb_cli/commands/operate.py
@@ -26,6 +26,8 @@
 REQUEST_TIMEOUT_S = 15.0
 APPLY_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.1
+# Bytes of an unexpected response that an error message shows.
+MAX_SHOWN_BYTES = 80
 OPERATOR_KEY_VARIABLE = "CHIVELB_OPERATOR_KEY"
 
 
@@ -198,7 +200,9 @@
         reply = json.loads(data)
     except ValueError:
         raise CommandError(
-            f"response with status {status} is not JSON", EXIT_REFUSED
+            f"{arguments.url}{path}: response with status {status} is not "
+            f"JSON: {data[:MAX_SHOWN_BYTES]!r}",
+            EXIT_REFUSED,
         ) from None
     if status != 200 and "error" in reply:
         error = reply["error"]
@@ -433,7 +437,9 @@
     status, data = request(arguments, "/operator/snapshot")
     if status != 200:
         raise CommandError(
-            f"snapshot request failed with status {status}", EXIT_REFUSED
+            f"{arguments.url}: snapshot request failed with status {status}: "
+            f"{data[:MAX_SHOWN_BYTES]!r}",
+            EXIT_REFUSED,
         )
     pathlib.Path(arguments.file).write_bytes(data)
     _print_output(
--- a/packages/chivelb-cli/chivelb_cli/lab/announcer.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/announcer.py
@@ -1,5 +1,6 @@
 """Announces a simulated target to instances, with failover between them."""
 
+import argparse
 import asyncio
 from collections.abc import Callable
 import contextlib
@@ -65,6 +66,33 @@
         self._instance_index = 0
         self._listing_requested = False
 
+    @classmethod
+    def from_arguments(
+        cls,
+        arguments: argparse.Namespace,
+        build_record: Callable[[], targets.TargetRecord],
+        pop_due_events: Callable[[], list] = list,
+        build_listing: Callable[[], object] = lambda: None,
+    ) -> "Announcer":
+        """Creates the announcer that the options of a target describe.
+
+        Args:
+            arguments: Command-line arguments of the target.
+            build_record: Returns the current target record.
+            pop_due_events: Returns cache events due for publication and
+                removes them; by default there are none.
+            build_listing: Returns a listing of all cached blocks; by default
+                there is none.
+        """
+        return cls(
+            arguments.announce,
+            build_record,
+            pop_due_events,
+            build_listing,
+            period_s=arguments.announce_period,
+            target_key=arguments.target_key,
+        )
+
     async def run(self) -> None:
         """Announces the target until cancelled."""
         async with aiohttp.ClientSession(
--- a/packages/chivelb-cli/chivelb_cli/lab/runner.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/runner.py
@@ -147,25 +147,37 @@
         self, request: web.Request, attempt_id: str, body: AttemptBody
     ) -> str:
         if attempt_id in self.barred_at or attempt_id in self.attempts:
-            return "attempt id is barred by a status query or already in use"
+            return (
+                f"attempt id {attempt_id!r} is barred by a status query or "
+                "already in use"
+            )
         if request.headers.get("X-Target") not in (
             None,
             self.arguments.identity,
         ):
-            return "request is addressed to another target"
+            return (
+                f"request is addressed to {request.headers['X-Target']!r}, not "
+                f"to {self.arguments.identity!r}"
+            )
         if self.faults.refuse or self.readiness != "ready":
             return "runner is loading weights, leaving or refusing requests"
         if body.version != self.version:
             return f"weight version {self.version} is active"
         if len(self.engine.waiting) >= self.arguments.max_waiting:
-            return "queue of waiting sequences is full"
+            return (
+                "queue of waiting sequences is full: "
+                f"{len(self.engine.waiting)} wait"
+            )
         return ""
 
     async def resume(self, request: web.Request) -> web.StreamResponse:
         """Streams an attempt from a given token position."""
-        sequence = self.attempts.get(request.match_info["id"])
+        attempt_id = request.match_info["id"]
+        sequence = self.attempts.get(attempt_id)
         if sequence is None:
-            return web.Response(status=404, text="unknown attempt\n")
+            return web.Response(
+                status=404, text=f"unknown attempt {attempt_id}\n"
+            )
         offset = int(request.query.get("offset", "0"))
         return await self._stream(request, sequence, offset)
 
@@ -305,7 +317,8 @@
         if self.arguments.checks_fencing and body.token < self._fencing_token:
             return web.Response(
                 status=409,
-                text="fencing token is lower than that of an earlier order\n",
+                text=f"fencing token {body.token} is lower than that of an "
+                f"earlier order, {self._fencing_token}\n",
             )
         self._fencing_token = max(self._fencing_token, body.token)
         is_resend = any(o["order_id"] == body.order_id for o in self.orders)
@@ -414,13 +427,11 @@
             port: Port that the server listens on.
         """
         self._port = port
-        self._announcer = announcer.Announcer(
-            self.arguments.announce,
+        self._announcer = announcer.Announcer.from_arguments(
+            self.arguments,
             self.build_record,
             lambda: self.cache.pop_due_events(self.faults.drop_events),
             self.cache.build_listing,
-            period_s=self.arguments.announce_period,
-            target_key=self.arguments.target_key,
         )
         return [self.engine.run(), self._announcer.run(), self._sweep()]
 
--- a/packages/chivelb-cli/chivelb_cli/lab/service.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/service.py
@@ -121,13 +121,8 @@
         """
         self._port = port
         return [
-            announcer.Announcer(
-                self.arguments.announce,
-                self.build_record,
-                list,
-                lambda: None,
-                period_s=self.arguments.announce_period,
-                target_key=self.arguments.target_key,
+            announcer.Announcer.from_arguments(
+                self.arguments, self.build_record
             ).run()
         ]
 
--- a/packages/chivelb-cli/chivelb_cli/lab/store.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/store.py
@@ -282,13 +282,11 @@
         """
         self._port = port
         return [
-            announcer.Announcer(
-                self.arguments.announce,
+            announcer.Announcer.from_arguments(
+                self.arguments,
                 self.build_record,
                 lambda: self._event_log.pop_due_events(self.faults.drop_events),
                 self._event_log.build_listing,
-                period_s=self.arguments.announce_period,
-                target_key=self.arguments.target_key,
             ).run()
         ]
 
--- a/packages/chivelb-cli/chivelb_cli/lab/weights.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/weights.py
@@ -38,8 +38,11 @@
         Downloads slow down in proportion when more than ``--at-once`` run
         concurrently.
         """
-        if request.match_info["version"] in self.arguments.missing:
-            return web.Response(status=404, text="weight version not found\n")
+        version = request.match_info["version"]
+        if version in self.arguments.missing:
+            return web.Response(
+                status=404, text=f"weight version {version} not found\n"
+            )
         self.active_downloads += 1
         self.peak_active_downloads = max(
             self.peak_active_downloads, self.active_downloads
@@ -57,7 +60,7 @@
                 last_checked_at = now
         finally:
             self.active_downloads -= 1
-        self.downloaded_versions.append(request.match_info["version"])
+        self.downloaded_versions.append(version)
         return web.Response(text="weights\n")
 
     async def state(self, request: web.Request) -> web.Response:
