Bench: one function for a fleet in a temporary directory

Cause: claim_cost.py and propagation.py had the same lines that create a fleet in a temporary directory and stop it. fleet.temporary_fleet replaces them. hop.py and the demo keep theirs: they stop or print something between the fleet and its directory.

Behaviour unchanged. Each function was called once with 4 calls and 2 changes to see that it runs; no figure was taken.

--- a/packages/chivelb-cli/chivelb_cli/bench/claim_cost.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/claim_cost.py
@@ -1,9 +1,7 @@
 """Latency that an idempotency claim adds to a non-idempotent call."""
 
 import asyncio
-import pathlib
 import statistics
-import tempfile
 import time
 
 import aiohttp
@@ -48,28 +46,22 @@
     Returns:
         Latencies and throughput.
     """
-    with tempfile.TemporaryDirectory(prefix="chivelb-claims-") as folder:
-        fleet = fleet_lib.Fleet(
-            pathlib.Path(folder),
-            samples.sample_document(workspaces=["joinery"]),
-        )
+    document = samples.sample_document(workspaces=["joinery"])
+    with fleet_lib.temporary_fleet("chivelb-claims-", document) as fleet:
         fleet.configure_instances(ZONES, 1, voters=3)
-        try:
-            for name in fleet.instances:
-                fleet.start_instance(name)
-            fleet.start_target(
-                "service", "portal-1", "z1", service=SERVICE, work_s=0.0
+        for name in fleet.instances:
+            fleet.start_instance(name)
+        fleet.start_target(
+            "service", "portal-1", "z1", service=SERVICE, work_s=0.0
+        )
+        async with aiohttp.ClientSession() as session:
+            await fleet.wait_ready(session)
+            await fleet.wait_targets(session, 1)
+            await fleet_lib.wait_for(
+                lambda: _claims_available(session, fleet),
+                "all instances to accept idempotency claims",
             )
-            async with aiohttp.ClientSession() as session:
-                await fleet.wait_ready(session)
-                await fleet.wait_targets(session, 1)
-                await fleet_lib.wait_for(
-                    lambda: _claims_available(session, fleet),
-                    "all instances to accept idempotency claims",
-                )
-                return await _measure(session, fleet, calls)
-        finally:
-            fleet.stop()
+            return await _measure(session, fleet, calls)
 
 
 async def _claims_available(
--- a/packages/chivelb-cli/chivelb_cli/bench/propagation.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/propagation.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-import pathlib
 import statistics
-import tempfile
 import time
 
 import aiohttp
@@ -55,21 +53,15 @@
     Returns:
         The propagation times.
     """
-    with tempfile.TemporaryDirectory(prefix="chivelb-spread-") as folder:
-        fleet = fleet_lib.Fleet(
-            pathlib.Path(folder),
-            samples.sample_document(workspaces=["joinery"]),
-        )
+    document = samples.sample_document(workspaces=["joinery"])
+    with fleet_lib.temporary_fleet("chivelb-spread-", document) as fleet:
         fleet.configure_instances(ZONES, 3, voters=3)
-        try:
-            for name in fleet.instances:
-                fleet.start_instance(name)
-            async with aiohttp.ClientSession() as session:
-                await fleet.wait_ready(session)
-                running_names = await _kill_voters(session, fleet, dead_voters)
-                return await _measure(session, fleet, running_names, changes)
-        finally:
-            fleet.stop()
+        for name in fleet.instances:
+            fleet.start_instance(name)
+        async with aiohttp.ClientSession() as session:
+            await fleet.wait_ready(session)
+            running_names = await _kill_voters(session, fleet, dead_voters)
+            return await _measure(session, fleet, running_names, changes)
 
 
 async def _kill_voters(
--- a/packages/chivelb-cli/chivelb_cli/fleet.py
+++ b/packages/chivelb-cli/chivelb_cli/fleet.py
@@ -4,6 +4,7 @@
 zones, whose processes all run on this machine.
 """
 
+from collections.abc import Iterator
 import contextlib
 import dataclasses
 import hashlib
@@ -13,6 +14,7 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 from typing import Any
 
@@ -414,3 +416,19 @@
             await wait_for(
                 knows_targets, f"{instance.name} to know {count} targets"
             )
+
+
+@contextlib.contextmanager
+def temporary_fleet(prefix: str, document: dict) -> Iterator[Fleet]:
+    """Provides a fleet in a temporary directory; stops its processes on exit.
+
+    Args:
+        prefix: Prefix of the directory's name.
+        document: Initial configuration document, JSON-compatible.
+    """
+    with tempfile.TemporaryDirectory(prefix=prefix) as folder:
+        fleet = Fleet(pathlib.Path(folder), document)
+        try:
+            yield fleet
+        finally:
+            fleet.stop()
