Membership: name the sequence of datagrams without a probe

Cause: two messages carried a bare 0, which the reader had to know answers no probe. It is NO_SEQUENCE; datagrams are queued by one method.

--- a/packages/chivelb-core/chivelb_core/membership/swim.py
+++ b/packages/chivelb-core/chivelb_core/membership/swim.py
@@ -26,6 +26,8 @@
 PAUSE_THRESHOLD_S = 3.0
 # Time after the start in which an instance asks for all members.
 JOINING_S = 8.0
+# Sequence of datagrams that belong to no probe; those of probes are higher.
+NO_SEQUENCE = 0
 
 MemberState = members_lib.MemberState
 replace_member = members_lib.replace_member
@@ -279,32 +281,26 @@
         self._probes[self._sequence] = Probe(
             name, now, requested_by=requested_by
         )
-        self._outbox.append(
-            (
-                name,
-                messages.Ping(
-                    self._sequence,
-                    self.version,
-                    self._pick_updates(name),
-                    joining=now < self._joining_until,
-                ),
-            )
+        self._send(
+            name,
+            messages.Ping(
+                self._sequence,
+                self.version,
+                self._pick_updates(name),
+                joining=now < self._joining_until,
+            ),
         )
 
+    def _send(self, receiver: str, message: messages.Message) -> None:
+        self._outbox.append((receiver, message))
+
     def _reply(self, peer: str, sequence: int, about: str) -> None:
         version = self.version
         if about != self.local_member.name:
             version = self.members[about].version
-        self._outbox.append(
-            (
-                peer,
-                messages.Ack(
-                    sequence,
-                    about,
-                    version,
-                    self._pick_updates(peer),
-                ),
-            )
+        self._send(
+            peer,
+            messages.Ack(sequence, about, version, self._pick_updates(peer)),
         )
 
     def _send_all_members(self, peer: str) -> None:
@@ -312,13 +308,11 @@
         members = [state.member for state in self.members.values()]
         for start in range(0, len(members), MAX_UPDATES_PER_DATAGRAM):
             batch = members[start : start + MAX_UPDATES_PER_DATAGRAM]
-            self._outbox.append(
-                (
-                    peer,
-                    messages.Ack(
-                        0, self.local_member.name, self.version, batch
-                    ),
-                )
+            self._send(
+                peer,
+                messages.Ack(
+                    NO_SEQUENCE, self.local_member.name, self.version, batch
+                ),
             )
 
     def _on_ack(self, ack: messages.Ack, now: float) -> None:
@@ -363,15 +357,11 @@
         ]
         helpers = self._rng.sample(others, min(INDIRECT_PROBES, len(others)))
         for helper in helpers:
-            self._outbox.append(
-                (
-                    helper,
-                    messages.PingRequest(
-                        sequence,
-                        target,
-                        self._pick_updates(helper),
-                    ),
-                )
+            self._send(
+                helper,
+                messages.PingRequest(
+                    sequence, target, self._pick_updates(helper)
+                ),
             )
 
     def _probe_dead_member(self, now: float) -> None:
@@ -391,11 +381,9 @@
 
     def _ping_unrecorded(self, name: str) -> None:
         """Pings a member without a probe: a missing ack has no effect."""
-        self._outbox.append(
-            (
-                name,
-                messages.Ping(0, self.version, self._pick_updates(name)),
-            )
+        self._send(
+            name,
+            messages.Ping(NO_SEQUENCE, self.version, self._pick_updates(name)),
         )
 
     # Status.
