Claims: one majority for rounds and settlements

Cause: ClaimRound and ClaimClient each computed the majority of the keepers. claims.majority_of does. Behaviour unchanged. Ran test_claims.py and test_site_faults.py.

--- a/packages/chivelb-core/chivelb_core/claims/__init__.py
+++ b/packages/chivelb-core/chivelb_core/claims/__init__.py
@@ -9,7 +9,14 @@
 
 from chivelb_core.claims.keeper import Keeper
 from chivelb_core.claims.round import ClaimRound
+from chivelb_core.claims.round import majority_of
 from chivelb_core.claims.round import ROUND_TIMEOUT_S
 from chivelb_core.claims.round import RoundResult
 
-__all__ = ["ROUND_TIMEOUT_S", "ClaimRound", "Keeper", "RoundResult"]
+__all__ = [
+    "ROUND_TIMEOUT_S",
+    "ClaimRound",
+    "Keeper",
+    "RoundResult",
+    "majority_of",
+]
--- a/packages/chivelb-core/chivelb_core/claims/round.py
+++ b/packages/chivelb-core/chivelb_core/claims/round.py
@@ -63,7 +63,7 @@
     @property
     def majority(self) -> int:
         """Number of keepers that form a majority."""
-        return len(self.keepers) // 2 + 1
+        return majority_of(len(self.keepers))
 
     def add_reply(
         self, reply: messages.ClaimReply, now: float | None = None
@@ -129,3 +129,12 @@
             # majority. Each may retry with a new claim.
             return RoundResult.SPLIT
         return RoundResult.HELD
+
+
+def majority_of(keeper_count: int) -> int:
+    """Returns the number of keepers that form a majority.
+
+    Args:
+        keeper_count: Number of all keepers.
+    """
+    return keeper_count // 2 + 1
--- a/packages/chivelb-node/chivelb_node/control/claim_client.py
+++ b/packages/chivelb-node/chivelb_node/control/claim_client.py
@@ -173,7 +173,7 @@
             outcome: The encoded outcome of its call.
         """
         body = claim_messages.ClaimSettle(claim.key, claim.claim_id, outcome)
-        majority = len(self.keepers) // 2 + 1
+        majority = claims.majority_of(len(self.keepers))
         tasks = [
             self._send_or_schedule_resend(name, body) for name in self.keepers
         ]
