Lab and soak: public block_keys, named times

Cause: the simulated runner called a private method of its engine; the soak's membership rounds had bare numbers. Behaviour unchanged. Ran test_soak.py, test_site_faults.py and test_repository.py.

--- a/packages/chivelb-cli/chivelb_cli/bench/soak.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/soak.py
@@ -15,6 +15,12 @@
 # Steps between two calls of ``converge``, which heals all links, starts all
 # voters and waits for a leader.
 CONVERGE_INTERVAL_STEPS = 250
+# Membership: share of datagrams that are lost, faults of a round, and simulated
+# time after each of them and after all.
+DATAGRAM_LOSS = 0.05
+FAULTS_PER_ROUND = 8
+FAULT_PERIOD_S = 3.0
+RECOVERY_S = 60.0
 INSTANCE_NAMES = [f"n{number}" for number in range(7)]
 
 
@@ -70,9 +76,9 @@
 def _run_membership(seed: int, rng: random.Random) -> int:
     # All instances in one region.
     group = swim_group.SwimSimulation(
-        {"r": INSTANCE_NAMES}, seed=seed, loss=0.05
+        {"r": INSTANCE_NAMES}, seed=seed, loss=DATAGRAM_LOSS
     )
-    for _ in range(8):
+    for _ in range(FAULTS_PER_ROUND):
         name = rng.choice(INSTANCE_NAMES)
         other = rng.choice(INSTANCE_NAMES)
         match rng.randrange(5):
@@ -86,13 +92,13 @@
                 group.blocked_links.clear()
             case 4:
                 group.paused.clear()
-        group.run(3.0)
+        group.run(FAULT_PERIOD_S)
         if name not in group.running_members:
             group.start("r", name)
     group.paused.clear()
     group.blocked_links.clear()
     group.loss = 0.0
-    group.run(60.0)
+    group.run(RECOVERY_S)
     for name in INSTANCE_NAMES:
         assert group.observed_statuses(name) == {"alive"}, (
             f"{name} is not reported alive by all instances"
--- a/packages/chivelb-cli/chivelb_cli/lab/engine.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/engine.py
@@ -189,7 +189,7 @@
         self.waiting.sort(key=lambda s: (s.priority, s.arrival_order))
         while self.waiting and len(self.running) < self.slots:
             sequence = self.waiting.pop(0)
-            keys = self._block_keys(sequence)
+            keys = self.block_keys(sequence)
             cached_blocks = self.cache.count_cached_prefix(keys)
             if not self.cache.has_valid_content(keys[:cached_blocks]):
                 sequence.corrupted = True
@@ -204,7 +204,8 @@
             sequence.state = "prefill"
             self.running.append(sequence)
 
-    def _block_keys(self, sequence: Sequence) -> list[str]:
+    def block_keys(self, sequence: Sequence) -> list[str]:
+        """Returns the keys of the blocks of a sequence's prompt."""
         return kv_cache.block_keys(
             sequence.salt, sequence.version, sequence.prompt
         )
@@ -220,7 +221,7 @@
             sequence.prefill_tokens_left -= computed
             budget -= computed
             if sequence.prefill_tokens_left <= 1e-9:
-                keys = self._block_keys(sequence)
+                keys = self.block_keys(sequence)
                 if keys:
                     self.cache.insert(
                         kv_cache.anchor_key(keys),
--- a/packages/chivelb-cli/chivelb_cli/lab/runner.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/runner.py
@@ -133,7 +133,7 @@
     async def _import_then_run(
         self, sequence: engine_lib.Sequence, body: AttemptBody
     ) -> None:
-        keys = self.engine._block_keys(sequence)
+        keys = self.engine.block_keys(sequence)
         try:
             if keys:
                 await self.transfers.import_blocks(
