--- a/tests/test_cut_streams_review.py
+++ b/tests/test_cut_streams_review.py
@@ -54,6 +54,18 @@
     assert received.is_framed_as_complete
 
 
+# Guards against a stream that is taken for an ordinary body and finished in the
+# middle of an event because its media type is not in lower case.
+def test_the_media_type_of_a_stream_may_have_capitals():
+    steps = [*scripted.stream(E1, E2[:4], **ECHO), scripted.END]
+    steps[0] = steps[0].replace(b"text/event-stream", b"Text/Event-Stream")
+    received = wire_calls.run_call(
+        wire_calls.make_request(wire_calls.STREAM_PATH), steps
+    )
+    assert received.body == E1
+    assert not received.is_framed_as_complete
+
+
 # Guards against a complete answer that is refused, and its target taken for
 # crashed, because bytes that belong to no request come in the same segment.
 def test_a_complete_answer_is_passed_on_in_spite_of_bytes_behind_it():
