A close in the middle of an event presumes a crash of the target

Found in the review: the attempt that ended so did not count as one during which its target crashed, as any other connection lost within a response does, so that a request that crashes its targets would be sent on. A last chunk in the middle of an event stays no crash.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -261,6 +261,7 @@
                     calls.OutcomeKind.UNKNOWN,
                     codes.OUTCOME_UNKNOWN,
                     str(error),
+                    target_crashed=_shows_crash(error, reply),
                 )
             ) from None
         await self._send_head(reply, caller, delivery)
@@ -490,6 +491,18 @@
         ) from None
 
 
+def _shows_crash(error: events.StreamError, reply: ports.Reply) -> bool:
+    """Returns whether an invalid stream presumes a crash of its target.
+
+    A connection that was closed in the middle of an event does, like any other
+    that is lost within a response; a last chunk there is orderly.
+    """
+    return (
+        isinstance(error, events.TruncatedStreamError)
+        and reply.framing is ports.Framing.CLOSE
+    )
+
+
 def _failed_resume(reply: ports.Reply) -> calls.AttemptError:
     """Returns the error of a resume that was answered without a stream."""
     return calls.AttemptError(
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -18,6 +18,10 @@
     """A stream violates the protocol, or belongs to another attempt."""
 
 
+class TruncatedStreamError(StreamError):
+    """A stream ends in the middle of an event."""
+
+
 @dataclasses.dataclass(slots=True)
 class Batch:
     """Complete events that arrived together.
@@ -42,8 +46,8 @@
     Blank lines after the last event form a run of their own.
 
     Raises:
-        StreamError: An event exceeds ``MAX_EVENT_BYTES``, or the stream ends
-            in the middle of an event.
+        StreamError: An event exceeds ``MAX_EVENT_BYTES``.
+        TruncatedStreamError: The stream ends in the middle of an event.
     """
     incomplete = b""
     async for chunk in chunks:
@@ -55,7 +59,9 @@
         if len(incomplete) > MAX_EVENT_BYTES:
             raise StreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
     if incomplete.strip(LINE_ENDS):
-        raise StreamError(f"stream ended {len(incomplete)} bytes into an event")
+        raise TruncatedStreamError(
+            f"stream ended {len(incomplete)} bytes into an event"
+        )
     if incomplete:
         yield incomplete
 
