A resumed stream that begins again is not joined to the first part

The first event of a resumed stream must have a greater id than the last one sent; otherwise the attempt fails, and the stream is tried elsewhere or aborted.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -246,14 +246,18 @@
         reservation: admission_lib.Reservation,
     ) -> None:
         batches = events.split_events(reply.chunks())
+        resumed_after = delivery.last_event_id
         try:
             async with contextlib.aclosing(batches):
                 async for batch in batches:
+                    event_id = events.last_event_id(batch)
+                    if resumed_after and event_id:
+                        _check_continues(batch, resumed_after)
+                        resumed_after = ""
                     self.admission_queue.record_first_event(reservation)
                     self._record_origin(call, reservation.record)
                     await self._send_head(reply, caller, delivery)
                     await caller.send_body(batch)
-                    event_id = events.last_event_id(batch)
                     delivery.last_event_id = event_id or delivery.last_event_id
         except events.StreamError as error:
             raise calls.AttemptError(
@@ -491,6 +495,15 @@
         ) from None
 
 
+def _check_continues(run: bytes, last_event_id: str) -> None:
+    """Raises ``StreamError`` if a resumed stream begins too early."""
+    if events.is_repeated(run, last_event_id):
+        raise events.StreamError(
+            f"resumed stream begins at event {events.first_event_id(run)!r}, "
+            f"expected one after {last_event_id!r}"
+        )
+
+
 def _shows_crash(error: events.StreamError, reply: ports.Reply) -> bool:
     """Returns whether an invalid stream presumes a crash of its target.
 
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -76,6 +76,19 @@
     return end
 
 
+def first_event_id(run: bytes) -> str:
+    """Returns the id of the first event with one in a run, or empty."""
+    start = 0 if run.startswith(b"id:") else run.find(b"\nid:") + 1
+    if not run.startswith(b"id:", start):
+        return ""
+    return _event_id_at(run, start)
+
+
+def _event_id_at(run: bytes, start: int) -> str:
+    line = run[start + len(b"id:") : run.find(b"\n", start)]
+    return line.strip().decode("ascii", "replace")
+
+
 def last_event_id(run: bytes) -> str:
     """Returns the id of the last event in a run of events, or empty."""
     start = run.rfind(b"id:")
@@ -83,8 +96,22 @@
         start = run.rfind(b"id:", 0, start)
     if start < 0:
         return ""
-    line = run[start + 3 : run.find(b"\n", start)]
-    return line.strip().decode("ascii", "replace")
+    return _event_id_at(run, start)
+
+
+def is_repeated(run: bytes, last_id: str) -> bool:
+    """Returns whether a run begins at or before an event already received.
+
+    Ids increase. If one of them is no number, only an equal id shows it.
+
+    Args:
+        run: Run of events.
+        last_id: Id of the last event received.
+    """
+    first_id = first_event_id(run)
+    if first_id.isdigit() and last_id.isdigit():
+        return int(first_id) <= int(last_id)
+    return first_id == last_id
 
 
 async def check_events(
