A stream closed before its first event is tried elsewhere

Found in the review: the head of a stream without a length, then a close, reached the caller as a complete stream without events, and no other target was asked. Such an attempt has an unknown outcome now, so that it is repeated where its route allows that and answered 502 otherwise. A stream that its caller takes up may end without events, as before.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -268,6 +268,14 @@
                     target_crashed=_shows_crash(error, reply),
                 )
             ) from None
+        if not delivery.head_sent and _ended_without_events(call, reply):
+            raise calls.AttemptError(
+                attempt_lib.Outcome(
+                    calls.OutcomeKind.UNKNOWN,
+                    codes.OUTCOME_UNKNOWN,
+                    "connection closed before the first event",
+                )
+            )
         await self._send_head(reply, caller, delivery)
         await caller.finish()
 
@@ -495,6 +503,15 @@
         ) from None
 
 
+def _ended_without_events(call: forwarding.Call, reply: ports.Reply) -> bool:
+    """Returns whether a stream without any event is no complete one.
+
+    A stream that is taken up may have no more events, and a last chunk or a
+    length tells the end; a mere close of the connection does not.
+    """
+    return reply.framing is ports.Framing.CLOSE and not call.takes_up_stream
+
+
 def _check_continues(run: bytes, last_event_id: str) -> None:
     """Raises ``StreamError`` if a resumed stream begins too early."""
     if events.is_repeated(run, last_event_id):
