Responses to other requests are discarded up to 1 MB

Cause: a response that belongs to another request is discarded with its body, and then the next one, until the deadline of the call. A server that sends such responses, or such a body, without end kept the connection and the call.

Change: bytes before the head of the response to the request are counted. Over 1 MB of them end the exchange (outcome unknown) and close the connection. The counter stops at the response to the request, so that its body has no limit.

--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -31,6 +31,10 @@
 # head nor a byte of a body: a head with the interim responses before it, or
 # what frames a body. Bytes that arrive together are counted together.
 MAX_OVERHEAD_BYTES = 65_536
+# Limit for bytes received before the head of the response to a request:
+# responses to other requests, which are discarded. What arrives together with
+# the head counts too, up to the buffer of a response.
+MAX_BYTES_BEFORE_RESPONSE = 1_048_576
 READ_BUFFER_BYTES = 262_144
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
@@ -103,6 +107,9 @@
         # Body that the parser fills, and bytes received without progress.
         self._incoming_body: streams.StreamReader | None = None
         self._overhead_bytes = 0
+        # Whether the response to the request was found, and bytes before that.
+        self._has_response = False
+        self._bytes_before_response = 0
         self._head_waiter: asyncio.Future | None = None
         self._error: Exception | None = None
         self._parser = self._new_parser()
@@ -163,6 +170,8 @@
             self._overhead_bytes = 0
         else:
             self._count_overhead(len(data))
+        if not self._has_response:
+            self._count_before_response(len(data))
         if (
             messages
             and self._head_waiter is not None
@@ -185,6 +194,16 @@
                 )
             )
 
+    def _count_before_response(self, size: int) -> None:
+        self._bytes_before_response += size
+        if self._bytes_before_response > MAX_BYTES_BEFORE_RESPONSE:
+            self._end(
+                ResponseLimitError(
+                    f"over {MAX_BYTES_BEFORE_RESPONSE} bytes without a "
+                    f"response to the request"
+                )
+            )
+
     def _end(self, error: Exception) -> None:
         """Ends the response in progress and closes at once."""
         self._fail(error)
@@ -228,6 +247,9 @@
 
     def write(self, data: bytes) -> None:
         """Writes a complete request."""
+        self._has_response = False
+        self._bytes_before_response = 0
+        self._overhead_bytes = 0
         self.transport.write(data)
 
     async def read_head(
@@ -251,6 +273,7 @@
             head, payload = self._responses.pop(0)
             self._body = payload
             if is_response_to_request(head):
+                self._has_response = True
                 return head
             while await self.read():
                 pass
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -103,6 +103,24 @@
     assert_ended_by_a_limit(scripted.Endless(repeated), head + start)
 
 
+# Guards against responses to other requests that are discarded until the
+# deadline of the call.
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"", scripted.answer(b"late", X_Request_Id="other")),
+        (b"", scripted.answer(b"")),
+        (CHUNKED + b"\r\n", scripted.chunk(b"late")),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", b"late"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"late"),
+    ],
+)
+def test_responses_to_other_requests_without_end_end_their_connection(
+    start, repeated
+):
+    assert_ended_by_a_limit(scripted.Endless(repeated), start)
+
+
 # Guards against a limit that ends what is long but an answer.
 @pytest.mark.parametrize("piece_bytes", [1, 1000, 300_000])
 def test_a_long_answer_is_read_to_its_end(piece_bytes):
