Bytes after a complete response close the connection at once

Cause: while the body of a complete response was still being passed on to its caller, further responses on the connection were parsed and kept for the next reader, without a limit in number; only the end of the exchange closed the connection.

Change: bytes that come after the end of the response to the request close the connection when they arrive. The body that was received is still read to its end, and the connection is not used again, as before.

--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -149,9 +149,9 @@
         """Parses received bytes; called by asyncio."""
         if self._error is not None:
             return
-        if not self.in_use and data:
-            # Bytes that belong to no request.
-            self.unusable = True
+        if data and not self._expects_bytes():
+            # Bytes that belong to no request. A body that was received
+            # completely can still be read.
             self.abort()
             return
         body_bytes = self._incoming_body_bytes()
@@ -179,6 +179,11 @@
         ):
             self._head_waiter.set_result(None)
 
+    def _expects_bytes(self) -> bool:
+        """Returns whether a part of a response is still to be received."""
+        is_complete = self._has_response and self._body.is_eof()
+        return self.in_use and not is_complete
+
     def _incoming_body_bytes(self) -> int:
         """Returns how many bytes of the incoming body were received."""
         body = self._incoming_body
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -121,6 +121,29 @@
     assert_ended_by_a_limit(scripted.Endless(repeated), start)
 
 
+# Guards against memory that grows with responses that belong to no request
+# while the caller has not yet read its own.
+def test_responses_after_a_complete_one_end_their_connection():
+    endless = scripted.Endless(scripted.answer(b""))
+    target = scripted.ScriptedTarget(
+        [scripted.answer(b"mine", X_Request_Id="mine"), endless],
+        [scripted.answer(b"next", X_Request_Id="mine")],
+    )
+
+    async def scenario(pool):
+        exchange = await pool.send(target.address, REQUEST)
+        await exchange.start(is_mine)
+        await endless.ended.wait()
+        assert await exchange.read() == b"mine"
+        assert await exchange.read() == b""
+        exchange.close()
+        assert await read_answer(pool, target) == b"next"
+        assert target.connections == 2
+
+    run_with_pool(target, scenario)
+    assert endless.sent_bytes < MAX_ACCEPTED_BYTES
+
+
 # Guards against a limit that ends what is long but an answer.
 @pytest.mark.parametrize("piece_bytes", [1, 1000, 300_000])
 def test_a_long_answer_is_read_to_its_end(piece_bytes):
