Errors of the HTTP parser no longer hold what a target sent

Cause: the parser's message repeats the bytes that it could not parse, up to a whole received piece. It became the detail of the attempt, and so a log line and a part of the error that the caller gets; the bytes may belong to others.

Change: the detail has the kind of the error and the parser's reason only.

--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -159,7 +159,9 @@
             messages, _, _ = self._parser.feed_data(data)
         except http_exceptions.HttpProcessingError as error:
             self._end(
-                IncompleteResponseError(f"invalid HTTP response: {error}")
+                IncompleteResponseError(
+                    f"invalid HTTP response: {describe_parser_error(error)}"
+                )
             )
             return
         finals = [item for item in messages if item[0].code >= 200]
@@ -306,6 +308,17 @@
         )
 
 
+def describe_parser_error(error: http_exceptions.HttpProcessingError) -> str:
+    """Returns why a response is invalid, without any of its bytes.
+
+    The bytes may be of any length, and belong to another request.
+    """
+    # The parser's reason, if there is one, is separated from the bytes so.
+    reason, has_reason, _ = error.message.partition(":\n\n")
+    name = type(error).__name__
+    return f"{name}: {' '.join(reason.split())}" if has_reason else name
+
+
 def _fail_body(payload: streams.StreamReader, error: Exception) -> None:
     if not payload.is_eof() and payload.exception() is None:
         payload.set_exception(error)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -121,6 +121,24 @@
     assert_ended_by_a_limit(scripted.Endless(repeated), start)
 
 
+# Guards against log lines and answers to callers that hold what a target sent
+# instead of an answer.
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"", b"foreign"),
+        (b"HTTP/1.1 200 ", b"foreign"),
+        (b"HTTP/1.1 200 OK\r\nX-A: \0", b"foreign"),
+        (b"HTTP/1.1 200 OK\r\nX-A: ", b"foreign"),
+        (b"HTTP/1.1 200 OK\r\nX A", b"foreign"),
+        (CHUNKED + b"X-Request-Id: mine\r\n\r\n", b"foreign"),
+    ],
+)
+def test_bytes_that_are_no_response_are_not_in_the_error(start, repeated):
+    detail = assert_ended_by_a_limit(scripted.Endless(repeated), start)
+    assert "foreign" not in detail
+
+
 # Guards against memory that grows with responses that belong to no request
 # while the caller has not yet read its own.
 def test_responses_after_a_complete_one_end_their_connection():
