Fetched bodies have a limit in bytes

Cause: reports, replies to orders, pages of cache events and listings were kept in memory until they ended or a time limit of 0.6 to 2 s passed; a link carries gigabytes in that time. That they were dropped left no line in the log.

Over it the connection is closed and the reader goes on as without a response; `response exceeds a limit` tells whose.

--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -36,6 +36,8 @@
 # the head counts too, up to the buffer of a response.
 MAX_BYTES_BEFORE_RESPONSE = 1_048_576
 READ_BUFFER_BYTES = 262_144
+# Default limit for a body that is kept until it is complete.
+MAX_FETCHED_BYTES = 1_048_576
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
@@ -495,24 +497,41 @@
         self.idle.clear()
 
 
-async def fetch(pool: HttpPool, address: str, data: bytes) -> tuple[int, bytes]:
+async def fetch(
+    pool: HttpPool,
+    address: str,
+    data: bytes,
+    *,
+    max_bytes: int = MAX_FETCHED_BYTES,
+) -> tuple[int, bytes]:
     """Sends a request and returns the status and body of the response.
 
     Args:
         pool: Connections to use.
         address: ``host:port`` of the target.
         data: The complete request.
+        max_bytes: Limit for the body, in bytes.
 
     Raises:
         NotSentError: No connection could be opened.
         IncompleteResponseError: The response was malformed or incomplete.
+        ResponseLimitError: The body is longer than ``max_bytes``.
     """
     exchange = await pool.send(address, data)
     try:
         head = await exchange.start(lambda head: True)
-        chunks = []
-        while chunk := await exchange.read():
-            chunks.append(chunk)
+        body = await _read_limited(exchange, max_bytes)
     finally:
         exchange.close()
-    return head.status, b"".join(chunks)
+    return head.status, body
+
+
+async def _read_limited(exchange: Exchange, max_bytes: int) -> bytes:
+    chunks = []
+    size = 0
+    while chunk := await exchange.read():
+        size += len(chunk)
+        if size > max_bytes:
+            raise ResponseLimitError(f"body exceeds {max_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -18,12 +18,14 @@
 
     Attributes:
         data: Bytes to repeat.
+        cap_bytes: Bytes after which it gives up.
         sent_bytes: Bytes that the peer or its socket buffer has accepted.
         ended: Set when the step has ended, by the peer or at the cap.
     """
 
-    def __init__(self, data):
+    def __init__(self, data, cap_bytes=ENDLESS_CAP_BYTES):
         self.data = data * max(1, ENDLESS_PIECE_BYTES // len(data))
+        self.cap_bytes = cap_bytes
         self.sent_bytes = 0
         self.ended = asyncio.Event()
 
@@ -34,7 +36,7 @@
             socket.SOL_SOCKET, socket.SO_SNDBUF, ENDLESS_PIECE_BYTES
         )
         try:
-            while self.sent_bytes < ENDLESS_CAP_BYTES:
+            while self.sent_bytes < self.cap_bytes:
                 writer.write(self.data)
                 await writer.drain()
                 if writer.transport.is_closing():
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -6,7 +6,12 @@
 
 import asyncio
 
+import builders
+from chivelb_core.rollout import polled_rollout
 from chivelb_node.links import http_pool
+from chivelb_node.links import part_events
+from chivelb_platform import cache_event_client
+from chivelb_platform import runner_client
 import pytest
 import scripted
 
@@ -15,6 +20,7 @@
 MAX_ACCEPTED_BYTES = 8 << 20
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 MAX_DETAIL_CHARS = 300
+NO_TIME_LIMIT_S = 600.0
 
 
 def run_with_pool(target, scenario):
@@ -200,3 +206,67 @@
 
     assert run_with_pool(target, scenario) < 4 * http_pool.READ_BUFFER_BYTES
     assert endless.sent_bytes < MAX_ACCEPTED_BYTES
+
+
+async def get_report(pool, address):
+    client = runner_client.RunnerClient(pool, "e1")
+    record = builders.make_record(address=address)
+    assert await client.get_report(record, "m") is None
+
+
+async def send_order(pool, address):
+    client = runner_client.RunnerClient(pool, "e1")
+    record = builders.make_record(address=address)
+    order = polled_rollout.LoadOrder("r1", 2, 0)
+    assert await client.send_order(record, "m", order, 1) == "no response"
+
+
+async def poll(pool, address):
+    client = cache_event_client.CacheEventClient(pool)
+    page = await client.poll(address, 0, 1.0)
+    assert page is part_events.PollFailure.UNREACHABLE
+
+
+async def fetch_listing(pool, address):
+    client = cache_event_client.CacheEventClient(pool)
+    assert await client.fetch_listing(address) is None
+
+
+@pytest.fixture
+def no_time_limits(monkeypatch):
+    """Leaves limits in bytes as the only ones that end a request."""
+    for module, name in (
+        (runner_client, "CALL_TIMEOUT_S"),
+        (cache_event_client, "RESPONSE_MARGIN_S"),
+        (cache_event_client, "LISTING_TIMEOUT_S"),
+    ):
+        monkeypatch.setattr(module, name, NO_TIME_LIMIT_S)
+
+
+# Guards against bodies that are kept in memory until a time limit, where the
+# reader needs a small one.
+@pytest.mark.parametrize(
+    ("ask", "max_bytes"),
+    [
+        (get_report, http_pool.MAX_FETCHED_BYTES),
+        (send_order, http_pool.MAX_FETCHED_BYTES),
+        (poll, cache_event_client.MAX_BODY_BYTES),
+        (fetch_listing, cache_event_client.MAX_BODY_BYTES),
+    ],
+)
+def test_a_fetched_body_without_end_ends_its_connection(
+    ask, max_bytes, no_time_limits, capsys
+):
+    endless = scripted.Endless(
+        b"x", cap_bytes=2 * max_bytes + 2 * MAX_ACCEPTED_BYTES
+    )
+    target = scripted.ScriptedTarget([b"HTTP/1.1 200 OK\r\n\r\n", endless])
+
+    async def scenario(pool):
+        await ask(pool, target.address)
+        await endless.ended.wait()
+        assert not pool.idle
+
+    run_with_pool(target, scenario)
+    assert endless.sent_bytes < max_bytes + MAX_ACCEPTED_BYTES
+    assert "response exceeds a limit" in capsys.readouterr().out
