An invalid event stream ends its attempt with an unknown outcome

Cause: split_events raises StreamError for an event of over 256 KB, which the forwarder did not catch. It went up to the HTTP server: no attempt was counted or logged, `call ended` said code 0, a stream that can be resumed was not, and a caller without a head got 500 `internal` instead of "may have run".

Change: the forwarder turns it into the outcome of the attempt: unknown, with the limit as detail. Like a truncated response it may be resumed elsewhere, else the caller's connection is aborted, or refused with 3001 before the head.

Test: over real sockets, before, StreamError left Forwarder.serve in all three tests of an event without end; after, the stream is resumed, aborted, refused with 3001, and the target's connection is closed.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -186,6 +186,8 @@
                 await self._forward_stream(reply, caller, delivery, reservation)
             else:
                 await self._forward_body(call, reply, caller, delivery)
+        except events.StreamError as error:
+            raise _invalid_stream(error) from None
         finally:
             reply.close()
         self.context.targets.record_success(record.identity)
@@ -413,6 +415,19 @@
         ) from None
 
 
+def _invalid_stream(error: events.StreamError) -> calls.AttemptError:
+    """Returns the outcome of an attempt whose stream violates the protocol."""
+    # As after a truncated response, the target is presumed to have crashed.
+    return calls.AttemptError(
+        attempt_lib.Outcome(
+            calls.OutcomeKind.UNKNOWN,
+            codes.OUTCOME_UNKNOWN,
+            str(error),
+            target_crashed=True,
+        )
+    )
+
+
 def _prefer_attempt_outcome(
     last_outcome: attempt_lib.Outcome | None, error: responses.RequestError
 ) -> responses.RequestError:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -7,11 +7,15 @@
 import asyncio
 
 import builders
+from chivelb_core import codes
 from chivelb_core.rollout import polled_rollout
+from chivelb_node import context as context_lib
 from chivelb_node.links import http_pool
 from chivelb_node.links import part_events
 from chivelb_platform import cache_event_client
 from chivelb_platform import runner_client
+from chivelb_platform import target_client
+import fake_ports
 import pytest
 import scripted
 
@@ -270,3 +274,100 @@
     run_with_pool(target, scenario)
     assert endless.sent_bytes < max_bytes + MAX_ACCEPTED_BYTES
     assert "response exceeds a limit" in capsys.readouterr().out
+
+
+def stream_head(request_id):
+    return scripted.stream(X_Request_Id=request_id)[0]
+
+
+def serve_call(target, route_name, endless):
+    """Serves one call with two targets that share the scripts of one."""
+    other = scripted.ScriptedTarget()
+    other.scripts = target.scripts
+
+    async def scenario(pool):
+        async with other.serve():
+            return await serve_at([target.address, other.address], pool)
+
+    async def serve_at(addresses, pool):
+        records = {
+            name: {
+                "service": "lm",
+                "address": address,
+                "weight_version": "1",
+            }
+            for name, address in zip("ab", addresses, strict=True)
+        }
+        context = builders.make_context(None, **records)
+        harness = fake_ports.ForwardingHarness(context)
+        harness.forwarder.target_port = target_client.TargetClient(pool)
+        now = context_lib.monotonic()
+        call = builders.make_call(
+            builders.make_routed_document().routes[route_name],
+            arrived_at=now,
+            deadline=now + NO_TIME_LIMIT_S,
+            fingerprint="f",
+        )
+        caller = await harness.serve(call)
+        await endless.ended.wait()
+        return caller, context
+
+    return run_with_pool(target, scenario)
+
+
+def make_event_without_end(*events):
+    endless = scripted.Endless(scripted.chunk(b"x" * 1000))
+    head = stream_head("r-1")
+    chunks = [scripted.chunk(event) for event in (*events, b"id: 9\ndata: ")]
+    return endless, [head, *chunks, endless]
+
+
+def count_unknown_attempts(context):
+    number = str(codes.OUTCOME_UNKNOWN.number)
+    return context.metrics.attempt_results.labels(number)._value.get()
+
+
+# Guards against an event without end that ends no attempt: the caller of a
+# stream that can be resumed has to get the rest from another target.
+def test_after_an_event_without_end_a_stream_is_resumed_elsewhere():
+    endless, script = make_event_without_end(scripted.event(1))
+    rest = [stream_head("r-1"), scripted.chunk(scripted.event(2)), scripted.END]
+    target = scripted.ScriptedTarget(script, rest)
+    caller, context = serve_call(target, "quote", endless)
+    assert caller.end == "finished"
+    assert caller.body == scripted.event(1) + scripted.event(2)
+    assert count_unknown_attempts(context) == 1
+    assert endless.sent_bytes < MAX_ACCEPTED_BYTES
+
+
+# Guards against a stream that is finished, or refused as internal error, after
+# an event without end.
+def test_after_an_event_without_end_other_streams_are_aborted():
+    endless, script = make_event_without_end(scripted.event(1))
+    target = scripted.ScriptedTarget(script)
+    caller, context = serve_call(target, "once", endless)
+    assert (caller.end, caller.body) == ("aborted", scripted.event(1))
+    assert count_unknown_attempts(context) == 1
+    assert endless.sent_bytes < MAX_ACCEPTED_BYTES
+
+
+# Guards against an answer that does not tell that the request may have run.
+def test_a_stream_of_one_event_without_end_may_have_run():
+    endless, script = make_event_without_end()
+    target = scripted.ScriptedTarget(script)
+    caller, context = serve_call(target, "once", endless)
+    assert caller.end == "refused"
+    assert caller.error_detail.code is codes.OUTCOME_UNKNOWN
+    assert count_unknown_attempts(context) == 1
+    assert endless.sent_bytes < MAX_ACCEPTED_BYTES
+
+
+# Guards against the same for a head without end, through all layers.
+def test_a_request_answered_by_a_head_without_end_may_have_run():
+    endless = scripted.Endless(b"HTTP/1.1 100 Continue\r\n\r\n")
+    target = scripted.ScriptedTarget([endless])
+    caller, context = serve_call(target, "once", endless)
+    assert caller.end == "refused"
+    assert caller.error_detail.code is codes.OUTCOME_UNKNOWN
+    assert count_unknown_attempts(context) == 1
+    assert endless.sent_bytes < MAX_ACCEPTED_BYTES
