An event that grows in small pieces is copied once

Cause: each received piece of an incomplete event was joined with all before it, and the whole was searched again. An event of 256 KB in pieces of 100 bytes cost 344 MB of copies in the event loop, which all calls share.

Change: pieces are appended to one buffer; only what is new is searched.

Forwarded bytes are the same.

--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -39,15 +39,16 @@
     Raises:
         StreamError: An event exceeds ``MAX_EVENT_BYTES``.
     """
-    incomplete = b""
+    incomplete = bytearray()
     async for chunk in chunks:
-        data = incomplete + chunk if incomplete else chunk
-        end = data.rfind(EVENT_DELIMITER)
-        if end < 0:
-            incomplete = data
-        else:
-            incomplete = data[end + 2 :]
-            yield data[: end + 2]
+        # A delimiter may begin with the last byte received before.
+        unsearched = max(0, len(incomplete) - 1)
+        incomplete.extend(chunk)
+        end = incomplete.rfind(EVENT_DELIMITER, unsearched)
+        if end >= 0:
+            run = bytes(incomplete[: end + 2])
+            del incomplete[: end + 2]
+            yield run
         if len(incomplete) > MAX_EVENT_BYTES:
             raise StreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -10,6 +10,7 @@
 from chivelb_core import codes
 from chivelb_core.rollout import polled_rollout
 from chivelb_node import context as context_lib
+from chivelb_node.links import events
 from chivelb_node.links import http_pool
 from chivelb_node.links import part_events
 from chivelb_platform import cache_event_client
@@ -371,3 +372,33 @@
     assert caller.error_detail.code is codes.OUTCOME_UNKNOWN
     assert count_unknown_attempts(context) == 1
     assert endless.sent_bytes < MAX_ACCEPTED_BYTES
+
+
+class CountedPiece(bytes):
+    """A piece of a stream that counts the bytes that it is appended to."""
+
+    copied_bytes = 0
+
+    def __radd__(self, other):
+        CountedPiece.copied_bytes += len(other)
+        return bytes(other) + bytes(self)
+
+
+# Guards against an event loop that is blocked by an event that grows in small
+# pieces: each piece must not copy all that came before it.
+def test_an_event_in_small_pieces_is_not_copied_for_each_piece(monkeypatch):
+    pieces = events.MAX_EVENT_BYTES // 100
+    monkeypatch.setattr(CountedPiece, "copied_bytes", 0)
+
+    async def chunks():
+        for _ in range(pieces):
+            yield CountedPiece(b"x" * 100)
+        yield CountedPiece(b"\n")
+        yield CountedPiece(b"\nid: 2\n")
+
+    async def scenario():
+        return [run async for run in events.split_events(chunks())]
+
+    runs = asyncio.run(scenario())
+    assert runs == [b"x" * 100 * pieces + b"\n\n"]
+    assert CountedPiece.copied_bytes <= events.MAX_EVENT_BYTES
