Replies read through the client session have a limit in bytes

Cause: replies of stores, the status of an attempt and replies to orders of chivelbd were read with response.read(), which keeps the body in memory until it ends; only time limits of 1 to 10 s ended it.

Change: one reader with a limit, 16 MB for stores and 64 KB for a status or a reply to an order. Over it the connection is closed, `response exceeds a limit` tells whose, and the reader goes on as without a reply; an order counts as sent.

Test: with time limits out of the way, and with the check of the limit taken out, all 5 readers read to the cap; with it, all end by the limit.

--- a/packages/chivelb-node/chivelb_node/control/rollout.py
+++ b/packages/chivelb-node/chivelb_node/control/rollout.py
@@ -16,10 +16,12 @@
 from chivelb_node import context as context_lib
 from chivelb_node.control import controller
 from chivelb_node.control import voter_service as voter_service_lib
+from chivelb_node.links import limited_bodies
 from chivelb_node.telemetry import logs
 
 PERIOD_S = 0.2
 ORDER_TIMEOUT_S = 1.0
+MAX_REPLY_BYTES = 65_536
 _log = logs.get_logger("rollout")
 
 
@@ -141,7 +143,9 @@
                     data=msgspec.json.encode(body),
                 ) as response:
                     status = response.status
-                    reply = await response.read()
+                    reply = await limited_bodies.read_limited(
+                        response, MAX_REPLY_BYTES
+                    )
             state = msgspec.json.decode(reply, type=OrderReply).state
         except (aiohttp.ClientError, TimeoutError):
             # The runner may have accepted the order. It is recorded as sent,
--- a/packages/chivelb-node/chivelb_node/links/runners.py
+++ b/packages/chivelb-node/chivelb_node/links/runners.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from chivelb_node.links import events
+from chivelb_node.links import limited_bodies
 
 READ_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
@@ -20,6 +21,7 @@
 CANCEL_GRACE_S = 1.0
 KEEPALIVE_TIMEOUT_S = 15.0
 MAX_RESUMES = 3
+MAX_STATUS_BYTES = 65_536
 
 
 @dataclasses.dataclass(slots=True)
@@ -294,9 +296,10 @@
             async with session.post(
                 url, headers={"Connection": "close"}
             ) as response:
-                return msgspec.json.decode(
-                    await response.read(), type=AttemptStatus
+                status = await limited_bodies.read_limited(
+                    response, MAX_STATUS_BYTES
                 )
+                return msgspec.json.decode(status, type=AttemptStatus)
     except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
         return None
 
--- a/packages/chivelb-node/chivelb_node/links/stores.py
+++ b/packages/chivelb-node/chivelb_node/links/stores.py
@@ -6,8 +6,12 @@
 from chivelb_core.kv_cache import messages as kv_cache_messages
 import msgspec
 
+from chivelb_node.links import limited_bodies
+
 STORE_TIMEOUT_S = 1.0
 EXPORT_TIMEOUT_S = 10.0
+# Limit for a reply; the longest lists all blocks of a store.
+MAX_REPLY_BYTES = 16_777_216
 
 
 class OwnershipReply(msgspec.Struct, rename="camel"):
@@ -141,8 +145,9 @@
             ) as response:
                 if response.status != 200:
                     return None
-                return msgspec.json.decode(
-                    await response.read(), type=reply_type
+                reply = await limited_bodies.read_limited(
+                    response, MAX_REPLY_BYTES
                 )
+                return msgspec.json.decode(reply, type=reply_type)
     except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
         return None
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -8,11 +8,16 @@
 
 import builders
 from chivelb_core import codes
+from chivelb_core import rollout as core_rollout
+from chivelb_core.rollout import announced_rollout
 from chivelb_core.rollout import polled_rollout
 from chivelb_node import context as context_lib
+from chivelb_node.control import rollout
 from chivelb_node.links import events
 from chivelb_node.links import http_pool
 from chivelb_node.links import part_events
+from chivelb_node.links import runners
+from chivelb_node.links import stores
 from chivelb_platform import cache_event_client
 from chivelb_platform import runner_client
 from chivelb_platform import target_client
@@ -244,6 +249,10 @@
         (runner_client, "CALL_TIMEOUT_S"),
         (cache_event_client, "RESPONSE_MARGIN_S"),
         (cache_event_client, "LISTING_TIMEOUT_S"),
+        (rollout, "ORDER_TIMEOUT_S"),
+        (runners, "STATUS_TIMEOUT_S"),
+        (stores, "STORE_TIMEOUT_S"),
+        (stores, "EXPORT_TIMEOUT_S"),
     ):
         monkeypatch.setattr(module, name, NO_TIME_LIMIT_S)
 
@@ -402,3 +411,71 @@
     runs = asyncio.run(scenario())
     assert runs == [b"x" * 100 * pieces + b"\n\n"]
     assert CountedPiece.copied_bytes <= events.MAX_EVENT_BYTES
+
+
+def make_attempt(address, seconds=NO_TIME_LIMIT_S):
+    return runners.RunnerAttempt(
+        attempt_id="r-1.1.aa",
+        record=builders.make_record(address=address),
+        payload=b"{}",
+        version="",
+        offset=0,
+        deadline=context_lib.monotonic() + seconds,
+    )
+
+
+async def ask_status(session, address):
+    assert await runners.ask_status(session, make_attempt(address)) is None
+
+
+async def acquire_ownership(session, address):
+    assert await stores.acquire_ownership(session, address, "e1", 0) is None
+
+
+async def free_blocks(session, address):
+    assert not await stores.free_blocks(session, address, 1, [])
+
+
+async def export_blocks(session, address):
+    assert await stores.export_blocks(session, address, address, []) == []
+
+
+async def send_load_order(session, address):
+    """The runner may have accepted the order: it is recorded as sent."""
+    context = builders.make_context()
+    service = rollout.DocumentRolloutService(context, None, session)
+    state = core_rollout.AnnouncedRollout("lm")
+    record = builders.make_record(address=address)
+    order = announced_rollout.LoadOrder(record.identity, "v2", "o1")
+    await service._send_order(state, order, record)
+    assert record.identity in state.sent
+
+
+# Guards against bodies that are kept in memory until a time limit, in readers
+# that use the client session.
+@pytest.mark.parametrize(
+    ("ask", "max_bytes"),
+    [
+        (ask_status, runners.MAX_STATUS_BYTES),
+        (acquire_ownership, stores.MAX_REPLY_BYTES),
+        (free_blocks, stores.MAX_REPLY_BYTES),
+        (export_blocks, stores.MAX_REPLY_BYTES),
+        (send_load_order, rollout.MAX_REPLY_BYTES),
+    ],
+)
+def test_a_reply_without_end_ends_its_connection(
+    ask, max_bytes, no_time_limits, capsys
+):
+    endless = scripted.Endless(
+        b"x", cap_bytes=2 * max_bytes + 2 * MAX_ACCEPTED_BYTES
+    )
+    target = scripted.ScriptedTarget([b"HTTP/1.1 200 OK\r\n\r\n", endless])
+
+    async def scenario(pool):
+        async with runners.make_session() as session:
+            await ask(session, target.address)
+            await endless.ended.wait()
+
+    run_with_pool(target, scenario)
+    assert endless.sent_bytes < max_bytes + MAX_ACCEPTED_BYTES
+    assert "response exceeds a limit" in capsys.readouterr().out
