Bytes that are no event do not prolong an attempt at a runner

Cause: the time limit for a runner's next bytes is one of the socket, which any byte restarts. Interim responses, empty lines before the head, chunk extensions and zeros of a chunk size without end held an attempt of chivelbd for ever: its streams have no other limit in time.

Change: a head must come in 10 s and each part of a body in 2 s, as bytes had to before; then the stream is resumed or ends with an unknown outcome, as after any time-out, and the detail tells which limit it was.

--- a/packages/chivelb-node/chivelb_node/links/runners.py
+++ b/packages/chivelb-node/chivelb_node/links/runners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import contextlib
 import dataclasses
 import hashlib
 
@@ -18,6 +19,9 @@
 READ_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 STATUS_TIMEOUT_S = 1.0
+# Limit for a response head with the interim responses before it. Each received
+# byte restarts the socket's ``READ_TIMEOUT_S``.
+HEAD_TIMEOUT_S = 10.0
 CANCEL_GRACE_S = 1.0
 KEEPALIVE_TIMEOUT_S = 15.0
 MAX_RESUMES = 3
@@ -132,7 +136,7 @@
         request = _dispatch(session, attempt)
     while True:
         try:
-            async with request as response:
+            async with _open(request) as response:
                 _check_response(response, attempt)
                 async for batch in _read_batches(response, attempt):
                     yield batch
@@ -179,6 +183,18 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def _open(request) -> AsyncIterator[aiohttp.ClientResponse]:
+    try:
+        async with asyncio.timeout(HEAD_TIMEOUT_S):
+            response = await request
+    except TimeoutError as error:
+        detail = str(error) or f"no response head within {HEAD_TIMEOUT_S} s"
+        raise TimeoutError(detail) from None
+    async with response:
+        yield response
+
+
 def _check_response(
     response: aiohttp.ClientResponse, attempt: RunnerAttempt
 ) -> None:
@@ -218,13 +234,32 @@
 async def _read_batches(
     response: aiohttp.ClientResponse, attempt: RunnerAttempt
 ) -> AsyncIterator[events.Batch]:
-    runs = events.split_events(response.content.iter_any())
+    runs = events.split_events(_read_chunks(response))
     checked = events.check_events(runs, attempt.attempt_id, attempt.offset)
     async for batch in checked:
         attempt.offset += batch.tokens
         yield batch
 
 
+async def _read_chunks(
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[bytes]:
+    """Yields the body; each part of it must come in ``READ_TIMEOUT_S``.
+
+    What only frames the body is not yielded.
+    """
+    while True:
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                chunk = await response.content.readany()
+        except TimeoutError:
+            detail = f"no part of the body within {READ_TIMEOUT_S} s"
+            raise TimeoutError(detail) from None
+        if not chunk:
+            return
+        yield chunk
+
+
 class AttemptStatus(msgspec.Struct):
     """A runner's status of an attempt.
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -9,6 +9,7 @@
 import builders
 from chivelb_core import codes
 from chivelb_core import rollout as core_rollout
+from chivelb_core.calls import attempt as attempt_lib
 from chivelb_core.rollout import announced_rollout
 from chivelb_core.rollout import polled_rollout
 from chivelb_node import context as context_lib
@@ -31,6 +32,8 @@
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 MAX_DETAIL_CHARS = 300
 NO_TIME_LIMIT_S = 600.0
+# A test that is not ended by what it tests fails after this time.
+GIVE_UP_S = 60.0
 
 
 def run_with_pool(target, scenario):
@@ -38,7 +41,8 @@
         pool = http_pool.HttpPool()
         async with target.serve():
             try:
-                return await scenario(pool)
+                async with asyncio.timeout(GIVE_UP_S):
+                    return await scenario(pool)
             finally:
                 pool.close()
 
@@ -479,3 +483,38 @@
     run_with_pool(target, scenario)
     assert endless.sent_bytes < max_bytes + MAX_ACCEPTED_BYTES
     assert "response exceeds a limit" in capsys.readouterr().out
+
+
+RUNNER_HEAD = CHUNKED + b"X-Attempt-Id: r-1.1.aa\r\n\r\n"
+
+
+# Guards against bytes that restart the time limit of a runner's stream although
+# they bring neither its head nor an event: the attempt would never end.
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"", b"\r\n"),
+        (RUNNER_HEAD + b"5;a=", b"b"),
+        (RUNNER_HEAD, b"0"),
+    ],
+)
+def test_bytes_that_are_no_event_do_not_prolong_an_attempt(
+    start, repeated, monkeypatch
+):
+    for name in ("HEAD_TIMEOUT_S", "READ_TIMEOUT_S", "STATUS_TIMEOUT_S"):
+        monkeypatch.setattr(runners, name, 0.1)
+    endless = scripted.Endless(repeated, cap_bytes=1 << 40)
+    target = scripted.ScriptedTarget([start, endless])
+
+    async def scenario(pool):
+        async with runners.make_session() as session:
+            attempt = make_attempt(target.address)
+            with pytest.raises(attempt_lib.AttemptError) as caught:
+                async for _ in runners.stream_attempt(session, attempt):
+                    pass
+            await endless.ended.wait()
+            return caught.value.outcome
+
+    outcome = run_with_pool(target, scenario)
+    assert outcome.kind is attempt_lib.OutcomeKind.UNKNOWN
