Errors of the client session no longer hold what a target sent

Change: one function describes errors of the parser and of the session, without bytes of the response; the pool uses it too.

--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -15,6 +15,8 @@
 from aiohttp import http_exceptions
 from aiohttp import streams
 
+from chivelb_node.links import parser_errors
+
 # A connection to a target of the region takes a few milliseconds. A lost packet
 # is sent again only after a second, so that another connection is faster.
 CONNECT_TIMEOUT_S = 0.3
@@ -162,7 +164,7 @@
         except http_exceptions.HttpProcessingError as error:
             self._end(
                 IncompleteResponseError(
-                    f"invalid HTTP response: {describe_parser_error(error)}"
+                    f"invalid HTTP response: {parser_errors.describe(error)}"
                 )
             )
             return
@@ -310,17 +312,6 @@
         )
 
 
-def describe_parser_error(error: http_exceptions.HttpProcessingError) -> str:
-    """Returns why a response is invalid, without any of its bytes.
-
-    The bytes may be of any length, and belong to another request.
-    """
-    # The parser's reason, if there is one, is separated from the bytes so.
-    reason, has_reason, _ = error.message.partition(":\n\n")
-    name = type(error).__name__
-    return f"{name}: {' '.join(reason.split())}" if has_reason else name
-
-
 def _fail_body(payload: streams.StreamReader, error: Exception) -> None:
     if not payload.is_eof() and payload.exception() is None:
         payload.set_exception(error)
--- a/packages/chivelb-node/chivelb_node/links/runners.py
+++ b/packages/chivelb-node/chivelb_node/links/runners.py
@@ -15,6 +15,7 @@
 
 from chivelb_node.links import events
 from chivelb_node.links import limited_bodies
+from chivelb_node.links import parser_errors
 
 READ_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
@@ -151,7 +152,7 @@
                 kind, code, str(error), target_may_have_crashed=True
             ) from None
         except (aiohttp.ClientError, TimeoutError) as error:
-            detail = str(error) or type(error).__name__
+            detail = parser_errors.describe(error)
         except events.StreamError as error:
             detail = str(error)
         resumes += 1
--- a/packages/chivelb-node/chivelb_node/links/services.py
+++ b/packages/chivelb-node/chivelb_node/links/services.py
@@ -11,6 +11,7 @@
 from chivelb_core import targets
 from chivelb_core.calls import attempt as attempt_lib
 
+from chivelb_node.links import parser_errors
 from chivelb_node.links import runners
 
 # Hop-by-hop headers, the caller's credentials, and headers that this instance
@@ -120,7 +121,9 @@
         ) from None
     except aiohttp.ClientError as error:
         raise _attempt_error(
-            _KIND.UNKNOWN, codes.OUTCOME_UNKNOWN, error
+            _KIND.UNKNOWN,
+            codes.OUTCOME_UNKNOWN,
+            parser_errors.describe(error),
         ) from None
 
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -18,6 +18,7 @@
 from chivelb_node.links import http_pool
 from chivelb_node.links import part_events
 from chivelb_node.links import runners
+from chivelb_node.links import services
 from chivelb_node.links import stores
 from chivelb_platform import cache_event_client
 from chivelb_platform import runner_client
@@ -518,3 +519,53 @@
 
     outcome = run_with_pool(target, scenario)
     assert outcome.kind is attempt_lib.OutcomeKind.UNKNOWN
+
+
+async def call_service(session, address):
+    await services.call_service(
+        session,
+        builders.make_record(address=address),
+        method="POST",
+        path="/",
+        headers={},
+        body=b"",
+        attempt_id="r-1.1.aa",
+        timeout_s=NO_TIME_LIMIT_S,
+    )
+
+
+async def stream_attempt(session, address):
+    async for _ in runners.stream_attempt(session, make_attempt(address)):
+        pass
+
+
+# Guards against log lines and answers to callers that hold what a target sent
+# instead of an answer, in readers that use the client session.
+@pytest.mark.parametrize("ask", [call_service, stream_attempt])
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"",
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200 OK\r\nX-A: \0",
+        b"HTTP/1.1 200 OK\r\nX-A: ",
+        RUNNER_HEAD,
+    ],
+)
+def test_bytes_that_are_no_reply_are_not_in_the_error(ask, start, monkeypatch):
+    monkeypatch.setattr(runners, "STATUS_TIMEOUT_S", 0.1)
+    endless = scripted.Endless(b"foreign")
+    target = scripted.ScriptedTarget([start, endless])
+
+    async def scenario(pool):
+        async with runners.make_session() as session:
+            with pytest.raises(attempt_lib.AttemptError) as caught:
+                await ask(session, target.address)
+            await endless.ended.wait()
+            return caught.value.outcome
+
+    outcome = run_with_pool(target, scenario)
+    assert outcome.kind is attempt_lib.OutcomeKind.UNKNOWN
+    assert 0 < len(outcome.detail) < MAX_DETAIL_CHARS
+    assert "foreign" not in outcome.detail
+    assert endless.sent_bytes < MAX_ACCEPTED_BYTES
