The line of an unparsable request no longer holds its bytes

Cause: as in, on the callers' side: `unparsable request` had the parser's message with the bytes received, up to a whole piece; a caller's key may be among them.

Change: the line has the kind of the error and the parser's reason.

Test: before, both kinds of requests were in the log, one with the value of its Authorization header; after, none.

--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -10,6 +10,7 @@
 
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
+from chivelb_node.links import parser_errors
 from chivelb_node.telemetry import logs
 
 # Limit of the HTTP parser for one line of a request head, for callers of the
@@ -113,7 +114,11 @@
         if code is codes.INTERNAL:
             _log.error("unhandled error in request handler", exc_info=exc)
         else:
-            _log.warning("unparsable request", code=code.number, error=str(exc))
+            _log.warning(
+                "unparsable request",
+                code=code.number,
+                error="" if exc is None else parser_errors.describe(exc),
+            )
         response = responses.error_response(
             codes.ErrorDetail(code), "", self.context.rng
         )
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 import builders
 from chivelb_core import codes
@@ -14,6 +15,7 @@
 from chivelb_core.rollout import polled_rollout
 from chivelb_node import context as context_lib
 from chivelb_node.control import rollout
+from chivelb_node.edge import connections
 from chivelb_node.links import events
 from chivelb_node.links import http_pool
 from chivelb_node.links import part_events
@@ -569,3 +571,32 @@
     assert 0 < len(outcome.detail) < MAX_DETAIL_CHARS
     assert "foreign" not in outcome.detail
     assert endless.sent_bytes < MAX_ACCEPTED_BYTES
+
+
+async def send_to_entrance(context, endless):
+    """Sends bytes to the callers' port until the connection is closed."""
+
+    async def never(request):
+        raise AssertionError("no request was sent")
+
+    factory = connections.make_protocol_factory(context, never)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(factory, "127.0.0.1", 0)
+    _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    with contextlib.suppress(ConnectionError):
+        await endless.send(writer)
+    writer.transport.abort()
+    server.close()
+
+
+# Guards against log lines that hold what a caller sent, such as its key.
+@pytest.mark.parametrize(
+    "data", [b"foreign", b"GET / HTTP/1.1\r\nAuthorization: foreign\0\r\n"]
+)
+def test_an_unparsable_request_is_not_in_the_log(data, capsys):
+    endless = scripted.Endless(data)
+    asyncio.run(send_to_entrance(builders.make_context(), endless))
+    output = capsys.readouterr().out
+    assert "unparsable request" in output
+    assert "foreign" not in output
+    assert endless.sent_bytes < MAX_ACCEPTED_BYTES
