--- a/packages/chivelb-node/chivelb_node/forwarding/ports.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/ports.py
@@ -2,11 +2,13 @@
 
 from collections.abc import AsyncIterator
 import dataclasses
+import enum
 from typing import Protocol
 
 from chivelb_core import codes
 from chivelb_core import forwarding
 from chivelb_core import targets
+from chivelb_core.forwarding import stream_origins
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +58,14 @@
     new_connection: bool = False
 
 
+class Framing(enum.Enum):
+    """What ends the body of a response: its length, a last chunk, a close."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 class Reply(Protocol):
     """The response of a target.
 
@@ -64,12 +74,14 @@
         headers: End-to-end headers as received.
         length: Length of the body in bytes, or None if unknown.
         is_stream: Whether the body is an event stream.
+        framing: What ends the body.
     """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     length: int | None
     is_stream: bool
+    framing: Framing
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body; raises ``AttemptError`` if it ends early."""
@@ -95,11 +107,28 @@
         """
 
 
+class OriginPort(Protocol):
+    """Knows the service and software version that began a stream."""
+
+    def record(
+        self, call: forwarding.Call, origin: stream_origins.StreamOrigin
+    ) -> None:
+        """Records what began the stream of a call."""
+
+    async def find(self, call: forwarding.Call) -> stream_origins.Finding:
+        """Returns what began the stream that a call's caller takes up."""
+
+
 class CallerPort(Protocol):
     """Sends the response of a call to its caller."""
 
-    async def send_head(self, reply: Reply) -> None:
-        """Sends the head of a response."""
+    async def send_head(self, reply: Reply, length: int | None) -> None:
+        """Sends the head of a response.
+
+        Args:
+            reply: The response.
+            length: Length of the body in bytes; None if it is not known yet.
+        """
 
     async def send_body(self, data: bytes) -> None:
         """Sends bytes of the body."""
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -7,6 +7,10 @@
 
 DONE_EVENT = b"data: [DONE]"
 EVENT_DELIMITER = b"\n\n"
+# Behind a line that ends with LF or CRLF.
+CRLF_EVENT_DELIMITER = b"\n\r\n"
+LINE_ENDS = b"\r\n"
+MAX_DELIMITER_OVERLAP_BYTES = len(CRLF_EVENT_DELIMITER) - 1
 MAX_EVENT_BYTES = 262_144
 MAX_OFFSET_DIGITS = 9
 
@@ -36,21 +40,43 @@
 async def split_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     """Yields runs of complete events; buffers an incomplete last event.
 
+    Blank lines after the last event form a run of their own.
+
     Raises:
-        StreamError: An event exceeds ``MAX_EVENT_BYTES``.
+        StreamError: An event exceeds ``MAX_EVENT_BYTES``, or the stream ends
+            in the middle of an event.
     """
     incomplete = bytearray()
     async for chunk in chunks:
-        # A delimiter may begin with the last byte received before.
-        unsearched = max(0, len(incomplete) - 1)
+        # A delimiter may begin with bytes received before.
+        unsearched = max(0, len(incomplete) - MAX_DELIMITER_OVERLAP_BYTES)
         incomplete.extend(chunk)
-        end = incomplete.rfind(EVENT_DELIMITER, unsearched)
-        if end >= 0:
-            run = bytes(incomplete[: end + 2])
-            del incomplete[: end + 2]
+        end = _end_of_events(incomplete, unsearched)
+        if end:
+            run = bytes(incomplete[:end])
+            del incomplete[:end]
             yield run
         if len(incomplete) > MAX_EVENT_BYTES:
             raise StreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+    if incomplete.strip(LINE_ENDS):
+        raise StreamError(f"stream ended {len(incomplete)} bytes into an event")
+    if incomplete:
+        yield bytes(incomplete)
+
+
+def _end_of_events(data: bytearray, start: int) -> int:
+    """Returns the offset behind the last complete event; 0 for none.
+
+    Args:
+        data: The bytes.
+        start: Offset of the first byte to search.
+    """
+    end = 0
+    for delimiter in (EVENT_DELIMITER, CRLF_EVENT_DELIMITER):
+        found = data.rfind(delimiter, start)
+        if found >= 0:
+            end = max(end, found + len(delimiter))
+    return end
 
 
 def last_event_id(run: bytes) -> str:
@@ -101,7 +127,7 @@
             elif event == DONE_EVENT:
                 done = True
                 kept.append(event)
-            elif event.startswith(b":"):
+            elif not event or event.startswith(b":"):
                 is_verbatim = False
             else:
                 raise StreamError(
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -412,16 +412,41 @@
         for _ in range(pieces):
             yield CountedPiece(b"x" * 100)
         yield CountedPiece(b"\n")
-        yield CountedPiece(b"\nid: 2\n")
+        yield CountedPiece(b"\nid: 2\n\n")
 
     async def scenario():
         return [run async for run in events.split_events(chunks())]
 
     runs = asyncio.run(scenario())
-    assert runs == [b"x" * 100 * pieces + b"\n\n"]
+    assert runs == [b"x" * 100 * pieces + b"\n\nid: 2\n\n"]
     assert CountedPiece.copied_bytes <= events.MAX_EVENT_BYTES
 
 
+# Guards against a delimiter that is not found because it came in pieces.
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_events_are_split_wherever_their_pieces_end(line_end):
+    event = b"id: 1" + line_end + b"data: x" + line_end + line_end
+    data = event * 3
+
+    async def split(*pieces):
+        async def chunks():
+            for piece in pieces:
+                yield piece
+
+        return [run async for run in events.split_events(chunks())]
+
+    async def scenario():
+        assert await split(*(bytes([byte]) for byte in data)) == [event] * 3
+        for first in range(len(data)):
+            for second in range(first, len(data)):
+                pieces = data[:first], data[first:second], data[second:]
+                runs = await split(*pieces)
+                assert b"".join(runs) == data
+                assert all(run.endswith(event) for run in runs)
+
+    asyncio.run(scenario())
+
+
 def make_attempt(address, seconds=NO_TIME_LIMIT_S):
     return runners.RunnerAttempt(
         attempt_id="r-1.1.aa",
