--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -10,6 +10,7 @@
 # Behind a line that ends with LF or CRLF.
 CRLF_EVENT_DELIMITER = b"\n\r\n"
 LINE_ENDS = b"\r\n"
+MAX_DELIMITER_OVERLAP_BYTES = len(CRLF_EVENT_DELIMITER) - 1
 MAX_EVENT_BYTES = 262_144
 MAX_OFFSET_DIGITS = 9
 
@@ -49,13 +50,16 @@
         StreamError: An event exceeds ``MAX_EVENT_BYTES``.
         TruncatedStreamError: The stream ends in the middle of an event.
     """
-    incomplete = b""
+    incomplete = bytearray()
     async for chunk in chunks:
-        data = incomplete + chunk if incomplete else chunk
-        end = _end_of_events(data)
-        incomplete = data[end:]
+        # A delimiter may begin with bytes received before.
+        unsearched = max(0, len(incomplete) - MAX_DELIMITER_OVERLAP_BYTES)
+        incomplete.extend(chunk)
+        end = _end_of_events(incomplete, unsearched)
         if end:
-            yield data[:end]
+            run = bytes(incomplete[:end])
+            del incomplete[:end]
+            yield run
         if len(incomplete) > MAX_EVENT_BYTES:
             raise StreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
     if incomplete.strip(LINE_ENDS):
@@ -63,16 +67,21 @@
             f"stream ended {len(incomplete)} bytes into an event"
         )
     if incomplete:
-        yield incomplete
+        yield bytes(incomplete)
 
 
-def _end_of_events(data: bytes) -> int:
-    """Returns the offset behind the last complete event; 0 for none."""
+def _end_of_events(data: bytearray, start: int) -> int:
+    """Returns the offset behind the last complete event; 0 for none.
+
+    Args:
+        data: The bytes.
+        start: Offset of the first byte to search.
+    """
     end = 0
     for delimiter in (EVENT_DELIMITER, CRLF_EVENT_DELIMITER):
-        start = data.rfind(delimiter)
-        if start >= 0:
-            end = max(end, start + len(delimiter))
+        found = data.rfind(delimiter, start)
+        if found >= 0:
+            end = max(end, found + len(delimiter))
     return end
 
 
