An answer to HEAD ends with its head

Found in the review: the length in an answer to HEAD was waited for as that of a body, until the deadline (504). The parser of the connection is told whether the answer to the request has a body.

--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -116,6 +116,7 @@
         self._bytes_before_response = 0
         self._head_waiter: asyncio.Future | None = None
         self._error: Exception | None = None
+        self._reads_bodies = True
         self._parser = self._new_parser()
 
     def _new_parser(self) -> http.HttpResponseParser:
@@ -125,6 +126,7 @@
             READ_BUFFER_BYTES,
             payload_exception=IncompleteResponseError,
             read_until_eof=True,
+            response_with_body=self._reads_bodies,
             auto_decompress=False,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
@@ -261,6 +263,10 @@
         self._has_response = False
         self._bytes_before_response = 0
         self._overhead_bytes = 0
+        reads_bodies = not data.startswith(b"HEAD ")
+        if reads_bodies != self._reads_bodies:
+            self._reads_bodies = reads_bodies
+            self._parser = self._new_parser()
         self.transport.write(data)
 
     async def read_head(
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -213,3 +213,23 @@
         assert not pool.idle
 
     run_scenario(target, scenario)
+
+
+# Guards against a body that is taken for none because a request with HEAD went
+# before it on the connection.
+def test_a_connection_reads_bodies_again_after_a_head_request():
+    target = scripted.ScriptedTarget(
+        [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"],
+        [scripted.answer(b"hello")],
+    )
+
+    async def scenario(pool):
+        head_request = REQUEST.replace(b"GET", b"HEAD")
+        assert await http_pool.fetch(pool, target.address, head_request) == (
+            200,
+            b"",
+        )
+        assert await fetch(pool, target) == (200, b"hello")
+        assert target.connections == 1
+
+    run_scenario(target, scenario)
