A complete answer is passed on in spite of bytes behind it

Found in the review: an answer that was complete, with bytes that belong to no request in the same segment, was refused with 502 and its target presumed crashed, so that two such answers made a request refused everywhere. Cause: aiohttp's parser raises for the surplus bytes and drops what it read together with them. The bytes since the request are parsed again head by head; responses that are complete count, the connection is closed. Surplus bytes still reach nobody.

--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import socket
 
@@ -41,6 +42,8 @@
 # Default limit for a body that is kept until it is complete.
 MAX_FETCHED_BYTES = 1_048_576
 
+HEAD_END = b"\r\n\r\n"
+
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
 
@@ -114,6 +117,7 @@
         # Whether the response to the request was found, and bytes before that.
         self._has_response = False
         self._bytes_before_response = 0
+        self._unanswered: list[bytes] = []
         self._head_waiter: asyncio.Future | None = None
         self._error: Exception | None = None
         self._reads_bodies = True
@@ -164,12 +168,15 @@
         try:
             messages, _, _ = self._parser.feed_data(data)
         except http_exceptions.HttpProcessingError as error:
+            self._responses.extend(self._complete_responses(data))
             self._end(
                 IncompleteResponseError(
                     f"invalid HTTP response: {parser_errors.describe(error)}"
                 )
             )
             return
+        if not self._has_response:
+            self._unanswered.append(data)
         finals = [item for item in messages if item[0].code >= 200]
         for message, payload in finals:
             self._responses.append((_parse_head(message), payload))
@@ -187,6 +194,39 @@
         ):
             self._head_waiter.set_result(None)
 
+    def _complete_responses(
+        self, data: bytes
+    ) -> list[tuple[Head, streams.StreamReader]]:
+        """Returns the complete responses before bytes that can't be parsed.
+
+        The parser drops what it read together with such bytes. The responses
+        are parsed again, head by head, from the bytes since the request.
+
+        Args:
+            data: The newest bytes.
+        """
+        if self._has_response:
+            return []
+        rest = b"".join((*self._unanswered, data))
+        parser = self._new_parser()
+        found = []
+        with contextlib.suppress(http_exceptions.HttpProcessingError):
+            while rest:
+                end = rest.find(HEAD_END) + len(HEAD_END)
+                if end < len(HEAD_END):
+                    break
+                messages, _, _ = parser.feed_data(rest[:end])
+                found += messages
+                rest = rest[end:]
+                if messages and messages[-1][0].code >= 200:
+                    parser.feed_data(rest)
+                    break
+        return [
+            (_parse_head(message), payload)
+            for message, payload in found
+            if message.code >= 200 and payload.is_eof()
+        ]
+
     def _expects_bytes(self) -> bool:
         """Returns whether a part of a response is still to be received."""
         is_complete = self._has_response and self._body.is_eof()
@@ -263,6 +303,7 @@
         self._has_response = False
         self._bytes_before_response = 0
         self._overhead_bytes = 0
+        self._unanswered.clear()
         reads_bodies = not data.startswith(b"HEAD ")
         if reads_bodies != self._reads_bodies:
             self._reads_bodies = reads_bodies
@@ -291,6 +332,7 @@
             self._body = payload
             if is_response_to_request(head):
                 self._has_response = True
+                self._unanswered.clear()
                 return head
             while await self.read():
                 pass
