--- a/packages/chivelb-cli/chivelb_cli/bench/soak.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/soak.py
@@ -7,14 +7,20 @@
 import random
 import time
 
-from chivelb_core.testing import claim_site
+from chivelb_core.testing import claim_keepers
 from chivelb_core.testing import control_group
 from chivelb_core.testing import swim_group
 
 STEPS_PER_ROUND = 2_000
-# Steps between two calls of ``settle``, which heals all links, starts all
+# Steps between two calls of ``converge``, which heals all links, starts all
 # voters and waits for a leader.
-SETTLE_INTERVAL_STEPS = 250
+CONVERGE_INTERVAL_STEPS = 250
+# Membership: share of datagrams that are lost, faults of a round, and simulated
+# time after each of them and after all.
+DATAGRAM_LOSS = 0.05
+FAULTS_PER_ROUND = 8
+FAULT_PERIOD_S = 3.0
+RECOVERY_S = 60.0
 INSTANCE_NAMES = [f"n{number}" for number in range(7)]
 
 
@@ -54,15 +60,15 @@
     group = control_group.ControlGroupSimulation(seed, voter_names)
     for step in range(STEPS_PER_ROUND):
         control_group.take_random_step(group, rng)
-        if step % SETTLE_INTERVAL_STEPS == 0:
-            group.settle()
-    leader = group.settle()
+        if step % CONVERGE_INTERVAL_STEPS == 0:
+            group.converge()
+    leader = group.converge()
     assert group.propose(leader, b"last")
-    group.settle()
+    group.converge()
     steps["control group"] += group.check_count
-    claims = claim_site.ClaimSimulation()
+    claims = claim_keepers.ClaimSimulation()
     for _ in range(STEPS_PER_ROUND):
-        claim_site.take_random_step(claims, rng)
+        claim_keepers.take_random_step(claims, rng)
     steps["claims"] += claims.check_count
     steps["membership"] += _run_membership(seed, rng)
 
@@ -70,9 +76,9 @@
 def _run_membership(seed: int, rng: random.Random) -> int:
     # All instances in one region.
     group = swim_group.SwimSimulation(
-        {"r": INSTANCE_NAMES}, seed=seed, loss=0.05
+        {"r": INSTANCE_NAMES}, seed=seed, loss=DATAGRAM_LOSS
     )
-    for _ in range(8):
+    for _ in range(FAULTS_PER_ROUND):
         name = rng.choice(INSTANCE_NAMES)
         other = rng.choice(INSTANCE_NAMES)
         match rng.randrange(5):
@@ -86,13 +92,13 @@
                 group.blocked_links.clear()
             case 4:
                 group.paused.clear()
-        group.run(3.0)
+        group.run(FAULT_PERIOD_S)
         if name not in group.running_members:
             group.start("r", name)
     group.paused.clear()
     group.blocked_links.clear()
     group.loss = 0.0
-    group.run(60.0)
+    group.run(RECOVERY_S)
     for name in INSTANCE_NAMES:
         assert group.observed_statuses(name) == {"alive"}, (
             f"{name} is not reported alive by all instances"
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -246,14 +246,18 @@
         reservation: admission_lib.Reservation,
     ) -> None:
         batches = events.split_events(reply.chunks())
+        resumed_after = delivery.last_event_id
         try:
             async with contextlib.aclosing(batches):
                 async for batch in batches:
+                    event_id = events.last_event_id(batch)
+                    if resumed_after and event_id:
+                        _check_continues(batch, resumed_after)
+                        resumed_after = ""
                     self.admission_queue.record_first_event(reservation)
                     self._record_origin(call, reservation.record)
                     await self._send_head(reply, caller, delivery)
                     await caller.send_body(batch)
-                    event_id = events.last_event_id(batch)
                     delivery.last_event_id = event_id or delivery.last_event_id
         except events.StreamError as error:
             raise calls.AttemptError(
@@ -261,8 +265,17 @@
                     calls.OutcomeKind.UNKNOWN,
                     codes.OUTCOME_UNKNOWN,
                     str(error),
+                    target_crashed=_shows_crash(error, reply),
                 )
             ) from None
+        if not delivery.head_sent and _ended_without_events(call, reply):
+            raise calls.AttemptError(
+                attempt_lib.Outcome(
+                    calls.OutcomeKind.UNKNOWN,
+                    codes.OUTCOME_UNKNOWN,
+                    "connection closed before the first event",
+                )
+            )
         await self._send_head(reply, caller, delivery)
         await caller.finish()
 
@@ -490,6 +503,36 @@
         ) from None
 
 
+def _ended_without_events(call: forwarding.Call, reply: ports.Reply) -> bool:
+    """Returns whether a stream without any event is no complete one.
+
+    A stream that is taken up may have no more events, and a last chunk or a
+    length tells the end; a mere close of the connection does not.
+    """
+    return reply.framing is ports.Framing.CLOSE and not call.takes_up_stream
+
+
+def _check_continues(run: bytes, last_event_id: str) -> None:
+    """Raises ``StreamError`` if a resumed stream begins too early."""
+    if events.is_repeated(run, last_event_id):
+        raise events.StreamError(
+            f"resumed stream begins at event {events.first_event_id(run)!r}, "
+            f"expected one after {last_event_id!r}"
+        )
+
+
+def _shows_crash(error: events.StreamError, reply: ports.Reply) -> bool:
+    """Returns whether an invalid stream presumes a crash of its target.
+
+    A connection that was closed in the middle of an event does, like any other
+    that is lost within a response; a last chunk there is orderly.
+    """
+    return (
+        isinstance(error, events.TruncatedStreamError)
+        and reply.framing is ports.Framing.CLOSE
+    )
+
+
 def _failed_resume(reply: ports.Reply) -> calls.AttemptError:
     """Returns the error of a resume that was answered without a stream."""
     return calls.AttemptError(
