--- a/packages/chivelb-node/chivelb_node/control/weights.py
+++ b/packages/chivelb-node/chivelb_node/control/weights.py
@@ -189,9 +189,14 @@
             to_notify.update(rollout_state.held_runners())
         for record in records:
             if record.identity in to_notify:
-                self.add_future(
-                    self.target_replication.suspend_dispatch(record, HOLD_S, "")
-                )
+                self.add_future(self._send_hold(rollout_state, record))
+
+    async def _send_hold(
+        self, rollout_state: rollout.PolledRollout, record: targets.TargetRecord
+    ) -> None:
+        # The hold may have ended since this was scheduled.
+        if record.identity in rollout_state.held_runners():
+            await self.target_replication.suspend_dispatch(record, HOLD_S, "")
 
     async def _send_order(
         self,
