The controller knows from a runner's own report whether it is idle

Cause: it counted requests in progress by the load that entries report to their peers, which control instances no longer get. Each runner was idle to it, so that each order left it to the runner to finish its requests, and a change took the longest of them besides the load: 3.9 to 4.9 s, one of five runners at a time, with a bound of 12 s. Class: a decision by a figure that is 0 both for 'none' and for 'not known'.

Change: a report carries the requests that the runner runs or that wait there; a runner on hold is queried again once the hold has propagated, and every 0.25 s until its order is sent. The order leaves it to the runner to finish requests only if the report cannot have missed one. Tests that passed the load are told it by reports now; two are new.

--- a/packages/chivelb-core/chivelb_core/rollout/polled_rollout.py
+++ b/packages/chivelb-core/chivelb_core/rollout/polled_rollout.py
@@ -34,11 +34,13 @@
         busy: Whether the runner is carrying out an order.
         accepted_orders: Number of orders that the runner accepted since its
             start.
+        requests: Number of requests that it runs or that wait there.
     """
 
     version: int
     busy: bool
     accepted_orders: int
+    requests: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -96,7 +98,7 @@
     on hold or loading at a time, not counting runners held for longer than
     ``UNRESPONSIVE_AFTER_S``; a runner gets no order before it has stopped
     getting new requests, nor before it has been queried after the previous
-    order.
+    order. Whether it is idle is known from its own reports only.
 
     Attributes:
         model: Name of the model.
@@ -163,25 +165,26 @@
         to_query = []
         for record in outdated:
             state = self.runners[record.identity]
-            needs_query = state.report is None or state.pending_version
-            if state.awaiting_reply or not needs_query:
+            if state.awaiting_reply or not _needs_query(state, now):
                 continue
-            if now - state.queried_at >= QUERY_INTERVAL_S:
+            if (
+                _is_hold_unreported(state, now)
+                or now - state.queried_at >= QUERY_INTERVAL_S
+            ):
                 to_query.append(record.identity)
         return to_query
 
     def runners_to_hold(
         self,
         outdated: list[targets.TargetRecord],
-        requests_in_progress: dict[str, int],
         now: float,
     ) -> list[str]:
         """Returns the identities of the runners to put on hold now.
 
+        Those that reported the fewest requests come first.
+
         Args:
             outdated: Records of the outdated runners.
-            requests_in_progress: Number of requests in progress by identity
-                of the runner; runners with the fewest come first.
             now: Monotonic time in seconds.
         """
         total = len(self.runners)
@@ -200,7 +203,7 @@
         ]
         candidates.sort(
             key=lambda identity: (
-                requests_in_progress.get(identity, 0),
+                self.runners[identity].report.requests,
                 identity,
             )
         )
@@ -210,49 +213,45 @@
         self,
         outdated: list[targets.TargetRecord],
         desired_version: int,
-        requests_in_progress: dict[str, int],
         now: float,
     ) -> list[LoadOrder]:
         """Returns the orders to send now.
 
-        A runner gets its order once it is idle. After ``DRAIN_TIMEOUT_S`` the
-        order changes the weights while the remaining requests are in
-        progress, since waiting for the longest of them delays all other
-        requests more.
+        A runner gets its order once it reports that it is idle. After
+        ``DRAIN_TIMEOUT_S`` the order changes the weights while the remaining
+        requests are in progress, since waiting for the longest of them delays
+        all other requests more.
+
+        A runner that finishes requests first cannot be told otherwise later.
+        The order therefore leaves that to it only if its report cannot have
+        missed a request.
 
         Args:
             outdated: Records of the outdated runners.
             desired_version: Number of the weight version that the runners are
                 to serve.
-            requests_in_progress: Number of requests in progress by identity
-                of the runner.
             now: Monotonic time in seconds.
         """
         orders = []
         for record in outdated:
             state = self.runners[record.identity]
-            if (
-                state.held_since is None
-                or state.report is None
-                or state.pending_version
-            ):
-                continue
-            held_s = now - state.held_since
-            if (
-                state.awaiting_reply
-                or state.report.busy
-                or held_s < HOLD_PROPAGATION_S
-            ):
+            if not _may_get_order(state, now):
                 continue
-            in_progress = requests_in_progress.get(record.identity, 0)
-            if in_progress and held_s < DRAIN_TIMEOUT_S:
+            is_idle = (
+                state.queried_at >= state.held_since + HOLD_PROPAGATION_S
+                and not state.report.requests
+            )
+            if not is_idle and now - state.held_since < DRAIN_TIMEOUT_S:
                 continue
+            may_have_missed_requests = (
+                state.queried_at < state.held_since + MAX_REPORT_LAG_S
+            )
             orders.append(
                 LoadOrder(
                     record.identity,
                     desired_version,
                     state.report.accepted_orders,
-                    in_progress > 0,
+                    not is_idle or may_have_missed_requests,
                 )
             )
         return orders
@@ -320,6 +319,36 @@
         return released
 
 
+def _needs_query(state: RunnerState, now: float) -> bool:
+    return (
+        state.report is None
+        or state.pending_version > 0
+        or (
+            state.held_since is not None
+            and now - state.held_since >= HOLD_PROPAGATION_S
+        )
+    )
+
+
+def _is_hold_unreported(state: RunnerState, now: float) -> bool:
+    """Whether no query was made since the hold reached all instances."""
+    if state.held_since is None:
+        return False
+    effective_at = state.held_since + HOLD_PROPAGATION_S
+    return state.queried_at < effective_at <= now
+
+
+def _may_get_order(state: RunnerState, now: float) -> bool:
+    return (
+        state.held_since is not None
+        and now - state.held_since >= HOLD_PROPAGATION_S
+        and state.report is not None
+        and not state.report.busy
+        and not state.pending_version
+        and not state.awaiting_reply
+    )
+
+
 def _may_predate_order(
     state: RunnerState, report: RunnerReport, now: float
 ) -> bool:
--- a/packages/chivelb-node/chivelb_node/control/weights.py
+++ b/packages/chivelb-node/chivelb_node/control/weights.py
@@ -104,26 +104,15 @@
         if not await self.lease_holder.acquire_or_renew():
             return
         self._query_due_runners(rollout_state, records, wanted)
-        load = self._running_requests(records)
-        self._send_holds(rollout_state, records, wanted, load)
+        self._send_holds(rollout_state, records, wanted)
         outdated = rollout_state.observe(records, wanted)
         by_identity = {record.identity: record for record in records}
         now = context_lib.monotonic()
-        for order in rollout_state.orders_to_send(outdated, wanted, load, now):
+        for order in rollout_state.orders_to_send(outdated, wanted, now):
             rollout_state.record_order_sent(order, now)
             record = by_identity[order.identity]
             self.add_future(self._send_order(rollout_state, record, order))
 
-    def _running_requests(
-        self, records: list[targets.TargetRecord]
-    ) -> dict[str, int]:
-        """Returns the requests in progress by target, as reported by peers."""
-        now = context_lib.monotonic()
-        return {
-            record.identity: self.context.load.running(record.identity, now)
-            for record in records
-        }
-
     def _query_due_runners(
         self,
         rollout_state: rollout.PolledRollout,
@@ -174,12 +163,11 @@
         rollout_state: rollout.PolledRollout,
         records: list[targets.TargetRecord],
         wanted: int,
-        load: dict[str, int],
     ) -> None:
         now = context_lib.monotonic()
         to_notify = set(
             rollout_state.runners_to_hold(
-                rollout_state.observe(records, wanted), load, now
+                rollout_state.observe(records, wanted), now
             )
         )
         for identity in to_notify:
--- a/tests/test_polled_rollout.py
+++ b/tests/test_polled_rollout.py
@@ -4,6 +4,8 @@
 requests, so that it can load the new weights.
 """
 
+import dataclasses
+
 import builders
 from chivelb_core import rollout
 
@@ -15,8 +17,8 @@
     ]
 
 
-def make_report(version=1, busy=False, accepted_orders=0):
-    return rollout.RunnerReport(version, busy, accepted_orders)
+def make_report(version=1, busy=False, accepted_orders=0, requests=0):
+    return rollout.RunnerReport(version, busy, accepted_orders, requests)
 
 
 def query_and_hold(polled_rollout, records, desired_version=2):
@@ -29,18 +31,31 @@
             identity, make_report(), desired_version, 0.1
         )
     held = polled_rollout.runners_to_hold(
-        polled_rollout.observe(records, desired_version), {}, 0.1
+        polled_rollout.observe(records, desired_version), 0.1
     )
     for identity in held:
         polled_rollout.record_hold(identity, 0.1)
     return held
 
 
+def report_requests(polled_rollout, records, now, desired_version, load):
+    """Queries the runners that await an order about their requests."""
+    outdated = polled_rollout.observe(records, desired_version)
+    for identity in polled_rollout.runners_to_query(outdated, now):
+        state = polled_rollout.runners[identity]
+        if state.report is None or state.pending_version:
+            continue
+        report = dataclasses.replace(
+            state.report, requests=load.get(identity, 0)
+        )
+        polled_rollout.record_query(identity, now)
+        polled_rollout.record_report(identity, report, desired_version, now)
+
+
 def send_orders(polled_rollout, records, now, desired_version=2, load=None):
+    report_requests(polled_rollout, records, now, desired_version, load or {})
     outdated = polled_rollout.observe(records, desired_version)
-    orders = polled_rollout.orders_to_send(
-        outdated, desired_version, load or {}, now
-    )
+    orders = polled_rollout.orders_to_send(outdated, desired_version, now)
     for order in orders:
         polled_rollout.record_order_sent(order, now)
         polled_rollout.record_order_reply(order.identity)
@@ -52,9 +67,7 @@
     polled_rollout = rollout.PolledRollout("lm")
     assert query_and_hold(polled_rollout, records) == ["r0", "r1", "r2"]
     assert (
-        polled_rollout.runners_to_hold(
-            polled_rollout.observe(records, 2), {}, 0.2
-        )
+        polled_rollout.runners_to_hold(polled_rollout.observe(records, 2), 0.2)
         == []
     )
 
@@ -62,13 +75,14 @@
 def test_the_least_loaded_runner_is_put_on_hold_first():
     records = make_records(3)
     polled_rollout = rollout.PolledRollout("lm")
+    load = {"r0": 4, "r1": 0, "r2": 2}
     for identity in polled_rollout.runners_to_query(
         polled_rollout.observe(records, 2), 0.0
     ):
-        polled_rollout.record_report(identity, make_report(), 2, 0.1)
-    load = {"r0": 4, "r1": 0, "r2": 2}
+        report = make_report(requests=load[identity])
+        polled_rollout.record_report(identity, report, 2, 0.1)
     assert polled_rollout.runners_to_hold(
-        polled_rollout.observe(records, 2), load, 0.1
+        polled_rollout.observe(records, 2), 0.1
     ) == ["r1"]
 
 
@@ -127,8 +141,8 @@
     query_and_hold(polled_rollout, records)
     send_orders(polled_rollout, records, 0.3)
     outdated = polled_rollout.observe(records, 2)
-    assert polled_rollout.runners_to_hold(outdated, {}, 3.0) == []
-    assert polled_rollout.runners_to_hold(outdated, {}, 6.0) == ["r1"]
+    assert polled_rollout.runners_to_hold(outdated, 3.0) == []
+    assert polled_rollout.runners_to_hold(outdated, 6.0) == ["r1"]
 
 
 def test_a_new_incarnation_of_a_runner_is_queried_again():
@@ -149,7 +163,27 @@
     in_progress = {"r0": 2}
     assert send_orders(polled_rollout, records, 0.7, load=in_progress) == []
     outdated = polled_rollout.observe(records, 2)
-    (order,) = polled_rollout.orders_to_send(outdated, 2, in_progress, 1.0)
+    (order,) = polled_rollout.orders_to_send(outdated, 2, 1.0)
     assert order.during_requests
-    (order,) = polled_rollout.orders_to_send(outdated, 2, {}, 1.0)
+    report_requests(polled_rollout, records, 1.0, 2, {})
+    (order,) = polled_rollout.orders_to_send(outdated, 2, 1.0)
     assert not order.during_requests
+
+
+def test_an_order_does_not_wait_for_requests_that_a_report_missed():
+    records = make_records(3)
+    polled_rollout = rollout.PolledRollout("lm")
+    query_and_hold(polled_rollout, records)
+    report_requests(polled_rollout, records, 0.3, 2, {})
+    outdated = polled_rollout.observe(records, 2)
+    (order,) = polled_rollout.orders_to_send(outdated, 2, 0.3)
+    assert order.during_requests
+
+
+def test_a_report_from_before_the_hold_does_not_show_an_idle_runner():
+    records = make_records(3)
+    polled_rollout = rollout.PolledRollout("lm")
+    query_and_hold(polled_rollout, records)
+    outdated = polled_rollout.observe(records, 2)
+    assert polled_rollout.orders_to_send(outdated, 2, 0.3) == []
+    assert polled_rollout.runners_to_query(outdated, 0.3) == ["r0"]
