A rollout of weights knows by when each runner must have changed

Cause: the number of runners that change at once was a third of them, rounded down, at least one, so that the time of a rollout was the number of runners times whatever a change takes; the bound that the platform sets was decoded and not used. Class: a bound on time, kept by a mechanism that does not know it.

Change: the setting [forwarding] weights_apply_s (10 s; the platform's bound on it) and, for each runner, when it is due: 0.85 of that after the instance learned of the first version newer than the runner's own. The rollout schedules the runners that wait into as few places as keep all due times, by the median of the changes done or the age of the first; never fewer than before, never all of several. Who is due first goes first. Requests get no time to finish where less than a change is left. A runner that reports counts however long its load takes; one that does not, still for 5 s.

--- a/packages/chivelb-core/chivelb_core/rollout/__init__.py
+++ b/packages/chivelb-core/chivelb_core/rollout/__init__.py
@@ -14,6 +14,7 @@
 from chivelb_core.rollout.lease import LeaseTiming
 from chivelb_core.rollout.polled_rollout import PolledRollout
 from chivelb_core.rollout.polled_rollout import RunnerReport
+from chivelb_core.rollout.requested_versions import RequestedVersions
 
 __all__ = [
     "ControllerLease",
@@ -21,4 +22,5 @@
     "AnnouncedRollout",
     "RunnerReport",
     "PolledRollout",
+    "RequestedVersions",
 ]
--- a/packages/chivelb-core/chivelb_core/rollout/polled_rollout.py
+++ b/packages/chivelb-core/chivelb_core/rollout/polled_rollout.py
@@ -6,11 +6,17 @@
 that arrives late, after another one.
 """
 
+import bisect
+from collections.abc import Iterator
 import dataclasses
+import heapq
 import math
+import statistics
 
 from chivelb_core import targets
 
+# Share of the runners that may be without requests, unless the version would
+# be in force too late.
 MAX_UNAVAILABLE_RATIO = 1 / 3
 QUERY_INTERVAL_S = 0.25
 HOLD_PROPAGATION_S = 0.1
@@ -19,9 +25,12 @@
 # A report may show a state that is up to this old; usually it is some hundred
 # milliseconds old.
 MAX_REPORT_LAG_S = 0.8
-# A runner on hold for this long no longer counts towards the maximum, so that
-# a runner which does not respond cannot block the rollout.
+# A runner on hold that did not report for this long no longer counts towards
+# the maximum, so that it cannot block the rollout.
 UNRESPONSIVE_AFTER_S = 5.0
+# After this many queries in a row without a report the pace of the rollout does
+# not depend on the runner.
+SILENT_QUERIES = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -79,6 +88,9 @@
         order_sent_at: Monotonic time when the pending order was sent, in
             seconds.
         awaiting_reply: Whether a query or an order awaits its reply.
+        reported_at: Monotonic time of the newest report, in seconds.
+        failed_queries: Number of queries without a report since the last one
+            with a report.
     """
 
     incarnation: int
@@ -89,28 +101,37 @@
     expected_accepted: int = 0
     order_sent_at: float = -math.inf
     awaiting_reply: bool = False
+    reported_at: float = -math.inf
+    failed_queries: int = 0
 
 
 class PolledRollout:
     """Rollout of one model's numbered weight version.
 
     Invariants: at most ``MAX_UNAVAILABLE_RATIO`` of the runners, or one, are
-    on hold or loading at a time, not counting runners held for longer than
-    ``UNRESPONSIVE_AFTER_S``; a runner gets no order before it has stopped
-    getting new requests, nor before it has been queried after the previous
-    order. Whether it is idle is known from its own reports only.
+    on hold or loading at a time, not counting runners without a report for
+    ``UNRESPONSIVE_AFTER_S``, or as many more as are needed for each to change
+    by ``due_at``, but not all of several runners; a runner gets no order before
+    it has stopped getting new requests, nor before it has been queried after
+    the previous order. Whether it is idle is known from its own reports only.
 
     Attributes:
         model: Name of the model.
         runners: View of each runner, by identity.
+        due_at: Monotonic time by which a runner is to have changed, in
+            seconds, by its identity; none for runners without such a time.
+        durations_s: Time from the hold of each runner that changed until it
+            served the version, in seconds.
     """
 
-    __slots__ = ("model", "runners")
+    __slots__ = ("model", "runners", "due_at", "durations_s")
 
     def __init__(self, model: str) -> None:
-        """Creates a rollout without known runners."""
+        """Creates a rollout without known runners and without a due time."""
         self.model = model
         self.runners: dict[str, RunnerState] = {}
+        self.due_at: dict[str, float] = {}
+        self.durations_s: list[float] = []
 
     def observe(
         self, records: list[targets.TargetRecord], desired_version: int
@@ -181,20 +202,15 @@
     ) -> list[str]:
         """Returns the identities of the runners to put on hold now.
 
-        Those that reported the fewest requests come first.
+        Those that are due first come first, among them those that reported the
+        fewest requests.
 
         Args:
             outdated: Records of the outdated runners.
             now: Monotonic time in seconds.
         """
-        total = len(self.runners)
-        max_held = max(1, math.floor(total * MAX_UNAVAILABLE_RATIO))
-        held_count = sum(
-            1
-            for state in self.runners.values()
-            if state.held_since is not None
-            and now - state.held_since < UNRESPONSIVE_AFTER_S
-        )
+        held_count = sum(1 for _ in self._changing(now))
+        max_held = self._max_held(outdated, now)
         candidates = [
             record.identity
             for record in outdated
@@ -203,12 +219,74 @@
         ]
         candidates.sort(
             key=lambda identity: (
+                self._due_at(identity),
                 self.runners[identity].report.requests,
                 identity,
             )
         )
         return candidates[: max(0, max_held - held_count)]
 
+    def _changing(self, now: float) -> Iterator[RunnerState]:
+        """Yields the runners on hold, except unresponsive ones."""
+        for state in self.runners.values():
+            if state.held_since is None:
+                continue
+            silent_since = max(state.held_since, state.reported_at)
+            if now - silent_since < UNRESPONSIVE_AFTER_S:
+                yield state
+
+    def _expected_change_s(self, now: float) -> float:
+        """Returns how long a change takes in seconds, by what was observed.
+
+        Before the first has ended, it is the age of those in progress.
+        """
+        if self.durations_s:
+            return statistics.median_high(self.durations_s)
+        ages = [now - state.held_since for state in self._changing(now)]
+        return max([HOLD_PROPAGATION_S, *ages])
+
+    def _max_held(
+        self, outdated: list[targets.TargetRecord], now: float
+    ) -> int:
+        """Returns how many runners may be on hold at a time."""
+        total = len(self.runners)
+        by_capacity = max(1, math.floor(total * MAX_UNAVAILABLE_RATIO))
+        needed = self._needed_at_once(outdated, now)
+        return max(by_capacity, min(needed, total - 1))
+
+    def _needed_at_once(
+        self, outdated: list[targets.TargetRecord], now: float
+    ) -> int:
+        """Returns how many must change at a time for all to be in time.
+
+        A runner that cannot be in time any more must change now.
+        """
+        change_s = self._expected_change_s(now)
+        due_times = sorted(
+            max(self._due_at(record.identity), now + change_s)
+            for record in outdated
+            if _is_waiting(self.runners[record.identity])
+        )
+        ends = sorted(
+            state.held_since + change_s for state in self._changing(now)
+        )
+        return bisect.bisect_left(
+            range(len(ends) + len(due_times)),
+            True,
+            key=lambda places: _are_in_time(
+                due_times, ends, places=places, change_s=change_s, now=now
+            ),
+        )
+
+    def _due_at(self, identity: str) -> float:
+        return self.due_at.get(identity, math.inf)
+
+    def _drain_timeout_s(self, identity: str, now: float) -> float:
+        """Returns for how long requests in progress may finish, in seconds."""
+        if self._due_at(identity) - now < self._expected_change_s(now):
+            return 0.0
+        return DRAIN_TIMEOUT_S
+
     def orders_to_send(
         self,
         outdated: list[targets.TargetRecord],
@@ -218,7 +296,8 @@
         """Returns the orders to send now.
 
         A runner gets its order once it reports that it is idle. After
-        ``DRAIN_TIMEOUT_S`` the order changes the weights while the remaining
+        ``DRAIN_TIMEOUT_S``, or at once if the time left is shorter than a
+        change has taken, the order changes the weights while the remaining
         requests are in progress, since waiting for the longest of them delays
         all other requests more.
 
@@ -241,7 +320,8 @@
                 state.queried_at >= state.held_since + HOLD_PROPAGATION_S
                 and not state.report.requests
             )
-            if not is_idle and now - state.held_since < DRAIN_TIMEOUT_S:
+            drain_timeout_s = self._drain_timeout_s(record.identity, now)
+            if not is_idle and now - state.held_since < drain_timeout_s:
                 continue
             may_have_missed_requests = (
                 state.queried_at < state.held_since + MAX_REPORT_LAG_S
@@ -305,7 +385,12 @@
         if state is None:
             return False
         state.awaiting_reply = False
-        if report is None or _may_predate_order(state, report, now):
+        if report is None:
+            state.failed_queries += 1
+            return False
+        state.failed_queries = 0
+        state.reported_at = now
+        if _may_predate_order(state, report, now):
             return False
         state.report = report
         if report.busy:
@@ -314,9 +399,50 @@
         state.pending_version = 0
         if report.version < desired_version:
             return False
-        released = state.held_since is not None
+        if state.held_since is None:
+            return False
+        self.durations_s.append(now - state.held_since)
         state.held_since = None
-        return released
+        return True
+
+
+def _is_waiting(state: RunnerState) -> bool:
+    """Whether a runner that answers is not on hold yet."""
+    return (
+        state.held_since is None
+        and state.report is not None
+        and state.failed_queries < SILENT_QUERIES
+    )
+
+
+def _are_in_time(
+    due_times: list[float],
+    ends: list[float],
+    *,
+    places: int,
+    change_s: float,
+    now: float,
+) -> bool:
+    """Whether runners can all change in time.
+
+    Args:
+        due_times: Monotonic time by which each that waits is to have changed,
+            in seconds, in ascending order.
+        ends: Expected ends of the changes in progress, likewise.
+        places: Number of runners that may change at a time.
+        change_s: Duration of a change in seconds.
+        now: Monotonic time in seconds.
+    """
+    if not due_times:
+        return True
+    # When each place is free, in seconds.
+    free_at = [now] * (places - len(ends)) + ends[max(0, len(ends) - places) :]
+    heapq.heapify(free_at)
+    for due_at in due_times:
+        if not free_at or max(free_at[0], now) + change_s > due_at:
+            return False
+        heapq.heapreplace(free_at, max(free_at[0], now) + change_s)
+    return True
 
 
 def _needs_query(state: RunnerState, now: float) -> bool:
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -8,6 +8,7 @@
 from chivelb_core import calls
 from chivelb_core import document as document_lib
 from chivelb_core import kv_cache
+from chivelb_core import rollout
 from chivelb_core import routing
 from chivelb_core import targets
 from chivelb_core.routing import policies
@@ -20,6 +21,9 @@
 # the targets; both need the control group to elect a leader if all instances
 # were started together.
 STARTUP_S = 3.0
+# Share of the time that a weight version may take to be in force, after which
+# requests are no longer sent to runners with an older one.
+WEIGHTS_DUE_RATIO = 0.85
 
 
 def boottime() -> float:
@@ -56,6 +60,7 @@
         version: Document version in force. 0 is the empty document of a new
             control group; -1 means that no version is in force yet. It never
             decreases.
+        requested_versions: Since when weight versions are requested.
         keys: Index of workspace API keys.
         routes: Index of the routes of the document in force.
         targets: Known targets. An announcement grants a target a lease: until
@@ -89,6 +94,7 @@
         self.rng = rng
         self.document_state = document_lib.DocumentState()
         self.version = -1
+        self.requested_versions = rollout.RequestedVersions()
         self.keys = KeyTable(self.document_state.document)
         self.routes = document_lib.RouteTable(self.document_state.document)
         self.targets = targets.TargetTable()
@@ -142,9 +148,25 @@
             return False
         self.document_state = document_state
         self.version = document_state.version
+        self.requested_versions.update(document_state.weights, monotonic())
         self._rebuild_indexes()
         return True
 
+    def weights_due_at(self, record: targets.TargetRecord) -> float:
+        """Returns by when a newer version than a runner's is to be in force.
+
+        Requests that were sent to it before may still wait there to begin;
+        a share of the time is left to them.
+
+        Returns:
+            Monotonic time in seconds; infinite if no newer one is requested.
+        """
+        since = self.requested_versions.newer_since(
+            record.model, int(record.weight_version or 0)
+        )
+        limit_s = self.settings.forwarding.weights_apply_s
+        return since + limit_s * WEIGHTS_DUE_RATIO
+
     def _rebuild_indexes(self) -> None:
         self.keys = KeyTable(self.document)
         self.routes = document_lib.RouteTable(self.document)
--- a/packages/chivelb-node/chivelb_node/control/weights.py
+++ b/packages/chivelb-node/chivelb_node/control/weights.py
@@ -101,6 +101,10 @@
             self.polled_rollouts.pop(model, None)
             return
         self.polled_rollouts[model] = rollout_state
+        rollout_state.due_at = {
+            record.identity: self.context.weights_due_at(record)
+            for record in outdated
+        }
         if not await self.lease_holder.acquire_or_renew():
             return
         self._query_due_runners(rollout_state, records, wanted)
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -112,6 +112,8 @@
         order_gap_s: Seconds between the last order of one controller and the
             first order of the next. A controller sends orders to load weights
             to runners.
+        weights_apply_s: Seconds after a numbered weight version was requested
+            by which requests no longer begin on older ones.
     """
 
     retry_ratio: float = 0.1
@@ -119,6 +121,7 @@
     retry_window_s: float = 10.0
     drain_s: float = 2.0
     order_gap_s: float = 3.0
+    weights_apply_s: float = 10.0
 
 
 class Decisions(msgspec.Struct, kw_only=True):
@@ -389,6 +392,8 @@
                     f"[control] {key}: lists this instance, which requires "
                     "[instance] data_dir"
                 )
+    if not settings.forwarding.weights_apply_s > 0:
+        errors.append("[forwarding] weights_apply_s: must be above 0")
     control = settings.control
     if control.heartbeat_s * 3 > control.election_timeout_s:
         errors.append(
--- a/tests/test_polled_rollout.py
+++ b/tests/test_polled_rollout.py
@@ -187,3 +187,52 @@
     outdated = polled_rollout.observe(records, 2)
     assert polled_rollout.orders_to_send(outdated, 2, 0.3) == []
     assert polled_rollout.runners_to_query(outdated, 0.3) == ["r0"]
+
+
+def test_runners_that_are_due_soon_change_first_and_together():
+    records = make_records(9)
+    polled_rollout = rollout.PolledRollout("lm")
+    for identity in polled_rollout.runners_to_query(
+        polled_rollout.observe(records, 2), 0.0
+    ):
+        polled_rollout.record_report(identity, make_report(), 2, 0.1)
+    polled_rollout.durations_s = [3.0]
+    due_soon = ["r3", "r5", "r6", "r8"]
+    polled_rollout.due_at = {f"r{n}": 60.0 for n in range(9)}
+    polled_rollout.due_at.update(dict.fromkeys(due_soon, 4.0))
+    outdated = polled_rollout.observe(records, 2)
+    assert polled_rollout.runners_to_hold(outdated, 0.1) == due_soon
+
+
+def test_one_of_several_runners_goes_on_serving_however_late_it_is():
+    records = make_records(4)
+    polled_rollout = rollout.PolledRollout("lm")
+    for identity in polled_rollout.runners_to_query(
+        polled_rollout.observe(records, 2), 0.0
+    ):
+        polled_rollout.record_report(identity, make_report(), 2, 0.1)
+    polled_rollout.due_at = {f"r{n}": 0.0 for n in range(4)}
+    outdated = polled_rollout.observe(records, 2)
+    assert len(polled_rollout.runners_to_hold(outdated, 0.1)) == 3
+
+
+def test_requests_get_no_time_to_finish_if_the_runner_is_due():
+    records = make_records(3)
+    polled_rollout = rollout.PolledRollout("lm")
+    query_and_hold(polled_rollout, records)
+    polled_rollout.durations_s = [2.0]
+    polled_rollout.due_at = {"r0": 2.0}
+    assert send_orders(polled_rollout, records, 0.3, load={"r0": 2}) == [
+        ("r0", 0)
+    ]
+
+
+def test_a_runner_that_reports_a_long_load_still_counts():
+    records = make_records(3)
+    polled_rollout = rollout.PolledRollout("lm")
+    query_and_hold(polled_rollout, records)
+    send_orders(polled_rollout, records, 0.3)
+    loading = make_report(busy=True, accepted_orders=1)
+    polled_rollout.record_report("r0", loading, 2, 9.0)
+    outdated = polled_rollout.observe(records, 2)
+    assert polled_rollout.runners_to_hold(outdated, 9.1) == []
--- a/tests/test_rollout_deadline.py
+++ b/tests/test_rollout_deadline.py
@@ -69,3 +69,15 @@
     )
     assert [runner.version for runner in result.runners] == [2] * 12
     assert result.max_unavailable <= 4
+
+
+# Guards against a rollout whose pace depends on the number of runners alone,
+# however long a change takes.
+def test_more_runners_change_at_once_if_a_change_takes_long(monkeypatch):
+    monkeypatch.setattr(simulated_runners, "LOAD_S", 3.0)
+    result = simulated_runners.simulate_rollout(
+        monkeypatch, make_runners(5), run_s=2.0, seconds=12.0
+    )
+    assert [runner.version for runner in result.runners] == [2] * 5
+    assert result.old_starts_after(APPLY_WITHIN_S) == []
+    assert result.max_unavailable < 5
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -35,6 +35,10 @@
         BASE + "[control]\nheartbeat_s = 0.9\n",
         ["heartbeat_s", "election_timeout_s"],
     ),
+    (
+        BASE + "[forwarding]\nweights_apply_s = 0\n",
+        ["[forwarding] weights_apply_s", "above 0"],
+    ),
     ("[http]\n", ["[instance]: section is missing"]),
     ("no section\n", ["x.ini"]),
     (BASE + BASE, ["x.ini"]),
