Entries leave out runners whose weights should have been replaced by now

Cause: who gets a request was decided by the hold of the controller alone; a runner that does not answer the controller is never put on hold, and got requests on its old weights for good. Class: a bound that only one part keeps, and only if another part answers.

Change: an entry knows the requested versions and since when from its replica of the document; from 0.85 of the bound on it sends requests to a runner with older weights only if no eligible target of the service has newer ones.

--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -56,19 +56,30 @@
     ) -> list[targets.TargetRecord]:
         """Returns the targets that may serve a call.
 
-        Targets that failed within ``FAILURE_COOLDOWN_S`` are left out unless no
-        other target remains.
+        Runners with weights that should have been replaced by now are left out
+        unless none has newer ones. Targets that failed within
+        ``FAILURE_COOLDOWN_S`` are left out unless no other target remains.
         """
         table = self.context.targets
         records = [
             record
-            for record in table.eligible(call.service, now)
+            for record in self._without_overdue(call.service, now)
             if record.identity not in call.tried
         ]
         failing = set(table.recent_failures(now, FAILURE_COOLDOWN_S))
         healthy = [r for r in records if r.identity not in failing]
         return healthy or records
 
+    def _without_overdue(
+        self, service: str, now: float
+    ) -> list[targets.TargetRecord]:
+        """Returns the eligible targets whose weights need not be newer."""
+        records = list(self.context.targets.eligible(service, now))
+        if not self.context.requested_versions.learned_at:
+            return records
+        in_force = [r for r in records if self.context.weights_due_at(r) > now]
+        return in_force or records
+
     def place(
         self, call: forwarding.Call, now: float
     ) -> choice_lib.Placement | None:
--- a/tests/test_rollout_deadline.py
+++ b/tests/test_rollout_deadline.py
@@ -3,6 +3,12 @@
 The rollout and its client run against simulated runners in virtual time.
 """
 
+import builders
+from chivelb_core import document
+from chivelb_core.kv_cache import parts
+from chivelb_node import context as context_lib
+from chivelb_node.forwarding import placement
+import pytest
 import simulated_runners
 
 APPLY_WITHIN_S = 10.0
@@ -81,3 +87,65 @@
     assert [runner.version for runner in result.runners] == [2] * 5
     assert result.old_starts_after(APPLY_WITHIN_S) == []
     assert result.max_unavailable < 5
+
+
+def eligible_runners(versions, later_s):
+    """Returns who may get a request some seconds after version 2 was requested.
+
+    Args:
+        versions: Weight version by runner.
+        later_s: Time since the request for version 2, in seconds.
+    """
+    context = builders.make_context(
+        **{name: {"weight_version": v} for name, v in versions.items()}
+    )
+    context.apply_document_state(
+        document.DocumentState(
+            document=context.document, version=2, weights={"lm": 2}
+        )
+    )
+    policy = placement.PlacementPolicy(context, parts.PartDirectory())
+    call = builders.make_call(service="estimator-lm")
+    records = policy.eligible(call, context_lib.monotonic() + later_s)
+    return sorted(record.identity for record in records)
+
+
+# Guards against requests on old weights after the bound, and against requests
+# that nobody serves because no runner has the new ones.
+@pytest.mark.parametrize(
+    "versions,later_s,expected",
+    [
+        ({"old": "1", "new": "2"}, 8.0, ["new", "old"]),
+        ({"old": "1", "new": "2"}, 9.0, ["new"]),
+        ({"old": "1", "unknown": "", "newer": "3"}, 9.0, ["newer"]),
+        ({"old": "1", "older": "0"}, 9.0, ["old", "older"]),
+    ],
+)
+def test_overdue_runners_get_requests_only_if_no_other_can(
+    versions, later_s, expected
+):
+    assert eligible_runners(versions, later_s) == expected
+
+
+# Guards against a bound that starts anew with each further version.
+def test_a_newer_version_does_not_extend_the_time_of_the_one_before(
+    monkeypatch,
+):
+    context = builders.make_context(old={"weight_version": "1"})
+    times = iter([100.0, 104.0])
+    monkeypatch.setattr(context_lib, "monotonic", lambda: next(times))
+    for version in (2, 3):
+        context.apply_document_state(
+            document.DocumentState(
+                document=context.document,
+                version=version,
+                weights={"lm": version},
+            )
+        )
+    limit_s = APPLY_WITHIN_S * context_lib.WEIGHTS_DUE_RATIO
+    for announced, learned_at in (("1", 100.0), ("2", 104.0)):
+        record = builders.make_record(weight_version=announced)
+        assert context.weights_due_at(record) == learned_at + limit_s
+    assert context.weights_due_at(
+        builders.make_record(weight_version="3")
+    ) == float("inf")
