--- a/tests/test_rollout_deadline.py
+++ b/tests/test_rollout_deadline.py
@@ -97,7 +97,10 @@
         later_s: Time since the request for version 2, in seconds.
     """
     context = builders.make_context(
-        **{name: {"weight_version": v} for name, v in versions.items()}
+        **{
+            name: {"weight_version": version, "address": f"{name}:9000"}
+            for name, version in versions.items()
+        }
     )
     context.apply_document_state(
         document.DocumentState(
