--- a/packages/chivelb-core/chivelb_core/rollout/polled_rollout.py
+++ b/packages/chivelb-core/chivelb_core/rollout/polled_rollout.py
@@ -399,6 +399,39 @@
         state.pending_version = 0
         if report.version < desired_version:
             return False
+        return self._end_hold(state, now)
+
+    def record_announcements(
+        self,
+        records: list[targets.TargetRecord],
+        desired_version: int,
+        now: float,
+    ) -> list[targets.TargetRecord]:
+        """Records what runners announce, which may be newer than a report.
+
+        Args:
+            records: Newest records of all live runners.
+            desired_version: Number of the weight version that the runners are
+                to serve.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Records of the runners whose hold ended.
+        """
+        released = []
+        for record in records:
+            state = self.runners.get(record.identity)
+            if state is None or state.incarnation != record.incarnation:
+                continue
+            if int(record.weight_version or 0) < desired_version:
+                continue
+            state.pending_version = 0
+            if self._end_hold(state, now):
+                released.append(record)
+        return released
+
+    def _end_hold(self, state: RunnerState, now: float) -> bool:
+        """Ends the hold of a runner, if any; returns whether there was one."""
         if state.held_since is None:
             return False
         self.durations_s.append(now - state.held_since)
--- a/packages/chivelb-node/chivelb_node/control/weights.py
+++ b/packages/chivelb-node/chivelb_node/control/weights.py
@@ -96,6 +96,8 @@
         rollout_state = self.polled_rollouts.get(
             model
         ) or rollout.PolledRollout(model)
+        rollout_state.observe(records, wanted)
+        self._release_announced(rollout_state, records, wanted)
         outdated = rollout_state.observe(records, wanted)
         if not outdated:
             self.polled_rollouts.pop(model, None)
@@ -152,14 +154,35 @@
             record.identity, report, wanted, now
         ):
             return
+        await self._release(rollout_state.model, record, report.version)
+
+    def _release_announced(
+        self,
+        rollout_state: rollout.PolledRollout,
+        records: list[targets.TargetRecord],
+        wanted: int,
+    ) -> None:
+        released = rollout_state.record_announcements(
+            records, wanted, context_lib.monotonic()
+        )
+        for record in released:
+            self.add_future(
+                self._release(
+                    rollout_state.model, record, int(record.weight_version)
+                )
+            )
+
+    async def _release(
+        self, model: str, record: targets.TargetRecord, version: int
+    ) -> None:
         _log.info(
             "runner serves wanted weights",
             target=record.identity,
-            model=rollout_state.model,
-            version=report.version,
+            model=model,
+            version=version,
         )
         await self.target_replication.suspend_dispatch(
-            record, 0.0, str(report.version)
+            record, 0.0, str(version)
         )
 
     def _send_holds(
--- a/tests/test_polled_rollout.py
+++ b/tests/test_polled_rollout.py
@@ -236,3 +236,33 @@
     polled_rollout.record_report("r0", loading, 2, 9.0)
     outdated = polled_rollout.observe(records, 2)
     assert polled_rollout.runners_to_hold(outdated, 9.1) == []
+
+
+def test_an_announcement_of_the_version_ends_the_hold():
+    records = make_records(3)
+    polled_rollout = rollout.PolledRollout("lm")
+    query_and_hold(polled_rollout, records)
+    send_orders(polled_rollout, records, 0.3)
+    changed = builders.make_record("r0", weight_version="2", sequence=2)
+    announced = [changed, *records[1:]]
+    assert polled_rollout.record_announcements(records, 2, 1.0) == []
+    assert polled_rollout.record_announcements(announced, 2, 1.8) == [changed]
+    assert polled_rollout.record_announcements(announced, 2, 1.9) == []
+    assert polled_rollout.held_runners() == []
+    assert polled_rollout.observe(announced, 2) == records[1:]
+
+
+def test_a_report_that_is_older_than_the_announcement_changes_nothing():
+    records = make_records(3)
+    polled_rollout = rollout.PolledRollout("lm")
+    query_and_hold(polled_rollout, records)
+    send_orders(polled_rollout, records, 0.3)
+    announced = [
+        builders.make_record("r0", weight_version="2", sequence=2),
+        *records[1:],
+    ]
+    polled_rollout.record_announcements(announced, 2, 1.8)
+    loading = make_report(busy=True, accepted_orders=1)
+    assert not polled_rollout.record_report("r0", loading, 2, 1.9)
+    assert polled_rollout.held_runners() == []
+    assert polled_rollout.observe(announced, 2) == records[1:]
