Logs of a rollout tell what it decided by

New: runner put on hold (held, known, due_ms), with the reported requests in order attempted. Whether a runner was idle by its report, and whether places or time were short, could only be inferred from the logs of all entries.

--- a/packages/chivelb-core/chivelb_core/rollout/polled_rollout.py
+++ b/packages/chivelb-core/chivelb_core/rollout/polled_rollout.py
@@ -64,12 +64,14 @@
         during_requests: Whether the weights change while requests are in
             progress, which continue under the new version; otherwise the
             runner finishes them first.
+        requests: Number of requests in progress by the newest report.
     """
 
     identity: str
     version: int
     expected_accepted: int
     during_requests: bool = False
+    requests: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -171,6 +173,11 @@
             return announced
         return max(announced, state.report.version)
 
+    def is_held(self, identity: str) -> bool:
+        """Returns whether a runner is on hold."""
+        state = self.runners.get(identity)
+        return state is not None and state.held_since is not None
+
     def held_runners(self) -> list[str]:
         """Returns the identities of the runners that are on hold."""
         return [
@@ -332,6 +339,7 @@
                     desired_version,
                     state.report.accepted_orders,
                     not is_idle or may_have_missed_requests,
+                    state.report.requests,
                 )
             )
         return orders
--- a/packages/chivelb-node/chivelb_node/control/weights.py
+++ b/packages/chivelb-node/chivelb_node/control/weights.py
@@ -6,6 +6,7 @@
 ``chivelbd`` uses, decide from announcements.
 """
 
+import math
 from typing import Protocol
 
 from chivelb_core import rollout
@@ -199,6 +200,7 @@
         )
         for identity in to_notify:
             rollout_state.record_hold(identity, now)
+            self._log_hold(rollout_state, identity, now)
         if now - self._holds_renewed_at >= HOLD_RENEWAL_PERIOD_S:
             self._holds_renewed_at = now
             to_notify.update(rollout_state.held_runners())
@@ -206,11 +208,27 @@
             if record.identity in to_notify:
                 self.add_future(self._send_hold(rollout_state, record))
 
+    def _log_hold(
+        self, rollout_state: rollout.PolledRollout, identity: str, now: float
+    ) -> None:
+        # ``held`` and ``known`` are the runners on hold and all runners;
+        # ``due_ms`` is the time until the runner is to have changed, if known.
+        due_at = rollout_state.due_at.get(identity, math.inf)
+        due_ms = None if math.isinf(due_at) else round((due_at - now) * 1000)
+        _log.info(
+            "runner put on hold",
+            target=identity,
+            model=rollout_state.model,
+            held=len(rollout_state.held_runners()),
+            known=len(rollout_state.runners),
+            due_ms=due_ms,
+        )
+
     async def _send_hold(
         self, rollout_state: rollout.PolledRollout, record: targets.TargetRecord
     ) -> None:
         # The hold may have ended since this was scheduled.
-        if record.identity in rollout_state.held_runners():
+        if rollout_state.is_held(record.identity):
             await self.target_replication.suspend_dispatch(record, HOLD_S, "")
 
     async def _send_order(
@@ -226,14 +244,16 @@
             )
         rollout_state.record_order_reply(order.identity)
         # ``expected`` is the number of orders that the runner must have
-        # accepted before; ``cuts_across`` tells whether the weights change
-        # while requests are in progress.
+        # accepted before; ``requests`` are in progress there by its newest
+        # report; ``cuts_across`` tells whether the weights change while
+        # requests may be in progress.
         _log.info(
             "order attempted",
             target=order.identity,
             model=rollout_state.model,
             version=order.version,
             expected=order.expected_accepted,
+            requests=order.requests,
             cuts_across=order.during_requests,
             token=self.lease_holder.token,
             result=result,
