Send no request of a caller that left before it was read

After a pause of the process a request is read together with the close of its connection, and was written to an idle connection before the close was handled. The forwarder now asks the kernel before each attempt.

--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import select
 
 from aiohttp import http_exceptions
 from aiohttp import web
@@ -121,6 +122,22 @@
         return response
 
 
+def is_closed_by_peer(transport: asyncio.Transport | None) -> bool:
+    """Returns whether a peer has closed or reset its connection.
+
+    The kernel is asked, so that it is known before the event loop has read the
+    close, and while reading is paused.
+
+    Args:
+        transport: Transport of the connection; None if it is closed.
+    """
+    if transport is None or transport.is_closing():
+        return True
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket"), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _result_code(status: int, exc: BaseException | None) -> codes.ResultCode:
     if isinstance(exc, http_exceptions.LineTooLong):
         return codes.BAD_HEADERS
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -142,6 +142,7 @@
             except responses.RequestError as error:
                 raise _prefer_attempt_outcome(last_outcome, error) from None
             try:
+                _check_caller(caller)
                 async with _attempt_deadline(call):
                     await self._run_attempt(
                         call, message, caller, delivery, reservation
@@ -395,6 +396,19 @@
 MAX_TARGETS_TRIED = 4
 
 
+def _check_caller(caller: ports.CallerPort) -> None:
+    """Ends a call whose caller has left, as its disconnect would.
+
+    After a pause of the process, requests are read together with the close of
+    their connections, and would be sent before the close is handled.
+
+    Raises:
+        asyncio.CancelledError: The caller has left.
+    """
+    if caller.has_left():
+        raise asyncio.CancelledError
+
+
 @contextlib.asynccontextmanager
 async def _attempt_deadline(call: forwarding.Call):
     """Ends an attempt with ``TARGET_TIMEOUT`` at the deadline of its call."""
--- a/packages/chivelb-node/chivelb_node/forwarding/ports.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/ports.py
@@ -98,6 +98,12 @@
 class CallerPort(Protocol):
     """Sends the response of a call to its caller."""
 
+    def has_left(self) -> bool:
+        """Returns whether the caller has closed its side of the connection.
+
+        It is known before the event loop has read the close.
+        """
+
     async def send_head(self, reply: Reply) -> None:
         """Sends the head of a response."""
 
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -74,6 +74,9 @@
         self.end = ""
         self.error_detail = None
 
+    def has_left(self):
+        return False
+
     async def send_head(self, reply):
         assert self.status is None, "a second response head"
         self.status = reply.status
