Notice a caller that leaves while reading from it is paused

After 32 requests sent ahead on a connection, or with a large body that is not read yet, nothing more is read, the close included. The first request then ran to its end, and those read ahead after it were sent too. While reading is paused, the kernel is asked five times a second.

Failed first: 60 requests on one connection whose caller closes it.

--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -19,6 +19,9 @@
 MAX_LINE_BYTES = 65_536
 # Time for which the rest of a request body is read after its response.
 LINGER_S = 2.0
+# Period of the checks for a caller that leaves while nothing is read from its
+# connection.
+PAUSED_CHECK_PERIOD_S = 0.2
 # Separator and line end of a header: ": " and CRLF.
 HEADER_OVERHEAD_BYTES = 4
 _log = logs.get_logger("connections")
@@ -36,7 +39,7 @@
         context: Shared state of the instance.
     """
 
-    __slots__ = ("context", "_head_timer", "_serving")
+    __slots__ = ("context", "_head_timer", "_paused_timer", "_serving")
 
     def __init__(
         self,
@@ -58,11 +61,15 @@
         )
         self.context = context
         self._head_timer: asyncio.TimerHandle | None = None
+        self._paused_timer: asyncio.TimerHandle | None = None
         self._serving = False
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancels the head timer."""
+        """Cancels the timers."""
         self._stop_timer()
+        if self._paused_timer is not None:
+            self._paused_timer.cancel()
+            self._paused_timer = None
         super().connection_lost(exc)
 
     def eof_received(self) -> None:
@@ -85,6 +92,23 @@
                 self._on_head_timeout,
             )
         super().data_received(data)
+        self._check_while_paused()
+
+    def _check_while_paused(self) -> None:
+        """Starts the checks for a close that is not read, if reading paused."""
+        if self._paused_timer is None and self._is_reading_paused():
+            self._paused_timer = asyncio.get_running_loop().call_later(
+                PAUSED_CHECK_PERIOD_S, self._on_paused_check
+            )
+
+    def _is_reading_paused(self) -> bool:
+        return self.transport is not None and not self.transport.is_reading()
+
+    def _on_paused_check(self) -> None:
+        self._paused_timer = None
+        if self._is_reading_paused() and is_closed_by_peer(self.transport):
+            self._cancel_request()
+        self._check_while_paused()
 
     def mark_head_complete(self) -> None:
         """Records that a head is complete and its request is being served."""
--- a/tests/test_caller_leaves.py
+++ b/tests/test_caller_leaves.py
@@ -21,6 +21,8 @@
 
 # Bound on each step of a scenario, in seconds.
 STEP_TIMEOUT_S = 10.0
+# More requests on a connection than the server parses ahead.
+PIPELINED_REQUESTS = 60
 # Events that exceed all buffers between target and caller.
 RESPONSE_EVENTS = 4_000 * (b"data: " + bytes(8_192) + b"\n\n")
 # Steps without progress after which a connection counts as stalled.
@@ -260,6 +262,20 @@
     run_scenario(scenario, targets=2)
 
 
+def test_a_caller_that_leaves_with_requests_waiting_unread_ends_the_work():
+    async def scenario(entry, target):
+        await call_and_receive(entry, target, "first")
+        requests = [encode_request(f"r-{n}") for n in range(PIPELINED_REQUESTS)]
+        with entry.connect() as caller:
+            caller.sendall(b"".join(requests))
+            await wait_until(lambda: "r-0" in target.request_ids)
+        await wait_until(lambda: "r-0" in target.left)
+        await call_and_receive(entry, target, "last")
+        assert target.request_ids == ["first", "r-0", "last"]
+
+    run_scenario(scenario)
+
+
 def test_a_caller_that_ends_its_side_with_a_response_unread_ends_the_work():
     async def scenario(entry, target):
         target.responses["r"] = (
