Drop the unsent rest of a request that is given up

Closing a connection leaves to the kernel what it has not sent: on a link with a queue, or to a target that reads slowly, the whole request arrived later and was started. The connection is now reset.

Failed first: of 200,043 bytes given up at a target that had read none, all arrived, and then the end of the stream.

--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import dataclasses
 import socket
+import struct
 
 from aiohttp import base_protocol
 from aiohttp import http
@@ -25,6 +26,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MAX_IDLE_S = 4.0
+# Value of SO_LINGER: on, with a time of 0 s.
+NO_LINGER_OPTION = struct.pack("ii", 1, 0)
 MAX_HEAD_BYTES = 32_768
 READ_BUFFER_BYTES = 262_144
 
@@ -189,6 +192,15 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Closes with a reset; the kernel drops what it has not sent yet."""
+        if self.is_open:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER_OPTION
+            )
+        self.abort()
+
     def write(self, data: bytes) -> None:
         """Writes a complete request."""
         self.transport.write(data)
@@ -380,11 +392,11 @@
         connection = exchange.connection
         connection.in_use = False
         head = exchange.head
-        if (
-            head is None
-            or not exchange.is_complete
-            or not connection.is_reusable(head)
-        ):
+        if head is None or not exchange.is_complete:
+            # The target must not get a request later that was given up.
+            connection.reset()
+            return
+        if not connection.is_reusable(head):
             connection.abort()
             return
         connection.responses_read += 1
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -1,6 +1,7 @@
 """Tests the connection pool with truncated, surplus and missing responses."""
 
 import asyncio
+import socket
 
 from chivelb_node.links import http_pool
 import pytest
@@ -213,3 +214,35 @@
         assert not pool.idle
 
     run_scenario(target, scenario)
+
+
+def test_a_request_that_is_given_up_is_not_sent_to_its_end():
+    # The target reads nothing yet, as on a connection with a long queue, and
+    # the rest of the request waits in the kernel.
+    request = b"POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n"
+    request += bytes(200_000)
+
+    async def receive_all(reader):
+        received = 0
+        with pytest.raises(ConnectionResetError):
+            while data := await reader.read(65_536):
+                received += len(data)
+        return received
+
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            pool = http_pool.HttpPool()
+            address = f"127.0.0.1:{listening.getsockname()[1]}"
+            exchange = await pool.send(address, request)
+            accepted, _ = listening.accept()
+            exchange.close()
+            await asyncio.sleep(0)
+            reader, writer = await asyncio.open_connection(sock=accepted)
+            try:
+                async with asyncio.timeout(10):
+                    assert await receive_all(reader) < len(request)
+            finally:
+                writer.close()
+
+    asyncio.run(run())
