Answer an order that is repeated before its load began as loading

A simulated runner set its state only when the task of the load began. Two sends of an order that it read in one step of the event loop, as after a pause of its process, were answered accepted and failed, and the controller that sent the second one stopped the rollout for good.

--- a/packages/chivelb-cli/chivelb_cli/lab/runner.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/runner.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import os
 import random
 import time
@@ -82,6 +83,10 @@
     version: str
 
 
+class LoadError(Exception):
+    """Weights could not be loaded."""
+
+
 class Runner:
     """A simulated runner process.
 
@@ -366,32 +371,42 @@
             self.orders.append(msgspec.to_builtins(body))
             if self._load_task is not None:
                 self._load_task.cancel()
-            self._load_task = asyncio.create_task(self._load_weights(body))
+            # At once: the order may be repeated before the task has begun.
+            self.readiness = "loading"
+            self._load_task = asyncio.create_task(
+                self._load_weights(body.version)
+            )
         else:
             state = "loading" if self.readiness == "loading" else "failed"
         return _json_response({"state": state, "version": self.version})
 
-    async def _load_weights(self, body: OrderBody) -> None:
-        self.readiness = "loading"
-        try:
-            if self.arguments.weights:
-                async with aiohttp.ClientSession() as session:
-                    async with session.get(
-                        f"{self.arguments.weights}/weights/{body.version}"
-                    ) as response:
-                        if response.status != 200:
-                            raise aiohttp.ClientError(
-                                f"weight version {body.version} not found"
-                            )
-                        await response.read()
-            else:
-                await asyncio.sleep(self.arguments.load_s)
-            self.version = body.version
+    async def _load_weights(self, version: str) -> None:
+        """Loads weights and serves them; keeps the old ones if that fails."""
+        with contextlib.suppress(LoadError):
+            await self.download_weights(version)
+            self.version = version
             self.cache.clear()
-        except aiohttp.ClientError:
-            pass
-        finally:
-            self.readiness = "ready"
+        # Not if cancelled: then the next load has begun.
+        self.readiness = "ready"
+
+    async def download_weights(self, version: str) -> None:
+        """Downloads weights from the weight store, if there is one.
+
+        Raises:
+            LoadError: The weights could not be downloaded.
+        """
+        if not self.arguments.weights:
+            await asyncio.sleep(self.arguments.load_s)
+            return
+        url = f"{self.arguments.weights}/weights/{version}"
+        try:
+            async with (
+                aiohttp.ClientSession(raise_for_status=True) as session,
+                session.get(url) as response,
+            ):
+                await response.read()
+        except (aiohttp.ClientError, OSError) as error:
+            raise LoadError(f"{url}: {error}") from None
 
     # Administration.
 
