--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -3,14 +3,19 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import select
+import socket
+import struct
 
+from aiohttp import http
 from aiohttp import http_exceptions
 from aiohttp import web
 from chivelb_core import codes
 
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
+from chivelb_node.links import parser_errors
 from chivelb_node.telemetry import logs
 
 # Limit of the HTTP parser for one line of a request head, for callers of the
@@ -150,7 +155,11 @@
         if code is codes.INTERNAL:
             _log.error("unhandled error in request handler", exc_info=exc)
         else:
-            _log.warning("unparsable request", code=code.number, error=str(exc))
+            _log.warning(
+                "unparsable request",
+                code=code.number,
+                error="" if exc is None else parser_errors.describe(exc),
+            )
         response = responses.error_response(
             codes.ErrorDetail(code), "", self.context.rng
         )
@@ -199,6 +208,25 @@
         )
 
 
+def abort_response(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Closes a connection so that its response is seen as incomplete.
+
+    A response with neither chunks nor a length ends with its connection, which
+    is therefore reset.
+    """
+    if request.transport is None:
+        return
+    has_end = response.content_length is not None or response.chunked
+    if not has_end and request.version < http.HttpVersion11:
+        linger = struct.pack("ii", 1, 0)
+        sock = request.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    request.transport.abort()
+
+
 def make_protocol_factory(
     context: context_lib.InstanceContext, handler: Handler
 ) -> Callable[[], CallerConnection]:
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -157,6 +157,12 @@
                 waiting_list.leave(waiting_call)
                 continue
             reservation = self._try_reserve(waiting_call.call, now)
+            if (
+                reservation is None
+                and waiting_call.call.software_version is not None
+            ):
+                # Targets of other versions may have capacity for others.
+                continue
             if reservation is None:
                 return
             waiting_list.start(waiting_call, now)
@@ -219,6 +225,9 @@
             request_id=call.request_id,
             target=placement.record.identity,
             weight_version=placement.record.weight_version,
+            software_version=placement.record.software_version,
+            takes_up_stream=call.takes_up_stream,
+            resumes=call.resumes,
             waited_ms=round((now - call.arrived_at) * 1000),
             running=placement.candidate.running,
             filled=placement.candidate.used_kv_tokens,
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 from chivelb_core.calls import attempt as attempt_lib
 from chivelb_core.calls import suspects as suspects_lib
 from chivelb_core.forwarding import retry_delay
+from chivelb_core.forwarding import stream_origins
 
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
@@ -34,12 +35,15 @@
         last_event_id: Id of the last event sent, or empty.
         status: HTTP status sent to the caller; 0 before the head is sent.
         first_byte_at: Monotonic time of the first byte in seconds, or None.
+        framing: What ends the response of the target that replied last, or
+            None.
     """
 
     head_sent: bool = False
     last_event_id: str = ""
     status: int = 0
     first_byte_at: float | None = None
+    framing: ports.Framing | None = None
 
 
 class Forwarder:
@@ -58,6 +62,7 @@
             leaving, not removed from the table.
         check_reachability: Called with a target to which no connection could
             be opened.
+        origins: Origins of streams: what began them.
         budgets: Retry budgets by service.
     """
 
@@ -66,6 +71,7 @@
         context: context_lib.InstanceContext,
         admission_queue: admission_lib.AdmissionQueue,
         target_port: ports.TargetPort,
+        origins: ports.OriginPort,
         *,
         broadcast_observation: Callable[[suspects_lib.CrashObservation], None],
         count_instances: Callable[[], int],
@@ -78,6 +84,7 @@
         self.context = context
         self.admission_queue = admission_queue
         self.target_port = target_port
+        self.origins = origins
         self.broadcast_observation = broadcast_observation
         self.count_instances = count_instances
         self.budgets: dict[str, calls.WindowBudget] = {}
@@ -133,6 +140,8 @@
         caller: ports.CallerPort,
         delivery: Delivery,
     ) -> None:
+        if call.takes_up_stream:
+            await self._bind_to_origin(call)
         self.budget(call.service).record_request(context_lib.monotonic())
         last_outcome: attempt_lib.Outcome | None = None
         while True:
@@ -159,6 +168,39 @@
                     last_outcome.code, last_outcome.detail
                 )
 
+    async def _bind_to_origin(self, call: forwarding.Call) -> None:
+        """Restricts a call to the targets that can continue its stream.
+
+        Raises:
+            responses.RequestError: There are none, or they are not known.
+        """
+        finding = await self.origins.find(call)
+        origin = finding.origin
+        _log.info(
+            "stream taken up",
+            request_id=call.request_id,
+            resumes=call.resumes,
+            source=finding.source,
+            service=None if origin is None else origin.service,
+            software_version=None
+            if origin is None
+            else origin.software_version,
+        )
+        if origin is None:
+            raise responses.RequestError(
+                codes.RESUME_REFUSED,
+                f"the version that began stream {call.resumes!r} is not known",
+            )
+        services = [share.service for share in call.route.split]
+        if origin.service not in services:
+            raise responses.RequestError(
+                codes.RESUME_REFUSED,
+                f"service {origin.service!r} began the stream; the route has "
+                f"{services}",
+            )
+        call.service = origin.service
+        call.software_version = origin.software_version
+
     async def _run_attempt(
         self,
         call: forwarding.Call,
@@ -182,9 +224,14 @@
             assignment.save_addresses = reservation.save_addresses
         call.attempts += 1
         reply = await self.target_port.send(call, message, assignment)
+        delivery.framing = reply.framing
         try:
             if reply.is_stream and reply.status == 200:
-                await self._forward_stream(reply, caller, delivery, reservation)
+                await self._forward_stream(
+                    call, reply, caller, delivery, reservation
+                )
+            elif delivery.head_sent:
+                raise _failed_resume(reply)
             else:
                 await self._forward_body(call, reply, caller, delivery)
         finally:
@@ -193,22 +240,59 @@
 
     async def _forward_stream(
         self,
+        call: forwarding.Call,
         reply: ports.Reply,
         caller: ports.CallerPort,
         delivery: Delivery,
         reservation: admission_lib.Reservation,
     ) -> None:
         batches = events.split_events(reply.chunks())
-        async with contextlib.aclosing(batches):
-            async for batch in batches:
-                self.admission_queue.record_first_event(reservation)
-                await self._send_head(reply, caller, delivery)
-                await caller.send_body(batch)
-                event_id = events.last_event_id(batch)
-                delivery.last_event_id = event_id or delivery.last_event_id
+        resumed_after = delivery.last_event_id
+        try:
+            async with contextlib.aclosing(batches):
+                async for batch in batches:
+                    event_id = events.last_event_id(batch)
+                    if resumed_after and event_id:
+                        _check_continues(batch, resumed_after)
+                        resumed_after = ""
+                    self.admission_queue.record_first_event(reservation)
+                    self._record_origin(call, reservation.record)
+                    await self._send_head(reply, caller, delivery)
+                    await caller.send_body(batch)
+                    delivery.last_event_id = event_id or delivery.last_event_id
+        except events.StreamError as error:
+            raise calls.AttemptError(
+                attempt_lib.Outcome(
+                    calls.OutcomeKind.UNKNOWN,
+                    codes.OUTCOME_UNKNOWN,
+                    str(error),
+                    target_crashed=_shows_crash(error, reply),
+                )
+            ) from None
+        if not delivery.head_sent and _ended_without_events(call, reply):
+            raise calls.AttemptError(
+                attempt_lib.Outcome(
+                    calls.OutcomeKind.UNKNOWN,
+                    codes.OUTCOME_UNKNOWN,
+                    "connection closed before the first event",
+                )
+            )
         await self._send_head(reply, caller, delivery)
         await caller.finish()
 
+    def _record_origin(
+        self, call: forwarding.Call, record: targets.TargetRecord
+    ) -> None:
+        """Records the origin of a stream at its first event."""
+        if call.origin_recorded:
+            return
+        call.origin_recorded = True
+        call.software_version = record.software_version
+        origin = stream_origins.StreamOrigin(
+            call.service, record.software_version
+        )
+        self.origins.record(call, origin)
+
     async def _forward_body(
         self,
         call: forwarding.Call,
@@ -253,7 +337,9 @@
             delivery.head_sent = True
             delivery.status = reply.status
             delivery.first_byte_at = context_lib.monotonic()
-            await caller.send_head(reply)
+            # Another target may continue a stream, with another length.
+            length = None if reply.is_stream else reply.length
+            await caller.send_head(reply, length)
 
     def _should_retry_status(
         self, call: forwarding.Call, reply: ports.Reply
@@ -386,6 +472,10 @@
             retry_after_s=None
             if error_detail is None
             else error_detail.retry_after_s,
+            framing=None
+            if delivery.framing is None
+            else delivery.framing.value,
+            last_event=delivery.last_event_id,
             first_ms=first_ms,
             took_ms=round((now - call.arrived_at) * 1000),
         )
@@ -427,6 +517,47 @@
         ) from None
 
 
+def _ended_without_events(call: forwarding.Call, reply: ports.Reply) -> bool:
+    """Returns whether a stream without any event is no complete one.
+
+    A stream that is taken up may have no more events, and a last chunk or a
+    length tells the end; a mere close of the connection does not.
+    """
+    return reply.framing is ports.Framing.CLOSE and not call.takes_up_stream
+
+
+def _check_continues(run: bytes, last_event_id: str) -> None:
+    """Raises ``StreamError`` if a resumed stream begins too early."""
+    if events.is_repeated(run, last_event_id):
+        raise events.StreamError(
+            f"resumed stream begins at event {events.first_event_id(run)!r}, "
+            f"expected one after {last_event_id!r}"
+        )
+
+
+def _shows_crash(error: events.StreamError, reply: ports.Reply) -> bool:
+    """Returns whether an invalid stream presumes a crash of its target.
+
+    A connection that was closed in the middle of an event does, like any other
+    that is lost within a response; a last chunk there is orderly.
+    """
+    return (
+        isinstance(error, events.TruncatedStreamError)
+        and reply.framing is ports.Framing.CLOSE
+    )
+
+
+def _failed_resume(reply: ports.Reply) -> calls.AttemptError:
+    """Returns the error of a resume that was answered without a stream."""
+    return calls.AttemptError(
+        attempt_lib.Outcome(
+            calls.OutcomeKind.UNKNOWN,
+            codes.TARGET_FAILED,
+            f"resume answered with status {reply.status}",
+        )
+    )
+
+
 def _prefer_attempt_outcome(
     last_outcome: attempt_lib.Outcome | None, error: responses.RequestError
 ) -> responses.RequestError:
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -7,6 +7,10 @@
 
 DONE_EVENT = b"data: [DONE]"
 EVENT_DELIMITER = b"\n\n"
+# Behind a line that ends with LF or CRLF.
+CRLF_EVENT_DELIMITER = b"\n\r\n"
+LINE_ENDS = b"\r\n"
+MAX_DELIMITER_OVERLAP_BYTES = len(CRLF_EVENT_DELIMITER) - 1
 MAX_EVENT_BYTES = 262_144
 MAX_OFFSET_DIGITS = 9
 
@@ -15,6 +19,10 @@
     """A stream violates the protocol, or belongs to another attempt."""
 
 
+class TruncatedStreamError(StreamError):
+    """A stream ends in the middle of an event."""
+
+
 @dataclasses.dataclass(slots=True)
 class Batch:
     """Complete events that arrived together.
@@ -36,20 +44,58 @@
 async def split_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     """Yields runs of complete events; buffers an incomplete last event.
 
+    Blank lines after the last event form a run of their own.
+
     Raises:
         StreamError: An event exceeds ``MAX_EVENT_BYTES``.
+        TruncatedStreamError: The stream ends in the middle of an event.
     """
-    incomplete = b""
+    incomplete = bytearray()
     async for chunk in chunks:
-        data = incomplete + chunk if incomplete else chunk
-        end = data.rfind(EVENT_DELIMITER)
-        if end < 0:
-            incomplete = data
-        else:
-            incomplete = data[end + 2 :]
-            yield data[: end + 2]
+        # A delimiter may begin with bytes received before.
+        unsearched = max(0, len(incomplete) - MAX_DELIMITER_OVERLAP_BYTES)
+        incomplete.extend(chunk)
+        end = _end_of_events(incomplete, unsearched)
+        if end:
+            run = bytes(incomplete[:end])
+            del incomplete[:end]
+            yield run
         if len(incomplete) > MAX_EVENT_BYTES:
             raise StreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+    if incomplete.strip(LINE_ENDS):
+        raise TruncatedStreamError(
+            f"stream ended {len(incomplete)} bytes into an event"
+        )
+    if incomplete:
+        yield bytes(incomplete)
+
+
+def _end_of_events(data: bytearray, start: int) -> int:
+    """Returns the offset behind the last complete event; 0 for none.
+
+    Args:
+        data: The bytes.
+        start: Offset of the first byte to search.
+    """
+    end = 0
+    for delimiter in (EVENT_DELIMITER, CRLF_EVENT_DELIMITER):
+        found = data.rfind(delimiter, start)
+        if found >= 0:
+            end = max(end, found + len(delimiter))
+    return end
+
+
+def first_event_id(run: bytes) -> str:
+    """Returns the id of the first event with one in a run, or empty."""
+    start = 0 if run.startswith(b"id:") else run.find(b"\nid:") + 1
+    if not run.startswith(b"id:", start):
+        return ""
+    return _event_id_at(run, start)
+
+
+def _event_id_at(run: bytes, start: int) -> str:
+    line = run[start + len(b"id:") : run.find(b"\n", start)]
+    return line.strip().decode("ascii", "replace")
 
 
 def last_event_id(run: bytes) -> str:
@@ -59,8 +105,22 @@
         start = run.rfind(b"id:", 0, start)
     if start < 0:
         return ""
-    line = run[start + 3 : run.find(b"\n", start)]
-    return line.strip().decode("ascii", "replace")
+    return _event_id_at(run, start)
+
+
+def is_repeated(run: bytes, last_id: str) -> bool:
+    """Returns whether a run begins at or before an event already received.
+
+    Ids increase. If one of them is no number, only an equal id shows it.
+
+    Args:
+        run: Run of events.
+        last_id: Id of the last event received.
+    """
+    first_id = first_event_id(run)
+    if first_id.isdigit() and last_id.isdigit():
+        return int(first_id) <= int(last_id)
+    return first_id == last_id
 
 
 async def check_events(
@@ -100,7 +160,7 @@
             elif event == DONE_EVENT:
                 done = True
                 kept.append(event)
-            elif event.startswith(b":"):
+            elif not event or event.startswith(b":"):
                 is_verbatim = False
             else:
                 raise StreamError(
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import socket
 import struct
@@ -16,6 +17,8 @@
 from aiohttp import http_exceptions
 from aiohttp import streams
 
+from chivelb_node.links import parser_errors
+
 # A connection to a target of the region takes a few milliseconds. A lost packet
 # is sent again only after a second, so that another connection is faster.
 CONNECT_TIMEOUT_S = 0.3
@@ -28,8 +31,21 @@
 MAX_IDLE_S = 4.0
 # Value of SO_LINGER: on, with a time of 0 s.
 NO_LINGER_OPTION = struct.pack("ii", 1, 0)
-MAX_HEAD_BYTES = 32_768
+# Limit for one line of a response head.
+MAX_LINE_BYTES = 32_768
+# Limit for received bytes that are followed by neither the end of a response
+# head nor a byte of a body: a head with the interim responses before it, or
+# what frames a body. Bytes that arrive together are counted together.
+MAX_OVERHEAD_BYTES = 65_536
+# Limit for bytes received before the head of the response to a request:
+# responses to other requests, which are discarded. What arrives together with
+# the head counts too, up to the buffer of a response.
+MAX_BYTES_BEFORE_RESPONSE = 1_048_576
 READ_BUFFER_BYTES = 262_144
+# Default limit for a body that is kept until it is complete.
+MAX_FETCHED_BYTES = 1_048_576
+
+HEAD_END = b"\r\n\r\n"
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
@@ -71,6 +87,10 @@
         return None
 
 
+class ResponseLimitError(IncompleteResponseError):
+    """The response exceeded a limit in bytes, so its connection was closed."""
+
+
 class Connection(base_protocol.BaseProtocol):
     """One connection to a target.
 
@@ -94,8 +114,16 @@
         self.unusable = False
         self._responses: list[tuple[Head, streams.StreamReader]] = []
         self._body: streams.StreamReader | None = None
+        # Body that the parser fills, and bytes received without progress.
+        self._incoming_body: streams.StreamReader | None = None
+        self._overhead_bytes = 0
+        # Whether the response to the request was found, and bytes before that.
+        self._has_response = False
+        self._bytes_before_response = 0
+        self._unanswered: list[bytes] = []
         self._head_waiter: asyncio.Future | None = None
         self._error: Exception | None = None
+        self._reads_bodies = True
         self._parser = self._new_parser()
 
     def _new_parser(self) -> http.HttpResponseParser:
@@ -105,9 +133,10 @@
             READ_BUFFER_BYTES,
             payload_exception=IncompleteResponseError,
             read_until_eof=True,
+            response_with_body=self._reads_bodies,
             auto_decompress=False,
-            max_line_size=MAX_HEAD_BYTES,
-            max_field_size=MAX_HEAD_BYTES,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
         )
 
     @property
@@ -133,22 +162,34 @@
         """Parses received bytes; called by asyncio."""
         if self._error is not None:
             return
-        if not self.in_use and data:
-            # Bytes that belong to no request.
-            self.unusable = True
+        if data and not self._expects_bytes():
+            # Bytes that belong to no request. A body that was received
+            # completely can still be read.
             self.abort()
             return
+        body_bytes = self._incoming_body_bytes()
         try:
             messages, _, _ = self._parser.feed_data(data)
         except http_exceptions.HttpProcessingError as error:
-            self._fail(
-                IncompleteResponseError(f"invalid HTTP response: {error}")
+            self._responses.extend(self._complete_responses(data))
+            self._end(
+                IncompleteResponseError(
+                    f"invalid HTTP response: {parser_errors.describe(error)}"
+                )
             )
-            self.abort()
             return
-        for message, payload in messages:
-            if message.code >= 200:
-                self._responses.append((_parse_head(message), payload))
+        if not self._has_response:
+            self._unanswered.append(data)
+        finals = [item for item in messages if item[0].code >= 200]
+        for message, payload in finals:
+            self._responses.append((_parse_head(message), payload))
+            self._incoming_body = payload
+        if finals or self._incoming_body_bytes() > body_bytes:
+            self._overhead_bytes = 0
+        else:
+            self._count_overhead(len(data))
+        if not self._has_response:
+            self._count_before_response(len(data))
         if (
             messages
             and self._head_waiter is not None
@@ -156,6 +197,74 @@
         ):
             self._head_waiter.set_result(None)
 
+    def _complete_responses(
+        self, data: bytes
+    ) -> list[tuple[Head, streams.StreamReader]]:
+        """Returns the complete responses before bytes that can't be parsed.
+
+        The parser drops what it read together with such bytes. The responses
+        are parsed again, head by head, from the bytes since the request.
+
+        Args:
+            data: The newest bytes.
+        """
+        if self._has_response:
+            return []
+        rest = b"".join((*self._unanswered, data))
+        parser = self._new_parser()
+        found = []
+        with contextlib.suppress(http_exceptions.HttpProcessingError):
+            while rest:
+                end = rest.find(HEAD_END) + len(HEAD_END)
+                if end < len(HEAD_END):
+                    break
+                messages, _, _ = parser.feed_data(rest[:end])
+                found += messages
+                rest = rest[end:]
+                if messages and messages[-1][0].code >= 200:
+                    parser.feed_data(rest)
+                    break
+        return [
+            (_parse_head(message), payload)
+            for message, payload in found
+            if message.code >= 200 and payload.is_eof()
+        ]
+
+    def _expects_bytes(self) -> bool:
+        """Returns whether a part of a response is still to be received."""
+        is_complete = self._has_response and self._body.is_eof()
+        return self.in_use and not is_complete
+
+    def _incoming_body_bytes(self) -> int:
+        """Returns how many bytes of the incoming body were received."""
+        body = self._incoming_body
+        return 0 if body is None else body.total_bytes
+
+    def _count_overhead(self, size: int) -> None:
+        self._overhead_bytes += size
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._end(
+                ResponseLimitError(
+                    f"over {MAX_OVERHEAD_BYTES} bytes that are neither a "
+                    f"complete response head nor a body"
+                )
+            )
+
+    def _count_before_response(self, size: int) -> None:
+        self._bytes_before_response += size
+        if self._bytes_before_response > MAX_BYTES_BEFORE_RESPONSE:
+            self._end(
+                ResponseLimitError(
+                    f"over {MAX_BYTES_BEFORE_RESPONSE} bytes without a "
+                    f"response to the request"
+                )
+            )
+
+    def _end(self, error: Exception) -> None:
+        """Ends the response in progress and closes at once."""
+        self._fail(error)
+        self.abort()
+
     def eof_received(self) -> None:
         """Lets the transport close itself; called by asyncio."""
 
@@ -203,6 +312,14 @@
 
     def write(self, data: bytes) -> None:
         """Writes a complete request."""
+        self._has_response = False
+        self._bytes_before_response = 0
+        self._overhead_bytes = 0
+        self._unanswered.clear()
+        reads_bodies = not data.startswith(b"HEAD ")
+        if reads_bodies != self._reads_bodies:
+            self._reads_bodies = reads_bodies
+            self._parser = self._new_parser()
         self.transport.write(data)
 
     async def read_head(
@@ -226,6 +343,8 @@
             head, payload = self._responses.pop(0)
             self._body = payload
             if is_response_to_request(head):
+                self._has_response = True
+                self._unanswered.clear()
                 return head
             while await self.read():
                 pass
@@ -429,24 +548,41 @@
         self.idle.clear()
 
 
-async def fetch(pool: HttpPool, address: str, data: bytes) -> tuple[int, bytes]:
+async def fetch(
+    pool: HttpPool,
+    address: str,
+    data: bytes,
+    *,
+    max_bytes: int = MAX_FETCHED_BYTES,
+) -> tuple[int, bytes]:
     """Sends a request and returns the status and body of the response.
 
     Args:
         pool: Connections to use.
         address: ``host:port`` of the target.
         data: The complete request.
+        max_bytes: Limit for the body, in bytes.
 
     Raises:
         NotSentError: No connection could be opened.
         IncompleteResponseError: The response was malformed or incomplete.
+        ResponseLimitError: The body is longer than ``max_bytes``.
     """
     exchange = await pool.send(address, data)
     try:
         head = await exchange.start(lambda head: True)
-        chunks = []
-        while chunk := await exchange.read():
-            chunks.append(chunk)
+        body = await _read_limited(exchange, max_bytes)
     finally:
         exchange.close()
-    return head.status, b"".join(chunks)
+    return head.status, body
+
+
+async def _read_limited(exchange: Exchange, max_bytes: int) -> bytes:
+    chunks = []
+    size = 0
+    while chunk := await exchange.read():
+        size += len(chunk)
+        if size > max_bytes:
+            raise ResponseLimitError(f"body exceeds {max_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
--- a/packages/chivelb-node/chivelb_node/links/services.py
+++ b/packages/chivelb-node/chivelb_node/links/services.py
@@ -11,6 +11,7 @@
 from chivelb_core import targets
 from chivelb_core.calls import attempt as attempt_lib
 
+from chivelb_node.links import parser_errors
 from chivelb_node.links import runners
 
 # Hop-by-hop headers, the caller's credentials, and headers that this instance
@@ -120,7 +121,9 @@
         ) from None
     except aiohttp.ClientError as error:
         raise _attempt_error(
-            _KIND.UNKNOWN, codes.OUTCOME_UNKNOWN, error
+            _KIND.UNKNOWN,
+            codes.OUTCOME_UNKNOWN,
+            parser_errors.describe(error),
         ) from None
 
 
@@ -140,6 +143,8 @@
             codes.OUTCOME_UNKNOWN,
             f"response lacks the id of attempt {attempt_id}",
         )
+    # Read before the body, whose end releases the connection.
+    protocol = response.connection and response.connection.protocol
     chunks = []
     size = 0
     async for chunk in response.content.iter_any():
@@ -152,6 +157,14 @@
                 f"response exceeds {MAX_RESPONSE_BYTES} bytes",
             )
         chunks.append(chunk)
+    # aiohttp takes any end of the connection for the end of a response without
+    # a length; after a reset the error of the connection is one of the system.
+    if protocol is not None and isinstance(protocol.exception(), OSError):
+        raise _attempt_error(
+            _KIND.UNKNOWN,
+            codes.OUTCOME_UNKNOWN,
+            "connection was reset within the response",
+        )
     return ServiceResponse(
         response.status, end_to_end(response.headers), b"".join(chunks)
     )
--- a/tests/test_caller_leaves.py
+++ b/tests/test_caller_leaves.py
@@ -17,6 +17,7 @@
 from chivelb_node.links import http_pool
 from chivelb_platform import caller_server
 from chivelb_platform import target_client
+import fake_ports
 import scripted
 
 # Bound on each step of a scenario, in seconds.
@@ -124,6 +125,7 @@
             self.context,
             self.admission_queue,
             target_client.TargetClient(self.pool),
+            fake_ports.make_origins(self.context),
             broadcast_observation=lambda observation: None,
             count_instances=lambda: 1,
             remove_replaced_target=lambda record: None,
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -246,3 +246,23 @@
                 writer.close()
 
     asyncio.run(run())
+
+
+# Guards against a body that is taken for none because a request with HEAD went
+# before it on the connection.
+def test_a_connection_reads_bodies_again_after_a_head_request():
+    target = scripted.ScriptedTarget(
+        [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"],
+        [scripted.answer(b"hello")],
+    )
+
+    async def scenario(pool):
+        head_request = REQUEST.replace(b"GET", b"HEAD")
+        assert await http_pool.fetch(pool, target.address, head_request) == (
+            200,
+            b"",
+        )
+        assert await fetch(pool, target) == (200, b"hello")
+        assert target.connections == 1
+
+    run_scenario(target, scenario)
