--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import select
 import socket
 import struct
 
@@ -23,6 +24,9 @@
 MAX_LINE_BYTES = 65_536
 # Time for which the rest of a request body is read after its response.
 LINGER_S = 2.0
+# Period of the checks for a caller that leaves while nothing is read from its
+# connection.
+PAUSED_CHECK_PERIOD_S = 0.2
 # Separator and line end of a header: ": " and CRLF.
 HEADER_OVERHEAD_BYTES = 4
 _log = logs.get_logger("connections")
@@ -40,7 +44,7 @@
         context: Shared state of the instance.
     """
 
-    __slots__ = ("context", "_head_timer", "_serving")
+    __slots__ = ("context", "_head_timer", "_paused_timer", "_serving")
 
     def __init__(
         self,
@@ -62,13 +66,29 @@
         )
         self.context = context
         self._head_timer: asyncio.TimerHandle | None = None
+        self._paused_timer: asyncio.TimerHandle | None = None
         self._serving = False
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancels the head timer."""
+        """Cancels the timers."""
         self._stop_timer()
+        if self._paused_timer is not None:
+            self._paused_timer.cancel()
+            self._paused_timer = None
         super().connection_lost(exc)
 
+    def eof_received(self) -> None:
+        """Ends the request in progress.
+
+        The connection itself closes only after the bytes of its response that
+        are still unsent.
+        """
+        self._cancel_request()
+
+    def _cancel_request(self) -> None:
+        if self._serving and self._task_handler is not None:
+            self._task_handler.cancel()
+
     def data_received(self, data: bytes) -> None:
         """Parses data; the first bytes of a request head start its timer."""
         if not self._serving and self._head_timer is None:
@@ -77,6 +97,23 @@
                 self._on_head_timeout,
             )
         super().data_received(data)
+        self._check_while_paused()
+
+    def _check_while_paused(self) -> None:
+        """Starts the checks for a close that is not read, if reading paused."""
+        if self._paused_timer is None and self._is_reading_paused():
+            self._paused_timer = asyncio.get_running_loop().call_later(
+                PAUSED_CHECK_PERIOD_S, self._on_paused_check
+            )
+
+    def _is_reading_paused(self) -> bool:
+        return self.transport is not None and not self.transport.is_reading()
+
+    def _on_paused_check(self) -> None:
+        self._paused_timer = None
+        if self._is_reading_paused() and is_closed_by_peer(self.transport):
+            self._cancel_request()
+        self._check_while_paused()
 
     def mark_head_complete(self) -> None:
         """Records that a head is complete and its request is being served."""
@@ -130,6 +167,22 @@
         return response
 
 
+def is_closed_by_peer(transport: asyncio.Transport | None) -> bool:
+    """Returns whether a peer has closed or reset its connection.
+
+    The kernel is asked, so that it is known before the event loop has read the
+    close, and while reading is paused.
+
+    Args:
+        transport: Transport of the connection; None if it is closed.
+    """
+    if transport is None or transport.is_closing():
+        return True
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket"), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _result_code(status: int, exc: BaseException | None) -> codes.ResultCode:
     if isinstance(exc, http_exceptions.LineTooLong):
         return codes.BAD_HEADERS
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import socket
+import struct
 
 from aiohttp import base_protocol
 from aiohttp import http
@@ -28,6 +29,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MAX_IDLE_S = 4.0
+# Value of SO_LINGER: on, with a time of 0 s.
+NO_LINGER_OPTION = struct.pack("ii", 1, 0)
 # Limit for one line of a response head.
 MAX_LINE_BYTES = 32_768
 # Limit for received bytes that are followed by neither the end of a response
@@ -298,6 +301,15 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Closes with a reset; the kernel drops what it has not sent yet."""
+        if self.is_open:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER_OPTION
+            )
+        self.abort()
+
     def write(self, data: bytes) -> None:
         """Writes a complete request."""
         self._has_response = False
@@ -499,11 +511,11 @@
         connection = exchange.connection
         connection.in_use = False
         head = exchange.head
-        if (
-            head is None
-            or not exchange.is_complete
-            or not connection.is_reusable(head)
-        ):
+        if head is None or not exchange.is_complete:
+            # The target must not get a request later that was given up.
+            connection.reset()
+            return
+        if not connection.is_reusable(head):
             connection.abort()
             return
         connection.responses_read += 1
