Ends of connections in one module

SO_LINGER stood twice, in the caller's and in the target's connection, and the kernel's word on a close beside the server of callers. Both are in links/sockets.py now; an option that a socket refuses no longer ends the call, and only the poll events of a close count as one. Tests of the callers that leave, cut streams, pool and entrance pass.

--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -3,10 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
-import select
-import socket
-import struct
 
 from aiohttp import http
 from aiohttp import http_exceptions
@@ -16,6 +12,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
 from chivelb_node.links import parser_errors
+from chivelb_node.links import sockets
 from chivelb_node.telemetry import logs
 
 # Limit of the HTTP parser for one line of a request head, for callers of the
@@ -111,7 +108,9 @@
 
     def _on_paused_check(self) -> None:
         self._paused_timer = None
-        if self._is_reading_paused() and is_closed_by_peer(self.transport):
+        if self._is_reading_paused() and sockets.is_closed_by_peer(
+            self.transport
+        ):
             self._cancel_request()
         self._check_while_paused()
 
@@ -167,22 +166,6 @@
         return response
 
 
-def is_closed_by_peer(transport: asyncio.Transport | None) -> bool:
-    """Returns whether a peer has closed or reset its connection.
-
-    The kernel is asked, so that it is known before the event loop has read the
-    close, and while reading is paused.
-
-    Args:
-        transport: Transport of the connection; None if it is closed.
-    """
-    if transport is None or transport.is_closing():
-        return True
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket"), select.POLLRDHUP)
-    return bool(poll.poll(0))
-
-
 def _result_code(status: int, exc: BaseException | None) -> codes.ResultCode:
     if isinstance(exc, http_exceptions.LineTooLong):
         return codes.BAD_HEADERS
@@ -220,11 +203,9 @@
         return
     has_end = response.content_length is not None or response.chunked
     if not has_end and request.version < http.HttpVersion11:
-        linger = struct.pack("ii", 1, 0)
-        sock = request.transport.get_extra_info("socket")
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    request.transport.abort()
+        sockets.reset(request.transport)
+    else:
+        request.transport.abort()
 
 
 def make_protocol_factory(
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -10,7 +10,6 @@
 import contextlib
 import dataclasses
 import socket
-import struct
 
 from aiohttp import base_protocol
 from aiohttp import http
@@ -18,6 +17,7 @@
 from aiohttp import streams
 
 from chivelb_node.links import parser_errors
+from chivelb_node.links import sockets
 
 # A connection to a target of the region takes a few milliseconds. A lost packet
 # is sent again only after a second, so that another connection is faster.
@@ -29,8 +29,6 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MAX_IDLE_S = 4.0
-# Value of SO_LINGER: on, with a time of 0 s.
-NO_LINGER_OPTION = struct.pack("ii", 1, 0)
 # Limit for one line of a response head.
 MAX_LINE_BYTES = 32_768
 # Limit for received bytes that are followed by neither the end of a response
@@ -303,12 +301,9 @@
 
     def reset(self) -> None:
         """Closes with a reset; the kernel drops what it has not sent yet."""
-        if self.is_open:
-            sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER_OPTION
-            )
-        self.abort()
+        self.unusable = True
+        if self.transport is not None:
+            sockets.reset(self.transport)
 
     def write(self, data: bytes) -> None:
         """Writes a complete request."""
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/links/sockets.py
@@ -0,0 +1,42 @@
+"""State and end of TCP connections, beyond what asyncio offers."""
+
+import asyncio
+import contextlib
+import select
+import socket
+import struct
+
+# Value of SO_LINGER: on, with a time of 0 s.
+_NO_LINGER_OPTION = struct.pack("ii", 1, 0)
+_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Closes a connection with a reset.
+
+    The kernel drops what it has not sent yet, and the peer can tell the end
+    from that of a complete response.
+    """
+    if not transport.is_closing():
+        sock = transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER_OPTION
+            )
+    transport.abort()
+
+
+def is_closed_by_peer(transport: asyncio.Transport | None) -> bool:
+    """Returns whether a peer has closed or reset its connection.
+
+    The kernel is asked, so that it is known before the event loop has read the
+    close, and while reading is paused.
+
+    Args:
+        transport: Transport of the connection; None if it is closed.
+    """
+    if transport is None or transport.is_closing():
+        return True
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket"), select.POLLRDHUP)
+    return any(events & _CLOSED_EVENTS for _, events in poll.poll(0))
