--- a/packages/chivelb-node/chivelb_node/control/weights.py
+++ b/packages/chivelb-node/chivelb_node/control/weights.py
@@ -6,6 +6,7 @@
 ``chivelbd`` uses, decide from announcements.
 """
 
+import math
 from typing import Protocol
 
 from chivelb_core import rollout
@@ -96,34 +97,29 @@
         rollout_state = self.polled_rollouts.get(
             model
         ) or rollout.PolledRollout(model)
+        rollout_state.observe(records, wanted)
+        self._release_announced(rollout_state, records, wanted)
         outdated = rollout_state.observe(records, wanted)
         if not outdated:
             self.polled_rollouts.pop(model, None)
             return
         self.polled_rollouts[model] = rollout_state
+        rollout_state.due_at = {
+            record.identity: self.context.weights_due_at(record)
+            for record in outdated
+        }
         if not await self.lease_holder.acquire_or_renew():
             return
         self._query_due_runners(rollout_state, records, wanted)
-        load = self._running_requests(records)
-        self._send_holds(rollout_state, records, wanted, load)
+        self._send_holds(rollout_state, records, wanted)
         outdated = rollout_state.observe(records, wanted)
         by_identity = {record.identity: record for record in records}
         now = context_lib.monotonic()
-        for order in rollout_state.orders_to_send(outdated, wanted, load, now):
+        for order in rollout_state.orders_to_send(outdated, wanted, now):
             rollout_state.record_order_sent(order, now)
             record = by_identity[order.identity]
             self.add_future(self._send_order(rollout_state, record, order))
 
-    def _running_requests(
-        self, records: list[targets.TargetRecord]
-    ) -> dict[str, int]:
-        """Returns the requests in progress by target, as reported by peers."""
-        now = context_lib.monotonic()
-        return {
-            record.identity: self.context.load.running(record.identity, now)
-            for record in records
-        }
-
     def _query_due_runners(
         self,
         rollout_state: rollout.PolledRollout,
@@ -159,14 +155,35 @@
             record.identity, report, wanted, now
         ):
             return
+        await self._release(rollout_state.model, record, report.version)
+
+    def _release_announced(
+        self,
+        rollout_state: rollout.PolledRollout,
+        records: list[targets.TargetRecord],
+        wanted: int,
+    ) -> None:
+        released = rollout_state.record_announcements(
+            records, wanted, context_lib.monotonic()
+        )
+        for record in released:
+            self.add_future(
+                self._release(
+                    rollout_state.model, record, int(record.weight_version)
+                )
+            )
+
+    async def _release(
+        self, model: str, record: targets.TargetRecord, version: int
+    ) -> None:
         _log.info(
             "runner serves wanted weights",
             target=record.identity,
-            model=rollout_state.model,
-            version=report.version,
+            model=model,
+            version=version,
         )
         await self.target_replication.suspend_dispatch(
-            record, 0.0, str(report.version)
+            record, 0.0, str(version)
         )
 
     def _send_holds(
@@ -174,24 +191,45 @@
         rollout_state: rollout.PolledRollout,
         records: list[targets.TargetRecord],
         wanted: int,
-        load: dict[str, int],
     ) -> None:
         now = context_lib.monotonic()
         to_notify = set(
             rollout_state.runners_to_hold(
-                rollout_state.observe(records, wanted), load, now
+                rollout_state.observe(records, wanted), now
             )
         )
         for identity in to_notify:
             rollout_state.record_hold(identity, now)
+            self._log_hold(rollout_state, identity, now)
         if now - self._holds_renewed_at >= HOLD_RENEWAL_PERIOD_S:
             self._holds_renewed_at = now
             to_notify.update(rollout_state.held_runners())
         for record in records:
             if record.identity in to_notify:
-                self.add_future(
-                    self.target_replication.suspend_dispatch(record, HOLD_S, "")
-                )
+                self.add_future(self._send_hold(rollout_state, record))
+
+    def _log_hold(
+        self, rollout_state: rollout.PolledRollout, identity: str, now: float
+    ) -> None:
+        # ``held`` and ``known`` are the runners on hold and all runners;
+        # ``due_ms`` is the time until the runner is to have changed, if known.
+        due_at = rollout_state.due_at.get(identity, math.inf)
+        due_ms = None if math.isinf(due_at) else round((due_at - now) * 1000)
+        _log.info(
+            "runner put on hold",
+            target=identity,
+            model=rollout_state.model,
+            held=len(rollout_state.held_runners()),
+            known=len(rollout_state.runners),
+            due_ms=due_ms,
+        )
+
+    async def _send_hold(
+        self, rollout_state: rollout.PolledRollout, record: targets.TargetRecord
+    ) -> None:
+        # The hold may have ended since this was scheduled.
+        if rollout_state.is_held(record.identity):
+            await self.target_replication.suspend_dispatch(record, HOLD_S, "")
 
     async def _send_order(
         self,
@@ -206,14 +244,16 @@
             )
         rollout_state.record_order_reply(order.identity)
         # ``expected`` is the number of orders that the runner must have
-        # accepted before; ``cuts_across`` tells whether the weights change
-        # while requests are in progress.
+        # accepted before; ``requests`` are in progress there by its newest
+        # report; ``cuts_across`` tells whether the weights change while
+        # requests may be in progress.
         _log.info(
             "order attempted",
             target=order.identity,
             model=rollout_state.model,
             version=order.version,
             expected=order.expected_accepted,
+            requests=order.requests,
             cuts_across=order.during_requests,
             token=self.lease_holder.token,
             result=result,
--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -3,9 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
-import socket
-import struct
 
 from aiohttp import http
 from aiohttp import http_exceptions
@@ -15,6 +12,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
 from chivelb_node.links import parser_errors
+from chivelb_node.links import sockets
 from chivelb_node.telemetry import logs
 
 # Limit of the HTTP parser for one line of a request head, for callers of the
@@ -23,6 +21,9 @@
 MAX_LINE_BYTES = 65_536
 # Time for which the rest of a request body is read after its response.
 LINGER_S = 2.0
+# Period of the checks for a caller that leaves while nothing is read from its
+# connection.
+PAUSED_CHECK_PERIOD_S = 0.2
 # Separator and line end of a header: ": " and CRLF.
 HEADER_OVERHEAD_BYTES = 4
 _log = logs.get_logger("connections")
@@ -40,7 +41,7 @@
         context: Shared state of the instance.
     """
 
-    __slots__ = ("context", "_head_timer", "_serving")
+    __slots__ = ("context", "_head_timer", "_paused_timer", "_serving")
 
     def __init__(
         self,
@@ -62,13 +63,29 @@
         )
         self.context = context
         self._head_timer: asyncio.TimerHandle | None = None
+        self._paused_timer: asyncio.TimerHandle | None = None
         self._serving = False
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancels the head timer."""
+        """Cancels the timers."""
         self._stop_timer()
+        if self._paused_timer is not None:
+            self._paused_timer.cancel()
+            self._paused_timer = None
         super().connection_lost(exc)
 
+    def eof_received(self) -> None:
+        """Ends the request in progress.
+
+        The connection itself closes only after the bytes of its response that
+        are still unsent.
+        """
+        self._cancel_request()
+
+    def _cancel_request(self) -> None:
+        if self._serving and self._task_handler is not None:
+            self._task_handler.cancel()
+
     def data_received(self, data: bytes) -> None:
         """Parses data; the first bytes of a request head start its timer."""
         if not self._serving and self._head_timer is None:
@@ -77,6 +94,25 @@
                 self._on_head_timeout,
             )
         super().data_received(data)
+        self._check_while_paused()
+
+    def _check_while_paused(self) -> None:
+        """Starts the checks for a close that is not read, if reading paused."""
+        if self._paused_timer is None and self._is_reading_paused():
+            self._paused_timer = asyncio.get_running_loop().call_later(
+                PAUSED_CHECK_PERIOD_S, self._on_paused_check
+            )
+
+    def _is_reading_paused(self) -> bool:
+        return self.transport is not None and not self.transport.is_reading()
+
+    def _on_paused_check(self) -> None:
+        self._paused_timer = None
+        if self._is_reading_paused() and sockets.is_closed_by_peer(
+            self.transport
+        ):
+            self._cancel_request()
+        self._check_while_paused()
 
     def mark_head_complete(self) -> None:
         """Records that a head is complete and its request is being served."""
@@ -167,11 +203,9 @@
         return
     has_end = response.content_length is not None or response.chunked
     if not has_end and request.version < http.HttpVersion11:
-        linger = struct.pack("ii", 1, 0)
-        sock = request.transport.get_extra_info("socket")
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    request.transport.abort()
+        sockets.reset(request.transport)
+    else:
+        request.transport.abort()
 
 
 def make_protocol_factory(
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -17,6 +17,7 @@
 from aiohttp import streams
 
 from chivelb_node.links import parser_errors
+from chivelb_node.links import sockets
 
 # A connection to a target of the region takes a few milliseconds. A lost packet
 # is sent again only after a second, so that another connection is faster.
@@ -298,6 +299,12 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Closes with a reset; the kernel drops what it has not sent yet."""
+        self.unusable = True
+        if self.transport is not None:
+            sockets.reset(self.transport)
+
     def write(self, data: bytes) -> None:
         """Writes a complete request."""
         self._has_response = False
@@ -499,11 +506,11 @@
         connection = exchange.connection
         connection.in_use = False
         head = exchange.head
-        if (
-            head is None
-            or not exchange.is_complete
-            or not connection.is_reusable(head)
-        ):
+        if head is None or not exchange.is_complete:
+            # The target must not get a request later that was given up.
+            connection.reset()
+            return
+        if not connection.is_reusable(head):
             connection.abort()
             return
         connection.responses_read += 1
