Split the connection to a target from the pool of connections

The connection, its limits and errors are in links/http_connection.py; the pool, its exchanges and fetch stay. No behaviour changed; tests of pool, bounds, cut streams, callers that leave and adapter pass.

--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -1,399 +1,21 @@
-"""Pool of HTTP connections to targets that stream bodies without decoding.
-
-Responses are parsed by aiohttp; requests are written as given. A connection
-is reused only after a complete response, and only if no byte has arrived
-since, so that surplus bytes are never read as part of another response.
-"""
+"""Pool of HTTP connections to targets."""
 
 import asyncio
 from collections.abc import Callable
-import contextlib
-import dataclasses
-import socket
-
-from aiohttp import base_protocol
-from aiohttp import http
-from aiohttp import http_exceptions
-from aiohttp import streams
 
-from chivelb_node.links import parser_errors
-from chivelb_node.links import sockets
+from chivelb_node.links import http_connection
 
 # A connection to a target of the region takes a few milliseconds. A lost packet
 # is sent again only after a second, so that another connection is faster.
 CONNECT_TIMEOUT_S = 0.3
-# A connection is closed if sent bytes stay unacknowledged for this long, so
-# that an unreachable target is detected without a TCP reset.
-USER_TIMEOUT_MS = 1_500
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-MAX_IDLE_S = 4.0
-# Limit for one line of a response head.
-MAX_LINE_BYTES = 32_768
-# Limit for received bytes that are followed by neither the end of a response
-# head nor a byte of a body: a head with the interim responses before it, or
-# what frames a body. Bytes that arrive together are counted together.
-MAX_OVERHEAD_BYTES = 65_536
-# Limit for bytes received before the head of the response to a request:
-# responses to other requests, which are discarded. What arrives together with
-# the head counts too, up to the buffer of a response.
-MAX_BYTES_BEFORE_RESPONSE = 1_048_576
-READ_BUFFER_BYTES = 262_144
 # Default limit for a body that is kept until it is complete.
 MAX_FETCHED_BYTES = 1_048_576
 
-HEAD_END = b"\r\n\r\n"
-
-RawHeaders = tuple[tuple[bytes, bytes], ...]
-
 
 class NotSentError(Exception):
     """No connection could be opened, so no byte of the request was sent."""
 
 
-class IncompleteResponseError(Exception):
-    """The response was malformed, or its connection closed too early."""
-
-
-@dataclasses.dataclass(slots=True)
-class Head:
-    """Status line and headers of a response.
-
-    Attributes:
-        status: HTTP status.
-        headers: Headers as received.
-        should_close: Whether the target closes the connection afterwards.
-        idle_timeout_s: Time for which the connection may be kept idle, in
-            seconds.
-    """
-
-    status: int
-    headers: RawHeaders
-    should_close: bool
-    idle_timeout_s: float
-
-    def get(self, name: bytes) -> bytes | None:
-        """Returns the value of the first header with a name, ignoring case.
-
-        Args:
-            name: Name of the header, in lower case.
-        """
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
-
-
-class ResponseLimitError(IncompleteResponseError):
-    """The response exceeded a limit in bytes, so its connection was closed."""
-
-
-class Connection(base_protocol.BaseProtocol):
-    """One connection to a target.
-
-    Attributes:
-        address: ``host:port`` of the target.
-        idle_since: Loop time at which the last response was complete.
-        idle_timeout_s: Time for which it may stay idle, in seconds.
-        responses_read: Number of responses read from it.
-        in_use: Whether a request is in progress.
-        unusable: Whether it must not be reused.
-    """
-
-    def __init__(self, address: str, loop: asyncio.AbstractEventLoop) -> None:
-        """Creates a connection that is not open yet."""
-        super().__init__(loop)
-        self.address = address
-        self.idle_since = 0.0
-        self.idle_timeout_s = MAX_IDLE_S
-        self.responses_read = 0
-        self.in_use = False
-        self.unusable = False
-        self._responses: list[tuple[Head, streams.StreamReader]] = []
-        self._body: streams.StreamReader | None = None
-        # Body that the parser fills, and bytes received without progress.
-        self._incoming_body: streams.StreamReader | None = None
-        self._overhead_bytes = 0
-        # Whether the response to the request was found, and bytes before that.
-        self._has_response = False
-        self._bytes_before_response = 0
-        self._unanswered: list[bytes] = []
-        self._head_waiter: asyncio.Future | None = None
-        self._error: Exception | None = None
-        self._reads_bodies = True
-        self._parser = self._new_parser()
-
-    def _new_parser(self) -> http.HttpResponseParser:
-        return http.HttpResponseParser(
-            self,
-            self._loop,
-            READ_BUFFER_BYTES,
-            payload_exception=IncompleteResponseError,
-            read_until_eof=True,
-            response_with_body=self._reads_bodies,
-            auto_decompress=False,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-        )
-
-    @property
-    def is_open(self) -> bool:
-        """Whether bytes can still be written."""
-        return self.transport is not None and not self.transport.is_closing()
-
-    def connection_made(self, transport) -> None:
-        """Sets the socket options; called by asyncio."""
-        super().connection_made(transport)
-        sock = transport.get_extra_info("socket")
-        options = (
-            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-        )
-        for level, option, value in options:
-            sock.setsockopt(level, option, value)
-
-    def data_received(self, data: bytes) -> None:
-        """Parses received bytes; called by asyncio."""
-        if self._error is not None:
-            return
-        if data and not self._expects_bytes():
-            # Bytes that belong to no request. A body that was received
-            # completely can still be read.
-            self.abort()
-            return
-        body_bytes = self._incoming_body_bytes()
-        try:
-            messages, _, _ = self._parser.feed_data(data)
-        except http_exceptions.HttpProcessingError as error:
-            self._responses.extend(self._complete_responses(data))
-            self._end(
-                IncompleteResponseError(
-                    f"invalid HTTP response: {parser_errors.describe(error)}"
-                )
-            )
-            return
-        if not self._has_response:
-            self._unanswered.append(data)
-        finals = [item for item in messages if item[0].code >= 200]
-        for message, payload in finals:
-            self._responses.append((_parse_head(message), payload))
-            self._incoming_body = payload
-        if finals or self._incoming_body_bytes() > body_bytes:
-            self._overhead_bytes = 0
-        else:
-            self._count_overhead(len(data))
-        if not self._has_response:
-            self._count_before_response(len(data))
-        if (
-            messages
-            and self._head_waiter is not None
-            and not self._head_waiter.done()
-        ):
-            self._head_waiter.set_result(None)
-
-    def _complete_responses(
-        self, data: bytes
-    ) -> list[tuple[Head, streams.StreamReader]]:
-        """Returns the complete responses before bytes that can't be parsed.
-
-        The parser drops what it read together with such bytes. The responses
-        are parsed again, head by head, from the bytes since the request.
-
-        Args:
-            data: The newest bytes.
-        """
-        if self._has_response:
-            return []
-        rest = b"".join((*self._unanswered, data))
-        parser = self._new_parser()
-        found = []
-        with contextlib.suppress(http_exceptions.HttpProcessingError):
-            while rest:
-                end = rest.find(HEAD_END) + len(HEAD_END)
-                if end < len(HEAD_END):
-                    break
-                messages, _, _ = parser.feed_data(rest[:end])
-                found += messages
-                rest = rest[end:]
-                if messages and messages[-1][0].code >= 200:
-                    parser.feed_data(rest)
-                    break
-        return [
-            (_parse_head(message), payload)
-            for message, payload in found
-            if message.code >= 200 and payload.is_eof()
-        ]
-
-    def _expects_bytes(self) -> bool:
-        """Returns whether a part of a response is still to be received."""
-        is_complete = self._has_response and self._body.is_eof()
-        return self.in_use and not is_complete
-
-    def _incoming_body_bytes(self) -> int:
-        """Returns how many bytes of the incoming body were received."""
-        body = self._incoming_body
-        return 0 if body is None else body.total_bytes
-
-    def _count_overhead(self, size: int) -> None:
-        self._overhead_bytes += size
-        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
-            self._end(
-                ResponseLimitError(
-                    f"over {MAX_OVERHEAD_BYTES} bytes that are neither a "
-                    f"complete response head nor a body"
-                )
-            )
-
-    def _count_before_response(self, size: int) -> None:
-        self._bytes_before_response += size
-        if self._bytes_before_response > MAX_BYTES_BEFORE_RESPONSE:
-            self._end(
-                ResponseLimitError(
-                    f"over {MAX_BYTES_BEFORE_RESPONSE} bytes without a "
-                    f"response to the request"
-                )
-            )
-
-    def _end(self, error: Exception) -> None:
-        """Ends the response in progress and closes at once."""
-        self._fail(error)
-        self.abort()
-
-    def eof_received(self) -> None:
-        """Lets the transport close itself; called by asyncio."""
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Ends the response in progress; called by asyncio."""
-        super().connection_lost(exc)
-        self.unusable = True
-        if exc is None and self._error is None:
-            try:
-                # A response without a length ends when the connection closes.
-                self._parser.feed_eof()
-            except (
-                IncompleteResponseError,
-                http_exceptions.HttpProcessingError,
-            ):
-                pass
-        self._fail(
-            IncompleteResponseError(f"connection lost: {exc or 'closed'}")
-        )
-
-    def _fail(self, error: Exception) -> None:
-        if self._error is None:
-            self._error = error
-        for _, payload in self._responses:
-            _fail_body(payload, error)
-        if self._body is not None:
-            _fail_body(self._body, error)
-        if self._head_waiter is not None and not self._head_waiter.done():
-            self._head_waiter.set_result(None)
-
-    def abort(self) -> None:
-        """Closes at once; the target sees a reset or an early end of stream."""
-        self.unusable = True
-        if self.transport is not None:
-            self.transport.abort()
-
-    def reset(self) -> None:
-        """Closes with a reset; the kernel drops what it has not sent yet."""
-        self.unusable = True
-        if self.transport is not None:
-            sockets.reset(self.transport)
-
-    def write(self, data: bytes) -> None:
-        """Writes a complete request."""
-        self._has_response = False
-        self._bytes_before_response = 0
-        self._overhead_bytes = 0
-        self._unanswered.clear()
-        reads_bodies = not data.startswith(b"HEAD ")
-        if reads_bodies != self._reads_bodies:
-            self._reads_bodies = reads_bodies
-            self._parser = self._new_parser()
-        self.transport.write(data)
-
-    async def read_head(
-        self, is_response_to_request: Callable[[Head], bool]
-    ) -> Head:
-        """Waits for the head of the response to the request in progress.
-
-        Args:
-            is_response_to_request: Returns whether a response belongs to the
-                request; others are discarded with their bodies.
-
-        Raises:
-            IncompleteResponseError: The connection closed before the response.
-        """
-        while True:
-            while not self._responses:
-                if self._error is not None:
-                    raise self._error
-                self._head_waiter = self._loop.create_future()
-                await self._head_waiter
-            head, payload = self._responses.pop(0)
-            self._body = payload
-            if is_response_to_request(head):
-                self._has_response = True
-                self._unanswered.clear()
-                return head
-            while await self.read():
-                pass
-
-    async def read(self) -> bytes:
-        """Returns the next bytes of the body; empty at its end.
-
-        Raises:
-            IncompleteResponseError: The connection closed before the body
-                ended.
-        """
-        data = await self._body.readany()
-        return data
-
-    def is_reusable(self, head: Head) -> bool:
-        """Returns whether the connection may be used for another request."""
-        return (
-            self.is_open
-            and not self.unusable
-            and not head.should_close
-            and not self._responses
-            and self._body is not None
-            and self._body.is_eof()
-            and self.transport.get_write_buffer_size() == 0
-        )
-
-
-def _fail_body(payload: streams.StreamReader, error: Exception) -> None:
-    if not payload.is_eof() and payload.exception() is None:
-        payload.set_exception(error)
-
-
-def _parse_head(message) -> Head:
-    idle_timeout_s = MAX_IDLE_S
-    for name, value in message.raw_headers:
-        if name.lower() == b"keep-alive":
-            idle_timeout_s = min(idle_timeout_s, _parse_idle_timeout(value))
-    return Head(
-        message.code,
-        message.raw_headers,
-        bool(message.should_close),
-        idle_timeout_s,
-    )
-
-
-def _parse_idle_timeout(value: bytes) -> float:
-    """Returns half of the timeout in a Keep-Alive header, in seconds."""
-    for part in value.split(b","):
-        name, _, number = part.strip().partition(b"=")
-        if name.strip().lower() == b"timeout" and number.strip().isdigit():
-            return int(number) / 2
-    return MAX_IDLE_S
-
-
 class Exchange:
     """One request on a connection and its response.
 
@@ -406,16 +28,18 @@
 
     __slots__ = ("pool", "connection", "head", "is_complete")
 
-    def __init__(self, pool: "HttpPool", connection: Connection) -> None:
+    def __init__(
+        self, pool: "HttpPool", connection: http_connection.Connection
+    ) -> None:
         """Takes over a connection; ``close`` must be called exactly once."""
         self.pool = pool
         self.connection = connection
-        self.head: Head | None = None
+        self.head: http_connection.Head | None = None
         self.is_complete = False
 
     async def start(
-        self, is_response_to_request: Callable[[Head], bool]
-    ) -> Head:
+        self, is_response_to_request: Callable[[http_connection.Head], bool]
+    ) -> http_connection.Head:
         """Waits for the head of the response; see ``Connection.read_head``."""
         self.head = await self.connection.read_head(is_response_to_request)
         return self.head
@@ -442,7 +66,7 @@
 
     def __init__(self) -> None:
         """Creates an empty pool."""
-        self.idle: dict[str, list[Connection]] = {}
+        self.idle: dict[str, list[http_connection.Connection]] = {}
         self.connections_opened = 0
 
     async def send(
@@ -475,7 +99,7 @@
         connection.idle_since = asyncio.get_running_loop().time()
         self.idle.setdefault(address, []).append(connection)
 
-    def _take_idle(self, address: str) -> Connection | None:
+    def _take_idle(self, address: str) -> http_connection.Connection | None:
         connections = self.idle.get(address)
         now = asyncio.get_running_loop().time()
         while connections:
@@ -487,13 +111,15 @@
             connection.abort()
         return None
 
-    async def _open(self, address: str) -> Connection:
+    async def _open(self, address: str) -> http_connection.Connection:
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(address, loop), host, int(port)
+                    lambda: http_connection.Connection(address, loop),
+                    host,
+                    int(port),
                 )
         except (OSError, TimeoutError) as error:
             detail = str(error) or type(error).__name__
@@ -578,6 +204,8 @@
     while chunk := await exchange.read():
         size += len(chunk)
         if size > max_bytes:
-            raise ResponseLimitError(f"body exceeds {max_bytes} bytes")
+            raise http_connection.ResponseLimitError(
+                f"body exceeds {max_bytes} bytes"
+            )
         chunks.append(chunk)
     return b"".join(chunks)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -17,6 +17,7 @@
 from chivelb_node.control import rollout
 from chivelb_node.edge import connections
 from chivelb_node.links import events
+from chivelb_node.links import http_connection
 from chivelb_node.links import http_pool
 from chivelb_node.links import part_events
 from chivelb_node.links import runners
@@ -74,7 +75,7 @@
     )
 
     async def scenario(pool):
-        with pytest.raises(http_pool.IncompleteResponseError) as caught:
+        with pytest.raises(http_connection.IncompleteResponseError) as caught:
             await read_answer(pool, target)
         await endless.ended.wait()
         assert await read_answer(pool, target) == b"next"
@@ -221,7 +222,9 @@
         await endless.ended.wait()
         return kept
 
-    assert run_with_pool(target, scenario) < 4 * http_pool.READ_BUFFER_BYTES
+    assert (
+        run_with_pool(target, scenario) < 4 * http_connection.READ_BUFFER_BYTES
+    )
     assert endless.sent_bytes < MAX_ACCEPTED_BYTES
 
 
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+from chivelb_node.links import http_connection
 from chivelb_node.links import http_pool
 import pytest
 import scripted
@@ -72,7 +73,7 @@
     target = scripted.ScriptedTarget([sent, 0.05, ending])
 
     async def scenario(pool):
-        with pytest.raises(http_pool.IncompleteResponseError):
+        with pytest.raises(http_connection.IncompleteResponseError):
             await fetch(pool, target)
 
     run_scenario(target, scenario)
@@ -97,7 +98,7 @@
     async def scenario(pool):
         exchange = await pool.send(target.address, REQUEST)
         await exchange.start(lambda head: True)
-        with pytest.raises(http_pool.IncompleteResponseError):
+        with pytest.raises(http_connection.IncompleteResponseError):
             while await exchange.read():
                 pass
         exchange.close()
@@ -156,7 +157,7 @@
     target = scripted.ScriptedTarget([b"\x00\x01garbage\r\n\r\n"])
 
     async def scenario(pool):
-        with pytest.raises(http_pool.IncompleteResponseError):
+        with pytest.raises(http_connection.IncompleteResponseError):
             await fetch(pool, target)
 
     run_scenario(target, scenario)
