Split the relay of responses from the forwarder

forwarding/forwarder.py had grown to 600 lines: attempts, retries, suspects, and how a reply becomes a part of the caller's response. The latter, with what was sent so far and the checks of ends and resumes, is forwarding/relay.py. No behaviour changed; tests of forwarder, cut streams, versions, bounds, callers that leave and entrance pass.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
-import dataclasses
 
 from chivelb_core import calls
 from chivelb_core import codes
@@ -18,34 +17,13 @@
 from chivelb_node.edge import responses
 from chivelb_node.forwarding import admission as admission_lib
 from chivelb_node.forwarding import ports
-from chivelb_node.links import events
+from chivelb_node.forwarding import relay as relay_lib
 from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import metrics as metrics_lib
 
-MAX_BUFFERED_BYTES = 262_144
 _log = logs.get_logger("forwarder")
 
 
-@dataclasses.dataclass(slots=True)
-class Delivery:
-    """Tracks which part of a response has reached the caller.
-
-    Attributes:
-        head_sent: Whether the response head was sent to the caller.
-        last_event_id: Id of the last event sent, or empty.
-        status: HTTP status sent to the caller; 0 before the head is sent.
-        first_byte_at: Monotonic time of the first byte in seconds, or None.
-        framing: What ends the response of the target that replied last, or
-            None.
-    """
-
-    head_sent: bool = False
-    last_event_id: str = ""
-    status: int = 0
-    first_byte_at: float | None = None
-    framing: ports.Framing | None = None
-
-
 class Forwarder:
     """Serves calls by sending attempts to targets.
 
@@ -102,10 +80,11 @@
             message: The request to forward.
             caller: Connection to the caller.
         """
-        delivery = Delivery()
+        relay = relay_lib.ResponseRelay(caller)
+        delivery = relay.delivery
         error_detail = None
         try:
-            await self._run_attempts(call, message, caller, delivery)
+            await self._run_attempts(call, message, relay)
         except responses.RequestError as error:
             error_detail = retry_delay.with_retry_delay(
                 error.error_detail, self.context.rng, backlog_s=error.backlog_s
@@ -137,8 +116,7 @@
         self,
         call: forwarding.Call,
         message: ports.Message,
-        caller: ports.CallerPort,
-        delivery: Delivery,
+        relay: relay_lib.ResponseRelay,
     ) -> None:
         if call.takes_up_stream:
             await self._bind_to_origin(call)
@@ -151,11 +129,9 @@
             except responses.RequestError as error:
                 raise _prefer_attempt_outcome(last_outcome, error) from None
             try:
-                _check_caller(caller)
+                _check_caller(relay.caller)
                 async with _attempt_deadline(call):
-                    await self._run_attempt(
-                        call, message, caller, delivery, reservation
-                    )
+                    await self._run_attempt(call, message, relay, reservation)
                 self._clear_suspect(call)
                 return
             except calls.AttemptError as failure:
@@ -163,7 +139,7 @@
             finally:
                 self.admission_queue.release(reservation, call.service)
             self._record_failure(call, reservation.record, last_outcome)
-            if not self._may_retry(call, last_outcome, delivery):
+            if not self._may_retry(call, last_outcome, relay.delivery):
                 raise responses.RequestError(
                     last_outcome.code, last_outcome.detail
                 )
@@ -205,8 +181,7 @@
         self,
         call: forwarding.Call,
         message: ports.Message,
-        caller: ports.CallerPort,
-        delivery: Delivery,
+        relay: relay_lib.ResponseRelay,
         reservation: admission_lib.Reservation,
     ) -> None:
         record = reservation.record
@@ -214,7 +189,7 @@
         assignment = ports.Assignment(
             record,
             remaining_s=call.deadline - context_lib.monotonic(),
-            resume_after=delivery.last_event_id,
+            resume_after=relay.delivery.last_event_id,
         )
         placement = reservation.placement
         if placement.fetch_plan is not None:
@@ -224,123 +199,37 @@
             assignment.save_addresses = reservation.save_addresses
         call.attempts += 1
         reply = await self.target_port.send(call, message, assignment)
-        delivery.framing = reply.framing
+        relay.delivery.framing = reply.framing
         try:
             if reply.is_stream and reply.status == 200:
-                await self._forward_stream(
-                    call, reply, caller, delivery, reservation
+                await relay.relay_stream(
+                    reply,
+                    on_events=lambda: self._record_events(call, reservation),
+                    may_be_empty=call.takes_up_stream,
                 )
-            elif delivery.head_sent:
-                raise _failed_resume(reply)
             else:
-                await self._forward_body(call, reply, caller, delivery)
+                await relay.relay_body(
+                    reply,
+                    should_retry=lambda: self._should_retry_status(call, reply),
+                )
         finally:
             reply.close()
         self.context.targets.record_success(record.identity)
 
-    async def _forward_stream(
-        self,
-        call: forwarding.Call,
-        reply: ports.Reply,
-        caller: ports.CallerPort,
-        delivery: Delivery,
-        reservation: admission_lib.Reservation,
-    ) -> None:
-        batches = events.split_events(reply.chunks())
-        resumed_after = delivery.last_event_id
-        try:
-            async with contextlib.aclosing(batches):
-                async for batch in batches:
-                    event_id = events.last_event_id(batch)
-                    if resumed_after and event_id:
-                        _check_continues(batch, resumed_after)
-                        resumed_after = ""
-                    self.admission_queue.record_first_event(reservation)
-                    self._record_origin(call, reservation.record)
-                    await self._send_head(reply, caller, delivery)
-                    await caller.send_body(batch)
-                    delivery.last_event_id = event_id or delivery.last_event_id
-        except events.StreamError as error:
-            raise calls.AttemptError(
-                attempt_lib.Outcome(
-                    calls.OutcomeKind.UNKNOWN,
-                    codes.OUTCOME_UNKNOWN,
-                    str(error),
-                    target_crashed=_shows_crash(error, reply),
-                )
-            ) from None
-        if not delivery.head_sent and _ended_without_events(call, reply):
-            raise calls.AttemptError(
-                attempt_lib.Outcome(
-                    calls.OutcomeKind.UNKNOWN,
-                    codes.OUTCOME_UNKNOWN,
-                    "connection closed before the first event",
-                )
-            )
-        await self._send_head(reply, caller, delivery)
-        await caller.finish()
-
-    def _record_origin(
-        self, call: forwarding.Call, record: targets.TargetRecord
+    def _record_events(
+        self, call: forwarding.Call, reservation: admission_lib.Reservation
     ) -> None:
-        """Records the origin of a stream at its first event."""
+        """Records the first token and, once, the origin of a stream."""
+        self.admission_queue.record_first_event(reservation)
         if call.origin_recorded:
             return
         call.origin_recorded = True
-        call.software_version = record.software_version
+        call.software_version = reservation.record.software_version
         origin = stream_origins.StreamOrigin(
-            call.service, record.software_version
+            call.service, call.software_version
         )
         self.origins.record(call, origin)
 
-    async def _forward_body(
-        self,
-        call: forwarding.Call,
-        reply: ports.Reply,
-        caller: ports.CallerPort,
-        delivery: Delivery,
-    ) -> None:
-        """Forwards a response that is not an event stream.
-
-        The body is buffered until it is complete, so that a failed attempt
-        can still be retried. Bodies above ``MAX_BUFFERED_BYTES`` are sent as
-        they arrive.
-        """
-        buffered = []
-        size = 0
-        chunks = reply.chunks()
-        async with contextlib.aclosing(chunks):
-            async for chunk in chunks:
-                buffered.append(chunk)
-                size += len(chunk)
-                if size > MAX_BUFFERED_BYTES:
-                    await self._send_head(reply, caller, delivery)
-                    await caller.send_body(b"".join(buffered))
-                    buffered = []
-        if not delivery.head_sent and self._should_retry_status(call, reply):
-            raise calls.AttemptError(
-                attempt_lib.Outcome(
-                    calls.OutcomeKind.UNKNOWN,
-                    codes.TARGET_FAILED,
-                    f"status {reply.status}",
-                )
-            )
-        await self._send_head(reply, caller, delivery)
-        if buffered:
-            await caller.send_body(b"".join(buffered))
-        await caller.finish()
-
-    async def _send_head(
-        self, reply: ports.Reply, caller: ports.CallerPort, delivery: Delivery
-    ) -> None:
-        if not delivery.head_sent:
-            delivery.head_sent = True
-            delivery.status = reply.status
-            delivery.first_byte_at = context_lib.monotonic()
-            # Another target may continue a stream, with another length.
-            length = None if reply.is_stream else reply.length
-            await caller.send_head(reply, length)
-
     def _should_retry_status(
         self, call: forwarding.Call, reply: ports.Reply
     ) -> bool:
@@ -359,7 +248,7 @@
         self,
         call: forwarding.Call,
         outcome: attempt_lib.Outcome,
-        delivery: Delivery,
+        delivery: relay_lib.Delivery,
     ) -> bool:
         now = context_lib.monotonic()
         if now >= call.deadline:
@@ -444,7 +333,7 @@
     def _log_completion(
         self,
         call: forwarding.Call,
-        delivery: Delivery,
+        delivery: relay_lib.Delivery,
         error_detail: codes.ErrorDetail | None,
     ) -> None:
         now = context_lib.monotonic()
@@ -517,47 +406,6 @@
         ) from None
 
 
-def _ended_without_events(call: forwarding.Call, reply: ports.Reply) -> bool:
-    """Returns whether a stream without any event is no complete one.
-
-    A stream that is taken up may have no more events, and a last chunk or a
-    length tells the end; a mere close of the connection does not.
-    """
-    return reply.framing is ports.Framing.CLOSE and not call.takes_up_stream
-
-
-def _check_continues(run: bytes, last_event_id: str) -> None:
-    """Raises ``StreamError`` if a resumed stream begins too early."""
-    if events.is_repeated(run, last_event_id):
-        raise events.StreamError(
-            f"resumed stream begins at event {events.first_event_id(run)!r}, "
-            f"expected one after {last_event_id!r}"
-        )
-
-
-def _shows_crash(error: events.StreamError, reply: ports.Reply) -> bool:
-    """Returns whether an invalid stream presumes a crash of its target.
-
-    A connection that was closed in the middle of an event does, like any other
-    that is lost within a response; a last chunk there is orderly.
-    """
-    return (
-        isinstance(error, events.TruncatedStreamError)
-        and reply.framing is ports.Framing.CLOSE
-    )
-
-
-def _failed_resume(reply: ports.Reply) -> calls.AttemptError:
-    """Returns the error of a resume that was answered without a stream."""
-    return calls.AttemptError(
-        attempt_lib.Outcome(
-            calls.OutcomeKind.UNKNOWN,
-            codes.TARGET_FAILED,
-            f"resume answered with status {reply.status}",
-        )
-    )
-
-
 def _prefer_attempt_outcome(
     last_outcome: attempt_lib.Outcome | None, error: responses.RequestError
 ) -> responses.RequestError:
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -0,0 +1,188 @@
+"""Relays the responses of targets to the caller of one call."""
+
+from collections.abc import Callable
+import contextlib
+import dataclasses
+
+from chivelb_core import calls
+from chivelb_core import codes
+from chivelb_core.calls import attempt as attempt_lib
+
+from chivelb_node import context as context_lib
+from chivelb_node.forwarding import ports
+from chivelb_node.links import events
+
+MAX_BUFFERED_BYTES = 262_144
+
+
+@dataclasses.dataclass(slots=True)
+class Delivery:
+    """Tracks which part of a response has reached the caller.
+
+    Attributes:
+        head_sent: Whether the response head was sent to the caller.
+        last_event_id: Id of the last event sent, or empty.
+        status: HTTP status sent to the caller; 0 before the head is sent.
+        first_byte_at: Monotonic time of the first byte in seconds, or None.
+        framing: What ends the response of the target that replied last, or
+            None.
+    """
+
+    head_sent: bool = False
+    last_event_id: str = ""
+    status: int = 0
+    first_byte_at: float | None = None
+    framing: ports.Framing | None = None
+
+
+class ResponseRelay:
+    """Sends the caller one response, made of the replies to its attempts.
+
+    Attributes:
+        caller: Connection to the caller.
+        delivery: What has reached the caller.
+    """
+
+    __slots__ = ("caller", "delivery")
+
+    def __init__(self, caller: ports.CallerPort) -> None:
+        """Creates a relay that has sent nothing."""
+        self.caller = caller
+        self.delivery = Delivery()
+
+    async def relay_stream(
+        self,
+        reply: ports.Reply,
+        *,
+        on_events: Callable[[], None],
+        may_be_empty: bool,
+    ) -> None:
+        """Relays an event stream, or the rest of one that was begun.
+
+        Args:
+            reply: The reply of a target.
+            on_events: Called before events are sent.
+            may_be_empty: Whether the stream may have no events at all.
+
+        Raises:
+            calls.AttemptError: The stream is invalid or not complete.
+        """
+        try:
+            await self._relay_events(reply, on_events)
+        except events.StreamError as error:
+            raise _unknown_outcome(
+                codes.OUTCOME_UNKNOWN,
+                str(error),
+                target_crashed=_shows_crash(error, reply),
+            ) from None
+        # The end of a connection alone does not tell that of a stream.
+        has_ended = reply.framing is not ports.Framing.CLOSE
+        if not (self.delivery.head_sent or may_be_empty or has_ended):
+            raise _unknown_outcome(
+                codes.OUTCOME_UNKNOWN,
+                "connection closed before the first event",
+            )
+        await self._send_head(reply)
+        await self.caller.finish()
+
+    async def _relay_events(
+        self, reply: ports.Reply, on_events: Callable[[], None]
+    ) -> None:
+        delivery = self.delivery
+        resumed_after = delivery.last_event_id
+        runs = events.split_events(reply.chunks())
+        async with contextlib.aclosing(runs):
+            async for run in runs:
+                event_id = events.last_event_id(run)
+                if resumed_after and event_id:
+                    _check_continues(run, resumed_after)
+                    resumed_after = ""
+                on_events()
+                await self._send_head(reply)
+                await self.caller.send_body(run)
+                delivery.last_event_id = event_id or delivery.last_event_id
+
+    async def relay_body(
+        self, reply: ports.Reply, *, should_retry: Callable[[], bool]
+    ) -> None:
+        """Relays a response that is not an event stream.
+
+        The body is buffered until it is complete, so that a failed attempt
+        can still be retried. Bodies above ``MAX_BUFFERED_BYTES`` are sent as
+        they arrive.
+
+        Args:
+            reply: The reply of a target.
+            should_retry: Returns whether another attempt is to be made instead,
+                as long as nothing was sent.
+
+        Raises:
+            calls.AttemptError: The response is not complete, does not continue
+                the stream that was begun, or another attempt is to be made.
+        """
+        if self.delivery.head_sent:
+            raise _unknown_outcome(
+                codes.TARGET_FAILED,
+                f"resume answered with status {reply.status}",
+            )
+        buffered = []
+        size = 0
+        chunks = reply.chunks()
+        async with contextlib.aclosing(chunks):
+            async for chunk in chunks:
+                buffered.append(chunk)
+                size += len(chunk)
+                if size > MAX_BUFFERED_BYTES:
+                    await self._send_head(reply)
+                    await self.caller.send_body(b"".join(buffered))
+                    buffered = []
+        if not self.delivery.head_sent and should_retry():
+            raise _unknown_outcome(
+                codes.TARGET_FAILED, f"status {reply.status}"
+            )
+        await self._send_head(reply)
+        if buffered:
+            await self.caller.send_body(b"".join(buffered))
+        await self.caller.finish()
+
+    async def _send_head(self, reply: ports.Reply) -> None:
+        delivery = self.delivery
+        if delivery.head_sent:
+            return
+        delivery.head_sent = True
+        delivery.status = reply.status
+        delivery.first_byte_at = context_lib.monotonic()
+        # Another target may continue a stream, with another length.
+        length = None if reply.is_stream else reply.length
+        await self.caller.send_head(reply, length)
+
+
+def _check_continues(run: bytes, last_event_id: str) -> None:
+    """Raises ``StreamError`` if a resumed stream begins too early."""
+    if events.is_repeated(run, last_event_id):
+        raise events.StreamError(
+            f"resumed stream begins at event {events.first_event_id(run)!r}, "
+            f"expected one after {last_event_id!r}"
+        )
+
+
+def _shows_crash(error: events.StreamError, reply: ports.Reply) -> bool:
+    """Returns whether an invalid stream presumes a crash of its target.
+
+    A connection that was closed in the middle of an event does, like any other
+    that is lost within a response; a last chunk there is orderly.
+    """
+    return (
+        isinstance(error, events.TruncatedStreamError)
+        and reply.framing is ports.Framing.CLOSE
+    )
+
+
+def _unknown_outcome(
+    code: codes.ResultCode, detail: str, *, target_crashed: bool = False
+) -> calls.AttemptError:
+    return calls.AttemptError(
+        attempt_lib.Outcome(
+            calls.OutcomeKind.UNKNOWN, code, detail, target_crashed
+        )
+    )
