Split pacing from the polled rollout; socket options in one place

The keepalive options stood twice, in the link to a peer and in the connection to a target: links/sockets.set_keepalive. No behaviour changed; tests of rollouts, hub and pool pass.

--- a/packages/chivelb-core/chivelb_core/rollout/polled_rollout.py
+++ b/packages/chivelb-core/chivelb_core/rollout/polled_rollout.py
@@ -6,14 +6,13 @@
 that arrives late, after another one.
 """
 
-import bisect
 from collections.abc import Iterator
 import dataclasses
-import heapq
 import math
 import statistics
 
 from chivelb_core import targets
+from chivelb_core.rollout import pacing
 
 # Share of the runners that may be without requests, unless the version would
 # be in force too late.
@@ -277,13 +276,7 @@
         ends = sorted(
             state.held_since + change_s for state in self._changing(now)
         )
-        return bisect.bisect_left(
-            range(len(ends) + len(due_times)),
-            True,
-            key=lambda places: _are_in_time(
-                due_times, ends, places=places, change_s=change_s, now=now
-            ),
-        )
+        return pacing.places_needed(due_times, ends, change_s=change_s, now=now)
 
     def _due_at(self, identity: str) -> float:
         return self.due_at.get(identity, math.inf)
@@ -456,36 +449,6 @@
     )
 
 
-def _are_in_time(
-    due_times: list[float],
-    ends: list[float],
-    *,
-    places: int,
-    change_s: float,
-    now: float,
-) -> bool:
-    """Whether runners can all change in time.
-
-    Args:
-        due_times: Monotonic time by which each that waits is to have changed,
-            in seconds, in ascending order.
-        ends: Expected ends of the changes in progress, likewise.
-        places: Number of runners that may change at a time.
-        change_s: Duration of a change in seconds.
-        now: Monotonic time in seconds.
-    """
-    if not due_times:
-        return True
-    # When each place is free, in seconds.
-    free_at = [now] * (places - len(ends)) + ends[max(0, len(ends) - places) :]
-    heapq.heapify(free_at)
-    for due_at in due_times:
-        if not free_at or max(free_at[0], now) + change_s > due_at:
-            return False
-        heapq.heapreplace(free_at, max(free_at[0], now) + change_s)
-    return True
-
-
 def _needs_query(state: RunnerState, now: float) -> bool:
     return (
         state.report is None
--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import socket
 
 from aiohttp import base_protocol
 from aiohttp import http
@@ -136,16 +135,13 @@
     def connection_made(self, transport) -> None:
         """Sets the socket options; called by asyncio."""
         super().connection_made(transport)
-        sock = transport.get_extra_info("socket")
-        options = (
-            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        sockets.set_keepalive(
+            transport.get_extra_info("socket"),
+            idle_s=KEEPALIVE_IDLE_S,
+            interval_s=KEEPALIVE_INTERVAL_S,
+            probes=KEEPALIVE_PROBES,
+            user_timeout_ms=USER_TIMEOUT_MS,
         )
-        for level, option, value in options:
-            sock.setsockopt(level, option, value)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; called by asyncio."""
--- a/packages/chivelb-node/chivelb_node/links/peer_link.py
+++ b/packages/chivelb-node/chivelb_node/links/peer_link.py
@@ -7,12 +7,12 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import socket
 
 import msgspec
 
 from chivelb_node import context as context_lib
 from chivelb_node import settings as settings_lib
+from chivelb_node.links import sockets
 from chivelb_node.wire import authentication
 
 MAX_HELLO_BYTES = 512
@@ -154,15 +154,13 @@
     sock = writer.get_extra_info("socket")
     if sock is None:
         return
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    sockets.set_keepalive(
+        sock,
+        idle_s=KEEPALIVE_IDLE_S,
+        interval_s=KEEPALIVE_INTERVAL_S,
+        probes=KEEPALIVE_PROBES,
+        user_timeout_ms=USER_TIMEOUT_MS,
     )
-    for level, option, value in options:
-        sock.setsockopt(level, option, value)
 
 
 def _write_hello(
--- a/packages/chivelb-node/chivelb_node/links/sockets.py
+++ b/packages/chivelb-node/chivelb_node/links/sockets.py
@@ -11,6 +11,35 @@
 _CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
+def set_keepalive(
+    sock: socket.socket,
+    *,
+    idle_s: int,
+    interval_s: int,
+    probes: int,
+    user_timeout_ms: int,
+) -> None:
+    """Sets socket options so that the kernel closes dead connections.
+
+    Args:
+        sock: Socket of the connection.
+        idle_s: Time without received bytes before the first probe, in seconds.
+        interval_s: Time between probes, in seconds.
+        probes: Number of probes without a reply after which it closes.
+        user_timeout_ms: Time after which it closes if sent bytes stay
+            unacknowledged, in milliseconds.
+    """
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, interval_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms),
+    )
+    for level, option, value in options:
+        sock.setsockopt(level, option, value)
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Closes a connection with a reset.
 
