--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -365,6 +365,8 @@
             if delivery.framing is None
             else delivery.framing.value,
             last_event=delivery.last_event_id,
+            target_events=delivery.target_events,
+            unfinished_event=delivery.unfinished_event,
             first_ms=first_ms,
             took_ms=round((now - call.arrived_at) * 1000),
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -26,6 +26,9 @@
         first_byte_at: Monotonic time of the first byte in seconds, or None.
         framing: What ends the response of the target that replied last, or
             None.
+        target_events: Number of runs of events that this target sent.
+        unfinished_event: Whether a part of an event was received after the
+            last complete one, from any target.
     """
 
     head_sent: bool = False
@@ -33,6 +36,8 @@
     status: int = 0
     first_byte_at: float | None = None
     framing: ports.Framing | None = None
+    target_events: int = 0
+    unfinished_event: bool = False
 
 
 class ResponseRelay:
@@ -89,18 +94,31 @@
         self, reply: ports.Reply, on_events: Callable[[], None]
     ) -> None:
         delivery = self.delivery
+        delivery.target_events = 0
         resumed_after = delivery.last_event_id
-        runs = events.split_events(reply.chunks())
-        async with contextlib.aclosing(runs):
-            async for run in runs:
-                event_id = events.last_event_id(run)
-                if resumed_after and event_id:
-                    _check_continues(run, resumed_after)
-                    resumed_after = ""
-                on_events()
-                await self._send_head(reply)
-                await self.caller.send_body(run)
-                delivery.last_event_id = event_id or delivery.last_event_id
+        incomplete = bytearray()
+        runs = events.split_events(reply.chunks(), incomplete)
+        try:
+            async with contextlib.aclosing(runs):
+                async for run in runs:
+                    event_id = events.last_event_id(run)
+                    if resumed_after and event_id:
+                        _check_continues(run, resumed_after)
+                        resumed_after = ""
+                    on_events()
+                    await self._send_head(reply)
+                    await self.caller.send_body(run)
+                    delivery.last_event_id = event_id or delivery.last_event_id
+                    self._record_run(run)
+        finally:
+            if events.has_event(incomplete):
+                delivery.unfinished_event = True
+
+    def _record_run(self, run: bytes) -> None:
+        """Records a run of complete events; others have comments only."""
+        if events.has_event(run):
+            self.delivery.target_events += 1
+            self.delivery.unfinished_event = False
 
     async def relay_body(
         self, reply: ports.Reply, *, should_retry: Callable[[], bool]
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -41,16 +41,24 @@
     is_heartbeat: bool = False
 
 
-async def split_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+async def split_events(
+    chunks: AsyncIterator[bytes], incomplete: bytearray | None = None
+) -> AsyncIterator[bytes]:
     """Yields runs of complete events; buffers an incomplete last event.
 
     Blank lines after the last event form a run of their own.
 
+    Args:
+        chunks: The stream.
+        incomplete: Empty buffer; holds the incomplete last event, also after
+            the stream has failed.
+
     Raises:
         StreamError: An event exceeds ``MAX_EVENT_BYTES``.
         TruncatedStreamError: The stream ends in the middle of an event.
     """
-    incomplete = bytearray()
+    if incomplete is None:
+        incomplete = bytearray()
     async for chunk in chunks:
         # A delimiter may begin with bytes received before.
         unsearched = max(0, len(incomplete) - MAX_DELIMITER_OVERLAP_BYTES)
@@ -70,6 +78,11 @@
         yield bytes(incomplete)
 
 
+def has_event(data: bytes | bytearray) -> bool:
+    """Returns whether bytes of a stream hold more than comments."""
+    return any(line and not line.startswith(b":") for line in data.splitlines())
+
+
 def _end_of_events(data: bytearray, start: int) -> int:
     """Returns the offset behind the last complete event; 0 for none.
 
