A close is the end of a stream only behind an event

Callers saw a stream without events, or without its last ones, framed as complete: the caller took the stream up, or our own resume brought the rest, and the target closed an answer without a length before any event (or behind comments only). relay_stream allowed such an answer to be empty once the caller had taken the stream up or the head was sent, whatever framed it.

A close now ends a stream only behind an event of the same target; else the outcome is unknown and another target is tried. A resume that has no event and ends with its last chunk or length is still complete.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -205,7 +205,6 @@
                 await relay.relay_stream(
                     reply,
                     on_events=lambda: self._record_events(call, reservation),
-                    may_be_empty=call.takes_up_stream,
                 )
             else:
                 await relay.relay_body(
--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -60,14 +60,12 @@
         reply: ports.Reply,
         *,
         on_events: Callable[[], None],
-        may_be_empty: bool,
     ) -> None:
         """Relays an event stream, or the rest of one that was begun.
 
         Args:
             reply: The reply of a target.
             on_events: Called before events are sent.
-            may_be_empty: Whether the stream may have no events at all.
 
         Raises:
             calls.AttemptError: The stream is invalid or not complete.
@@ -80,15 +78,23 @@
                 str(error),
                 target_crashed=_shows_crash(error, reply),
             ) from None
-        # The end of a connection alone does not tell that of a stream.
-        has_ended = reply.framing is not ports.Framing.CLOSE
-        if not (self.delivery.head_sent or may_be_empty or has_ended):
+        self._check_end(reply)
+        await self._send_head(reply)
+        await self.caller.finish()
+
+    def _check_end(self, reply: ports.Reply) -> None:
+        """Raises ``AttemptError`` if the end of a stream is not proved.
+
+        A close is the end of a stream only behind an event: the connection may
+        have been lost before the target had written anything.
+        """
+        if self.delivery.target_events:
+            return
+        if reply.framing is ports.Framing.CLOSE:
             raise _unknown_outcome(
                 codes.OUTCOME_UNKNOWN,
                 "connection closed before the first event",
             )
-        await self._send_head(reply)
-        await self.caller.finish()
 
     async def _relay_events(
         self, reply: ports.Reply, on_events: Callable[[], None]
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -46,7 +46,7 @@
 # any event, and that reached the caller as complete.
 def test_a_close_before_any_event_does_not_end_a_stream_that_is_taken_up():
     received = call(unframed(), unframed(), extra=TAKES_UP)
-    assert not received.is_framed_as_complete
+    assert received.data.startswith(b"HTTP/1.1 502 ")
 
 
 # Guards against such a stream that is not tried at another target.
