An event begun by one target is due from the next

Callers saw a complete stream without an event of which a part had been received: the first target stopped within it, and the target of our resume ended its answer properly without any event. What was known of the event was dropped with the buffer of the first reply.

--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -86,7 +86,8 @@
         """Raises ``AttemptError`` if the end of a stream is not proved.
 
         A close is the end of a stream only behind an event: the connection may
-        have been lost before the target had written anything.
+        have been lost before the target had written anything. A stream of
+        which a part of an event was received has that event still to come.
         """
         if self.delivery.target_events:
             return
@@ -95,6 +96,12 @@
                 codes.OUTCOME_UNKNOWN,
                 "connection closed before the first event",
             )
+        if self.delivery.unfinished_event:
+            raise _unknown_outcome(
+                codes.OUTCOME_UNKNOWN,
+                f"resume ended without the event begun after event "
+                f"{self.delivery.last_event_id!r}",
+            )
 
     async def _relay_events(
         self, reply: ports.Reply, on_events: Callable[[], None]
