A stream that its caller takes up is joined only behind its last event

Callers that took a stream up could get events twice: a target that begins at the first event again was checked only within one answer, not where the answer is the continuation of another one.

--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -70,7 +70,8 @@
         deadline: Monotonic time after which the client no longer waits, in
             seconds.
         fingerprint: Digest of workspace, path and body.
-        takes_up_stream: Whether the client takes up a stream that broke off.
+        last_event_id: Id of the last event that the client has of a stream
+            that broke off and that it takes up; empty for none.
         resumes: Request id of the attempt that brought the first event of that
             stream; empty if the client does not tell.
         software_version: Software version that a target must have to continue
@@ -91,13 +92,18 @@
     arrived_at: float
     deadline: float
     fingerprint: str = ""
-    takes_up_stream: bool = False
+    last_event_id: str = ""
     resumes: str = ""
     software_version: str | None = None
     origin_recorded: bool = False
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the client takes up a stream that broke off."""
+        return bool(self.last_event_id)
+
     def next_byte_deadline(self, wait_started_at: float) -> float:
         """Returns the monotonic time by which the next byte is due.
 
--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -135,7 +135,7 @@
         prompt=request_head.prompt,
         arrived_at=request_head.at,
         deadline=request_head.at + wait_s,
-        takes_up_stream=bool(request_head.last_event_id),
+        last_event_id=request_head.last_event_id,
         resumes=request_head.resumes,
     )
 
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -205,6 +205,7 @@
                 await relay.relay_stream(
                     reply,
                     on_events=lambda: self._record_events(call, reservation),
+                    follows=relay.delivery.last_event_id or call.last_event_id,
                 )
             else:
                 await relay.relay_body(
--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -60,18 +60,21 @@
         reply: ports.Reply,
         *,
         on_events: Callable[[], None],
+        follows: str = "",
     ) -> None:
         """Relays an event stream, or the rest of one that was begun.
 
         Args:
             reply: The reply of a target.
             on_events: Called before events are sent.
+            follows: Id of the event that the first one must follow; empty for
+                the start of the stream.
 
         Raises:
             calls.AttemptError: The stream is invalid or not complete.
         """
         try:
-            await self._relay_events(reply, on_events)
+            await self._relay_events(reply, on_events, follows)
         except events.StreamError as error:
             raise _unknown_outcome(
                 codes.OUTCOME_UNKNOWN,
@@ -104,20 +107,19 @@
             )
 
     async def _relay_events(
-        self, reply: ports.Reply, on_events: Callable[[], None]
+        self, reply: ports.Reply, on_events: Callable[[], None], follows: str
     ) -> None:
         delivery = self.delivery
         delivery.target_events = 0
-        resumed_after = delivery.last_event_id
         incomplete = bytearray()
         runs = events.split_events(reply.chunks(), incomplete)
         try:
             async with contextlib.aclosing(runs):
                 async for run in runs:
                     event_id = events.last_event_id(run)
-                    if resumed_after and event_id:
-                        _check_continues(run, resumed_after)
-                        resumed_after = ""
+                    if follows and event_id:
+                        _check_continues(run, follows)
+                        follows = ""
                     on_events()
                     await self._send_head(reply)
                     await self.caller.send_body(run)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -82,7 +82,7 @@
 
     async def find(self, name, resumes, **options):
         call = make_call(
-            "r-next", takes_up_stream=True, resumes=resumes, **options
+            "r-next", last_event_id="1", resumes=resumes, **options
         )
         return await self.instances[name].find(call)
 
