An answer does not end with a close of ours

An answer without a length was complete when its connection was lost without an error, also where this side had closed it: what was read up to then counted as the whole answer. The connection now ends such an answer only after an end of file from the target. No caller is known to have got one: today the pool closes only connections that nobody reads from any more.

--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -111,6 +111,8 @@
         self._unanswered: list[bytes] = []
         self._head_waiter: asyncio.Future | None = None
         self._error: Exception | None = None
+        # Whether the target has closed its side.
+        self._peer_closed = False
         self._reads_bodies = True
         self._parser = self._new_parser()
 
@@ -252,14 +254,15 @@
 
     def eof_received(self) -> None:
         """Lets the transport close itself; called by asyncio."""
+        self._peer_closed = True
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the response in progress; called by asyncio."""
         super().connection_lost(exc)
         self.unusable = True
-        if exc is None and self._error is None:
+        if self._peer_closed and exc is None and self._error is None:
             try:
-                # A response without a length ends when the connection closes.
+                # A response without a length ends when its target closes.
                 self._parser.feed_eof()
             except (
                 IncompleteResponseError,
