--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -99,6 +99,13 @@
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def shared_part_ids(self) -> list[str]:
+        """Identifiers of the parts that other prompts may share, in order."""
+        if self.prompt is None:
+            return []
+        return [part.part_id for part in self.prompt.parts[:-1]]
+
     @property
     def takes_up_stream(self) -> bool:
         """Whether the client takes up a stream that broke off."""
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -328,6 +328,10 @@
             outcome=outcome.kind.value,
             code=outcome.code.number,
             detail=outcome.detail,
+            workspace=call.workspace,
+            target_crashed=outcome.target_crashed,
+            fingerprint=call.fingerprint,
+            parts=call.shared_part_ids[:MAX_LOGGED_PARTS],
         )
 
     def _log_completion(
@@ -372,6 +376,7 @@
         )
 
 
+MAX_LOGGED_PARTS = 8
 # After an unreachable target, a call is sent to another one only if it was
 # sent to at most this many targets so far, unreachable ones included.
 MAX_TARGETS_TRIED = 4
