--- a/tests/builders.py
+++ b/tests/builders.py
@@ -174,6 +174,18 @@
     return forwarding.Prompt(**{**values, **options})
 
 
+def make_prompt_of(*part_ids, **options) -> forwarding.Prompt:
+    """Returns a prompt with parts of given ids, of 100 tokens each."""
+    parts = tuple(forwarding.Part(part_id, 100) for part_id in part_ids)
+    values = {
+        "model": "m",
+        "parts": parts,
+        "tokens": 100 * len(parts),
+        "max_output": 20,
+    }
+    return forwarding.Prompt(**{**values, **options})
+
+
 def make_call(route=None, **options) -> forwarding.Call:
     route = route or make_route()
     values = {
