Parts of prompts that crash targets are refused

Callers saw targets end one after the other: each request with one part in its prompt crashed the target that began to answer it, and the next such request, no two alike, went to the next target. Cause: what is known of a crash was keyed by the whole request, so that requests with only a part in common were never connected (26 crashes left 26 suspects of one crash each).

When a target crashes, the shared parts of the requests that it had not begun are suspects; a part on which an answer has gone on since is sound, and a target that sends events later had not crashed. After three crashes a part is refused (503, code 2008, not run), in the queue too, but for single trials that become rare with its crashes. Evidence goes to all instances of the region; those that were cut off or have started since compare suspects with a random peer each 0.5 s. Keys hold the workspace, so that no workspace can have the parts of another refused, and each has its own bound.

Crash observations moved from load_sharing to suspect_sharing; the forwarder's part of it to forwarding/suspicion.

--- a/packages/chivelb-core/chivelb_core/calls/__init__.py
+++ b/packages/chivelb-core/chivelb_core/calls/__init__.py
@@ -10,6 +10,7 @@
 from chivelb_core.calls.budget import RetryLimits
 from chivelb_core.calls.budget import TokenBucketBudget
 from chivelb_core.calls.budget import WindowBudget
+from chivelb_core.calls.part_suspects import PartSuspects
 from chivelb_core.calls.suspects import fingerprint
 from chivelb_core.calls.suspects import SuspectTable
 
@@ -18,6 +19,7 @@
     "RetryLimits",
     "Outcome",
     "OutcomeKind",
+    "PartSuspects",
     "TokenBucketBudget",
     "SuspectTable",
     "WindowBudget",
--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -70,6 +70,10 @@
         deadline: Monotonic time after which the client no longer waits, in
             seconds.
         fingerprint: Digest of workspace, path and body.
+        part_keys: Keys of the parts of its prompt that other prompts may
+            share.
+        on_trial: Whether it may be sent although a part of its prompt is
+            refused, to learn whether that part still crashes targets.
         last_event_id: Id of the last event that the client has of a stream
             that broke off and that it takes up; empty for none.
         resumes: Request id of the attempt that brought the first event of that
@@ -92,6 +96,8 @@
     arrived_at: float
     deadline: float
     fingerprint: str = ""
+    part_keys: tuple[str, ...] = ()
+    on_trial: bool = False
     last_event_id: str = ""
     resumes: str = ""
     software_version: str | None = None
--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -34,6 +34,7 @@
 from chivelb_node.links import load_sharing
 from chivelb_node.links import runners
 from chivelb_node.links import store_owner
+from chivelb_node.links import suspect_sharing
 from chivelb_node.storage import journal
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import authentication
@@ -89,6 +90,9 @@
         self.loads = load_sharing.LoadReporting(
             self.context, self.hub, self.gossip
         )
+        self.shared_suspects = suspect_sharing.SuspectSharing(
+            self.context, self.hub, self.gossip
+        )
         self.announcement_forwarder = (
             announcement_forwarding.AnnouncementForwarder(
                 self.context, self.hub, self.gossip, self.loads
@@ -124,7 +128,7 @@
             dispatcher,
             session,
             cache,
-            self.loads.broadcast_observation,
+            self.shared_suspects.broadcast_observation,
         )
         claimed_executor = claimed_calls.ClaimedCalls(
             self.claims, model_executor
@@ -163,6 +167,7 @@
             self.replica,
             self.claims,
             self.loads,
+            self.shared_suspects,
             self.announcement_forwarder,
             owner,
             cache,
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -69,6 +69,7 @@
         directory: This instance's shard of the KV cache directory.
         crash_suspects: Crash-suspect prompts and requests, which were running
             on a target when it crashed and may have caused the crash.
+        part_suspects: Parts of prompts that may crash targets.
         retry_budget: Limits the retries of model calls and calls to plain
             services that this instance makes, as a ratio of its first attempts.
             It is not shared with other instances and has no settings.
@@ -101,6 +102,7 @@
         self.load = routing.LoadView()
         self.directory = kv_cache.Directory()
         self.crash_suspects = calls.SuspectTable()
+        self.part_suspects = calls.PartSuspects()
         self.retry_budget = calls.TokenBucketBudget()
         self.queues: dict[str, admission.FairQueue] = {}
         self.policies = policies.make_policies()
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -1,6 +1,7 @@
 """Admission queue: calls wait for target capacity in priority order."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from chivelb_core import codes
@@ -51,6 +52,8 @@
     Attributes:
         context: Shared state of the instance.
         placement_policy: Chooses targets.
+        is_refused: Returns whether a call that waits must not be sent to a
+            target any more, at a monotonic time in seconds.
         waiting_lists: Waiting calls by service.
     """
 
@@ -58,11 +61,14 @@
         self,
         context: context_lib.InstanceContext,
         placement_policy: placement_lib.PlacementPolicy,
+        *,
+        is_refused: Callable[[forwarding.Call, float], bool],
     ) -> None:
         """Creates an empty admission queue."""
         super().__init__()
         self.context = context
         self.placement_policy = placement_policy
+        self.is_refused = is_refused
         self.waiting_lists: dict[str, waiting.WaitingList] = {}
         self._has_waiting_calls = asyncio.Event()
 
@@ -146,6 +152,19 @@
             )
             waiting_call.item.set_exception(error)
 
+    def _reject_refused_calls(
+        self, waiting_list: waiting.WaitingList, now: float
+    ) -> None:
+        """Rejects calls that have come to be refused while they waited."""
+        for waiting_call in list(waiting_list.in_order(now)):
+            if waiting_call.item.done():
+                continue
+            if self.is_refused(waiting_call.call, now):
+                waiting_list.leave(waiting_call)
+                waiting_call.item.set_exception(
+                    responses.RequestError(codes.SUSPECT)
+                )
+
     def dispatch(self, service: str) -> None:
         """Starts waiting calls of a service while capacity is available."""
         waiting_list = self.waiting_lists.get(service)
@@ -266,8 +285,9 @@
             await self.wait(self._has_waiting_calls)
             await self.sleep(DISPATCH_PERIOD_S)
             for service, waiting_list in self.waiting_lists.items():
-                self.dispatch(service)
                 now = context_lib.monotonic()
+                self._reject_refused_calls(waiting_list, now)
+                self.dispatch(service)
                 self._shed_calls(waiting_list, now)
             if not any(w.calls for w in self.waiting_lists.values()):
                 self._has_waiting_calls.clear()
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 from chivelb_core import forwarding
 from chivelb_core import targets
 from chivelb_core.calls import attempt as attempt_lib
-from chivelb_core.calls import suspects as suspects_lib
+from chivelb_core.calls import part_suspects
 from chivelb_core.forwarding import retry_delay
 from chivelb_core.forwarding import stream_origins
 
@@ -18,6 +18,7 @@
 from chivelb_node.forwarding import admission as admission_lib
 from chivelb_node.forwarding import ports
 from chivelb_node.forwarding import relay as relay_lib
+from chivelb_node.forwarding import suspicion as suspicion_lib
 from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import metrics as metrics_lib
 
@@ -31,9 +32,7 @@
         context: Shared state of the instance.
         admission_queue: Admission queue that reserves capacity at targets.
         target_port: Sends requests to targets.
-        broadcast_observation: Sends peers an observation: that a request was
-            in progress when a target crashed, or that a crash-suspect request
-            has completed and is no longer a suspect.
+        suspicion: Refuses calls that may crash targets.
         count_instances: Returns how many instances share the retry budgets.
         remove_replaced_target: Called with a target whose address now belongs
             to another target, so that it gets no new requests. It is marked as
@@ -50,8 +49,8 @@
         admission_queue: admission_lib.AdmissionQueue,
         target_port: ports.TargetPort,
         origins: ports.OriginPort,
+        suspicion: suspicion_lib.Suspicion,
         *,
-        broadcast_observation: Callable[[suspects_lib.CrashObservation], None],
         count_instances: Callable[[], int],
         remove_replaced_target: Callable[[targets.TargetRecord], None],
         check_reachability: Callable[[targets.TargetRecord], None],
@@ -63,7 +62,7 @@
         self.admission_queue = admission_queue
         self.target_port = target_port
         self.origins = origins
-        self.broadcast_observation = broadcast_observation
+        self.suspicion = suspicion
         self.count_instances = count_instances
         self.budgets: dict[str, calls.WindowBudget] = {}
 
@@ -118,32 +117,58 @@
         message: ports.Message,
         relay: relay_lib.ResponseRelay,
     ) -> None:
+        call.part_keys = part_suspects.part_keys(
+            call.workspace, call.shared_part_ids
+        )
         if call.takes_up_stream:
             await self._bind_to_origin(call)
         self.budget(call.service).record_request(context_lib.monotonic())
         last_outcome: attempt_lib.Outcome | None = None
         while True:
-            self._reject_suspect(call, last_outcome)
             try:
-                reservation = await self.admission_queue.reserve(call)
+                reservation = await self._reserve(call)
             except responses.RequestError as error:
                 raise _prefer_attempt_outcome(last_outcome, error) from None
             try:
                 _check_caller(relay.caller)
                 async with _attempt_deadline(call):
                     await self._run_attempt(call, message, relay, reservation)
-                self._clear_suspect(call)
+                self.suspicion.record_success(call)
                 return
             except calls.AttemptError as failure:
                 last_outcome = failure.outcome
             finally:
                 self.admission_queue.release(reservation, call.service)
-            self._record_failure(call, reservation.record, last_outcome)
+            self._record_failure(
+                call,
+                reservation.record,
+                last_outcome,
+                has_begun=relay.delivery.target_events > 1,
+            )
             if not self._may_retry(call, last_outcome, relay.delivery):
                 raise responses.RequestError(
                     last_outcome.code, last_outcome.detail
                 )
 
+    async def _reserve(
+        self, call: forwarding.Call
+    ) -> admission_lib.Reservation:
+        """Waits for capacity at a target, if the call may be sent to one.
+
+        Raises:
+            responses.RequestError: The call may crash the target, or no
+                capacity can be reserved.
+        """
+        self.suspicion.check(call)
+        reservation = await self.admission_queue.reserve(call)
+        try:
+            # Targets may have crashed while the call waited.
+            self.suspicion.check(call)
+        except responses.RequestError:
+            self.admission_queue.release(reservation, call.service)
+            raise
+        return reservation
+
     async def _bind_to_origin(self, call: forwarding.Call) -> None:
         """Restricts a call to the targets that can continue its stream.
 
@@ -198,6 +223,7 @@
             assignment.fetch_addresses = placement.fetch_plan.fetches
             assignment.save_addresses = reservation.save_addresses
         call.attempts += 1
+        relay.delivery.target_events = 0
         reply = await self.target_port.send(call, message, assignment)
         relay.delivery.framing = reply.framing
         try:
@@ -205,6 +231,7 @@
                 await relay.relay_stream(
                     reply,
                     on_events=lambda: self._record_events(call, reservation),
+                    on_answer=lambda: self.suspicion.record_answer(call),
                     follows=relay.delivery.last_event_id or call.last_event_id,
                 )
             else:
@@ -212,6 +239,8 @@
                     reply,
                     should_retry=lambda: self._should_retry_status(call, reply),
                 )
+                if reply.status < 300:
+                    self.suspicion.record_answer(call)
         finally:
             reply.close()
         self.context.targets.record_success(record.identity)
@@ -221,6 +250,7 @@
     ) -> None:
         """Records the first token and, once, the origin of a stream."""
         self.admission_queue.record_first_event(reservation)
+        self.suspicion.record_events(reservation.record)
         if call.origin_recorded:
             return
         call.origin_recorded = True
@@ -273,39 +303,13 @@
         budget = self.budget(call.service)
         return allowed and budget.spend(now, self.count_instances())
 
-    # Crash-suspect requests: those that were in progress when a target
-    # crashed, identified by the fingerprint of workspace, path and body.
-
-    def _reject_suspect(
-        self, call: forwarding.Call, last_outcome: attempt_lib.Outcome | None
-    ) -> None:
-        now = context_lib.monotonic()
-        if self.context.crash_suspects.is_refused(call.fingerprint, now):
-            raise _prefer_attempt_outcome(
-                last_outcome, responses.RequestError(codes.SUSPECT)
-            )
-
-    def _clear_suspect(self, call: forwarding.Call) -> None:
-        now = context_lib.monotonic()
-        if self.context.crash_suspects.is_suspect(call.fingerprint, now):
-            self._record_observation(
-                suspects_lib.CrashObservation(
-                    call.fingerprint, "", cleared=True
-                )
-            )
-
-    def _record_observation(
-        self, observation: suspects_lib.CrashObservation
-    ) -> None:
-        now = context_lib.monotonic()
-        if self.context.crash_suspects.add_observation(observation, now):
-            self.broadcast_observation(observation)
-
     def _record_failure(
         self,
         call: forwarding.Call,
         record: targets.TargetRecord,
         outcome: attempt_lib.Outcome,
+        *,
+        has_begun: bool,
     ) -> None:
         now = context_lib.monotonic()
         if outcome.target_crashed:
@@ -317,10 +321,7 @@
         self.context.metrics.attempt_results.labels(outcome.code.number).inc()
         ran = outcome.kind is not calls.OutcomeKind.NOT_RUN
         if outcome.target_crashed and ran:
-            incarnation_id = f"{record.identity}/{record.incarnation}"
-            self._record_observation(
-                suspects_lib.CrashObservation(call.fingerprint, incarnation_id)
-            )
+            self.suspicion.record_crash(call, record, has_begun=has_begun)
         _log.warning(
             "attempt failed",
             request_id=call.request_id,
--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -60,6 +60,7 @@
         reply: ports.Reply,
         *,
         on_events: Callable[[], None],
+        on_answer: Callable[[], None],
         follows: str = "",
     ) -> None:
         """Relays an event stream, or the rest of one that was begun.
@@ -67,6 +68,8 @@
         Args:
             reply: The reply of a target.
             on_events: Called before events are sent.
+            on_answer: Called once, when the answer goes on behind its first
+                events, or ends with them.
             follows: Id of the event that the first one must follow; empty for
                 the start of the stream.
 
@@ -74,7 +77,7 @@
             calls.AttemptError: The stream is invalid or not complete.
         """
         try:
-            await self._relay_events(reply, on_events, follows)
+            await self._relay_events(reply, on_events, on_answer, follows)
         except events.StreamError as error:
             raise _unknown_outcome(
                 codes.OUTCOME_UNKNOWN,
@@ -82,6 +85,8 @@
                 target_crashed=_shows_crash(error, reply),
             ) from None
         self._check_end(reply)
+        if self.delivery.target_events == 1:
+            on_answer()
         await self._send_head(reply)
         await self.caller.finish()
 
@@ -107,10 +112,13 @@
             )
 
     async def _relay_events(
-        self, reply: ports.Reply, on_events: Callable[[], None], follows: str
+        self,
+        reply: ports.Reply,
+        on_events: Callable[[], None],
+        on_answer: Callable[[], None],
+        follows: str,
     ) -> None:
         delivery = self.delivery
-        delivery.target_events = 0
         incomplete = bytearray()
         runs = events.split_events(reply.chunks(), incomplete)
         try:
@@ -124,16 +132,19 @@
                     await self._send_head(reply)
                     await self.caller.send_body(run)
                     delivery.last_event_id = event_id or delivery.last_event_id
-                    self._record_run(run)
+                    self._record_run(run, on_answer)
         finally:
             if events.has_event(incomplete):
                 delivery.unfinished_event = True
 
-    def _record_run(self, run: bytes) -> None:
+    def _record_run(self, run: bytes, on_answer: Callable[[], None]) -> None:
         """Records a run of complete events; others have comments only."""
-        if events.has_event(run):
-            self.delivery.target_events += 1
-            self.delivery.unfinished_event = False
+        if not events.has_event(run):
+            return
+        self.delivery.target_events += 1
+        self.delivery.unfinished_event = False
+        if self.delivery.target_events == 2:
+            on_answer()
 
     async def relay_body(
         self, reply: ports.Reply, *, should_retry: Callable[[], bool]
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -13,7 +13,6 @@
 import dataclasses
 
 from chivelb_core import routing
-from chivelb_core.calls import suspects as suspects_lib
 from chivelb_core.forwarding import assignment
 from chivelb_core.routing import load_reports
 import mode
@@ -84,7 +83,7 @@
 
 
 class LoadReporting(mode.Service):
-    """Sends peers this instance's load and its crash observations.
+    """Sends peers the load that this instance causes.
 
     Attributes:
         context: Shared state of the instance.
@@ -134,18 +133,6 @@
         context.load.on_change = self._on_load_change
         hub.register_handler(messages.LoadUpdate, self._on_load_update)
         hub.register_handler(messages.LoadReport, self._on_load_report)
-        hub.register_handler(
-            messages.CrashObservations, self._on_crash_observations
-        )
-
-    def broadcast_observation(
-        self, observation: suspects_lib.CrashObservation
-    ) -> None:
-        """Sends a crash observation to all instances of the region."""
-        self.hub.broadcast(
-            self.gossip.peers_in_region(),
-            messages.CrashObservations([observation]),
-        )
 
     def remove_target(self, identity: str) -> None:
         """Removes the state of a target that was removed."""
@@ -188,13 +175,6 @@
                 ),
             )
 
-    def _on_crash_observations(
-        self, peer: str, message: messages.CrashObservations
-    ) -> None:
-        now = context_lib.monotonic()
-        for observation in message.sightings:
-            self.context.crash_suspects.add_observation(observation, now)
-
     def _on_load_change(self, identity: str) -> None:
         for group in (self.same_zone, self.other_zones):
             group.changed_targets.add(identity)
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -67,6 +67,9 @@
     streamStarts @61 :StreamStarts;
     streamOriginRequest @62 :StreamOriginRequest;
     streamOriginReply @63 :StreamOriginReply;
+    partEvidence @64 :PartEvidence;
+    partSuspectsDigest @65 :PartSuspectsDigest;
+    partSuspectsReply @66 :PartSuspectsReply;
   }
 }
 
@@ -288,11 +291,23 @@
   anchor @6 :Bool;
 }
 
+struct PartCrash {
+  target @0 :Text;
+  parts @1 :List(Text);
+}
+
 struct PartEvent {
   key @0 :Text;
   tokens @1 :Int64;
 }
 
+struct PartEvidence {
+  crashes @0 :List(PartCrash);
+  sound @1 :List(Text);
+  trials @2 :List(Text);
+  living @3 :List(Text);
+}
+
 struct PartNews {
   source @0 :Text;
   epoch @1 :Int64;
@@ -310,6 +325,15 @@
   source @0 :Text;
 }
 
+struct PartSuspectsDigest {
+  digest @0 :Int64;
+}
+
+struct PartSuspectsReply {
+  states @0 :List(SuspectState);
+  differs @1 :Bool;
+}
+
 struct PartUpdateBatch {
   payload @0 :Data;
 }
@@ -433,6 +457,13 @@
   starts @0 :List(StreamStart);
 }
 
+struct SuspectState {
+  part @0 :Text;
+  targets @1 :List(Text);
+  agesS @2 :List(Float64);
+  companions @3 :List(Text);
+}
+
 struct TargetDigest {
   digest @0 :Int64;
 }
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -8,6 +8,7 @@
 import typing
 
 from chivelb_core import targets
+from chivelb_core.calls import part_suspects
 from chivelb_core.calls import suspects
 from chivelb_core.kv_cache import parts
 import msgspec
@@ -338,6 +339,44 @@
     sightings: list[suspects.CrashObservation]
 
 
+class PartEvidence(msgspec.Struct, rename="camel", frozen=True):
+    """What the sender observed of parts of prompts that may crash targets.
+
+    Attributes:
+        crashes: Parts of requests that targets had not begun when they crashed.
+        sound: Keys of suspect parts on which answers went on since.
+        trials: Keys of refused parts with which a request was sent on trial.
+        living: Identity and incarnation of targets that answered since.
+    """
+
+    crashes: list[part_suspects.PartCrash] = []
+    sound: list[str] = []
+    trials: list[str] = []
+    living: list[str] = []
+
+
+class PartSuspectsDigest(msgspec.Struct, rename="camel", frozen=True):
+    """Asks for the suspect parts of the receiver if they differ.
+
+    Attributes:
+        digest: Digest of those of the sender.
+    """
+
+    digest: int
+
+
+class PartSuspectsReply(msgspec.Struct, rename="camel", frozen=True):
+    """Suspect parts of the sender.
+
+    Attributes:
+        states: The suspects; none if they are those of the receiver.
+        differs: Whether they differ from those of the receiver.
+    """
+
+    states: list[part_suspects.SuspectState]
+    differs: bool = True
+
+
 class StreamStart(msgspec.Struct, rename="camel", frozen=True):
     """Streams that targets of one service and software version began.
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -73,6 +73,9 @@
     messages.StreamStarts,
     messages.StreamOriginRequest,
     messages.StreamOriginReply,
+    messages.PartEvidence,
+    messages.PartSuspectsDigest,
+    messages.PartSuspectsReply,
 )
 
 
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -15,7 +15,7 @@
 from chivelb_core import document
 from chivelb_node import context as context_lib
 from chivelb_node.forwarding import ports
-from chivelb_node.links import load_sharing
+from chivelb_node.links import suspect_sharing
 import fake_ports
 import replicas
 
@@ -26,7 +26,13 @@
 RESTART_S = 3.0
 DETECTION_S = 0.005
 FIRST_PARTS = 4
+SHARES_PER_REPAIR = round(
+    suspect_sharing.REPAIR_PERIOD_S / suspect_sharing.SHARE_DELAY_S
+)
 SECOND_PARTS = 60
+CLEARINGS_PER_SHARE = (
+    suspect_sharing.SHARE_DELAY_S / suspect_sharing.MAX_CLEARING_DELAY_S
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -160,7 +166,7 @@
         self.network = replicas.MemoryNetwork()
         self.members = replicas.make_members(3, instance_count)
         self.instances = {}
-        self.services = {}
+        self._sharing_tasks = {}
         self._numbers = iter(range(10**6))
         self._tasks = set()
         for number in range(target_count):
@@ -187,28 +193,42 @@
         context.rng = random.Random(f"{member.name}/{self.rng.random()}")
         hub = replicas.MemoryHub(member.name, self.network)
         gossip = replicas.StaticGossip(self.members, member.name, context.rng)
-        sharing = self._make_sharing(context, hub, gossip)
-        self.services[member.name] = sharing
+        sharing = suspect_sharing.SuspectSharing(context, hub, gossip)
+        self._run_sharing(member.name, sharing)
         for target in self.targets.values():
             self._announce(context, target)
         if member.anchor:
             return
         harness = fake_ports.ForwardingHarness(context)
         harness.forwarder.target_port = InstanceTargets(self, member.name)
-        harness.forwarder.broadcast_observation = sharing.broadcast_observation
+        harness.suspicion.broadcast_observation = sharing.broadcast_observation
+        harness.suspicion.broadcast_evidence = sharing.broadcast_evidence
         self.instances[member.name] = harness
 
-    def _make_sharing(self, context, hub, gossip):
-        return load_sharing.LoadReporting(context, hub, gossip)
+    def _run_sharing(self, name, sharing):
+        """Runs what a started service does, instead of an earlier one."""
+        if name in self._sharing_tasks:
+            self._sharing_tasks[name].cancel()
+
+        async def share():
+            while True:
+                await sharing.repair_once()
+                for _ in range(SHARES_PER_REPAIR):
+                    await asyncio.sleep(suspect_sharing.SHARE_DELAY_S)
+                    sharing.send_crashes()
+                    if sharing.context.rng.random() < CLEARINGS_PER_SHARE:
+                        sharing.send_clearing()
+
+        self._sharing_tasks[name] = asyncio.create_task(share())
 
     def cut(self, name, *, heal=False):
         """Cuts the links of an instance in both directions, or heals them."""
         for other in self.network.hubs:
             for link in ((name, other), (other, name)):
                 if heal:
-                    self.network.lost.discard(link)
+                    self.network.cut.discard(link)
                 elif other != name:
-                    self.network.lost.add(link)
+                    self.network.cut.add(link)
 
     # Targets.
 
@@ -314,6 +334,8 @@
                 group.create_task(self._send_steadily(until_s, rate, send_one))
         while self._tasks:
             await asyncio.sleep(0.1)
+        for task in self._sharing_tasks.values():
+            task.cancel()
 
     async def _send_steadily(self, until_s, per_s, send_one):
         while self.now() < until_s:
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -11,6 +11,7 @@
 from chivelb_node.forwarding import forwarder as forwarder_lib
 from chivelb_node.forwarding import placement as placement_lib
 from chivelb_node.forwarding import ports
+from chivelb_node.forwarding import suspicion as suspicion_lib
 from chivelb_node.links import stream_origins as origins_lib
 import replicas
 
@@ -119,6 +120,7 @@
     Attributes:
         forwarder: The forwarder.
         observations: Crash observations sent to peers.
+        evidence: Evidence on parts of prompts sent to peers.
         retired: Records of targets that the forwarder reported as gone,
             because another target answered at their address.
         unreachable: Records of targets to which no connection was opened.
@@ -128,6 +130,12 @@
         self.context = context
         self.targets = FakeTargets(*replies)
         self.observations = []
+        self.evidence = []
+        self.suspicion = suspicion_lib.Suspicion(
+            context,
+            broadcast_observation=self.observations.append,
+            broadcast_evidence=self.evidence.append,
+        )
         self.retired = []
         self.unreachable = []
         self.directory = parts_lib.PartDirectory()
@@ -135,14 +143,14 @@
             context, self.directory
         )
         self.admission_queue = admission_lib.AdmissionQueue(
-            context, placement_policy
+            context, placement_policy, is_refused=self.suspicion.is_refused
         )
         self.forwarder = forwarder_lib.Forwarder(
             context,
             self.admission_queue,
             self.targets,
             origins or make_origins(context),
-            broadcast_observation=self.observations.append,
+            self.suspicion,
             count_instances=lambda: 1,
             remove_replaced_target=self.retired.append,
             check_reachability=self.unreachable.append,
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -51,6 +51,7 @@
         silent: Names of instances that receive messages and never reply.
         lost: Senders and receivers whose messages are lost, other than
             requests.
+        cut: Senders and receivers between which nothing arrives.
         received: Bytes received, by instance and type of message.
         requests: Sender, receiver and request of all requests, in order.
     """
@@ -59,11 +60,13 @@
         self.hubs = {}
         self.silent = set()
         self.lost = set()
+        self.cut = set()
         self.received = collections.defaultdict(collections.Counter)
         self.requests = []
 
     def deliver(self, sender, receiver, body, size):
-        if receiver in self.silent or (sender, receiver) in self.lost:
+        link = (sender, receiver)
+        if receiver in self.silent or link in self.lost | self.cut:
             return
         self.received[receiver][type(body)] += size
         handler = self.hubs[receiver].handlers[type(body)]
@@ -72,7 +75,7 @@
     async def request(self, sender, receiver, body):
         self.requests.append((sender, receiver, body))
         await asyncio.sleep(0)
-        if receiver in self.silent:
+        if receiver in self.silent or (sender, receiver) in self.cut:
             await asyncio.Event().wait()
         reply = self.hubs[receiver].handlers[type(body)](sender, body)
         size = len(codec.encode(codec.Envelope(reply)))
--- a/tests/test_caller_leaves.py
+++ b/tests/test_caller_leaves.py
@@ -14,6 +14,7 @@
 from chivelb_node.forwarding import admission as admission_lib
 from chivelb_node.forwarding import forwarder as forwarder_lib
 from chivelb_node.forwarding import placement as placement_lib
+from chivelb_node.forwarding import suspicion as suspicion_lib
 from chivelb_node.links import http_pool
 from chivelb_platform import caller_server
 from chivelb_platform import target_client
@@ -118,15 +119,20 @@
         placement_policy = placement_lib.PlacementPolicy(
             self.context, parts_lib.PartDirectory()
         )
+        suspicion = suspicion_lib.Suspicion(
+            self.context,
+            broadcast_observation=lambda observation: None,
+            broadcast_evidence=lambda evidence: None,
+        )
         self.admission_queue = admission_lib.AdmissionQueue(
-            self.context, placement_policy
+            self.context, placement_policy, is_refused=suspicion.is_refused
         )
         forwarder = forwarder_lib.Forwarder(
             self.context,
             self.admission_queue,
             target_client.TargetClient(self.pool),
             fake_ports.make_origins(self.context),
-            broadcast_observation=lambda observation: None,
+            suspicion,
             count_instances=lambda: 1,
             remove_replaced_target=lambda record: None,
             check_reachability=lambda record: None,
