A close before the first event of a stream presumes a crash

A target that crashes as it begins an answer without a length has sent its head and no event: its connection closes, which was an unknown outcome but no crash, so that neither the request nor its parts were suspected. The other closes of such answers count already.

--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -103,6 +103,7 @@
             raise _unknown_outcome(
                 codes.OUTCOME_UNKNOWN,
                 "connection closed before the first event",
+                target_crashed=True,
             )
         if self.delivery.unfinished_event:
             raise _unknown_outcome(
--- a/tests/test_cut_streams_review.py
+++ b/tests/test_cut_streams_review.py
@@ -130,3 +130,19 @@
     )
     harness.run_call(call)
     assert [o.fingerprint for o in harness.observations] == ["f"]
+
+
+# Guards against a crash that is not counted because the target had sent the
+# head of an answer without a length and no event yet.
+def test_a_close_before_the_first_event_counts_as_a_crash():
+    reply = fake_ports.FakeReply(is_stream=True)
+    reply.framing = ports.Framing.CLOSE
+    context = builders.make_context(t0={"service": "lm", "weight_version": "1"})
+    harness = fake_ports.ForwardingHarness(context, reply)
+    now = context_lib.monotonic()
+    call = builders.make_call(
+        arrived_at=now, deadline=now + 5.0, fingerprint="f"
+    )
+    harness.run_call(call)
+    assert [o.fingerprint for o in harness.observations] == ["f"]
+    assert [len(e.crashes) for e in harness.evidence] == [1]
