Instances that start again learn which requests crash targets

The same cause elsewhere: what was known of a request that crashes targets was sent once, to the instances that were linked then.

--- a/packages/chivelb-core/chivelb_core/calls/suspects.py
+++ b/packages/chivelb-core/chivelb_core/calls/suspects.py
@@ -6,9 +6,11 @@
 target count as two if it was restarted in between.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import hashlib
 import typing
+import zlib
 
 import msgspec
 
@@ -103,6 +105,34 @@
         self._evict_oldest(self.suspects)
         return is_new
 
+    def shared_observations(self) -> list[CrashObservation]:
+        """Returns the observations that instances compare.
+
+        These are the crashes of the suspects that are refused or may be.
+        """
+        return [
+            CrashObservation(prompt_fingerprint, target)
+            for prompt_fingerprint, suspect in self.suspects.items()
+            if len(suspect.targets) >= MIN_CRASHES_TO_REFUSE
+            for target in sorted(suspect.targets)
+        ]
+
+    def digest(self) -> int:
+        """Returns a digest of the observations that instances compare."""
+        observed = sorted(
+            f"{observation.fingerprint}:{observation.target};"
+            for observation in self.shared_observations()
+        )
+        return zlib.crc32("".join(observed).encode())
+
+    def merge(
+        self, observations: Iterable[CrashObservation], now: float
+    ) -> None:
+        """Adds observations of another instance, but for cleared prompts."""
+        for observation in observations:
+            if observation.fingerprint not in self.cleared:
+                self.add_observation(observation, now)
+
     def _evict_oldest(self, table: dict) -> None:
         while len(table) > MAX_SUSPECTS:
             del table[next(iter(table))]
--- a/packages/chivelb-node/chivelb_node/links/suspect_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/suspect_sharing.py
@@ -25,6 +25,8 @@
 MAX_CLEARING_DELAY_S = 0.1
 # Crashes in one message; those beyond are left out.
 MAX_SHARED_CRASHES = 200
+# Limit for the crashes of suspect requests in one exchange.
+MAX_COMPARED_REQUEST_CRASHES = 1_000
 REPAIR_PERIOD_S = 0.5
 REPAIR_TIMEOUT_S = 0.5
 _log = logs.get_logger("suspects")
@@ -61,8 +63,8 @@
             messages.CrashObservations, self._on_crash_observations
         )
         hub.register_handler(messages.PartEvidence, self._on_part_evidence)
-        hub.register_handler(messages.PartSuspectsDigest, self._on_digest)
-        hub.register_handler(messages.PartSuspectsReply, self._on_suspects)
+        hub.register_handler(messages.SuspectsDigest, self._on_digest)
+        hub.register_handler(messages.SuspectsReply, self._on_suspects)
 
     # Observations of this instance.
 
@@ -164,49 +166,59 @@
             await self.sleep(REPAIR_PERIOD_S)
 
     async def repair_once(self) -> None:
-        """Exchanges the suspect parts with a random peer if they differ."""
+        """Exchanges the suspects with a random peer if they differ."""
         peers = self.gossip.peers_in_region()
         if not peers:
             return
         peer = self.context.rng.choice(peers)
-        table = self.context.part_suspects
-        reply = await self.hub.request(
-            peer,
-            messages.PartSuspectsDigest(table.digest()),
-            REPAIR_TIMEOUT_S,
-        )
-        if not isinstance(reply, messages.PartSuspectsReply):
-            return
-        if not reply.differs:
+        reply = await self.hub.request(peer, self._digest(), REPAIR_TIMEOUT_S)
+        if not isinstance(reply, messages.SuspectsReply) or not reply.differs:
             return
         self._on_suspects(peer, reply)
         now = context_lib.monotonic()
-        unknown_there = table.states_beyond(reply.states, now)
-        if unknown_there:
-            self.hub.send(peer, messages.PartSuspectsReply(unknown_there))
+        unknown_there = messages.SuspectsReply(
+            self.context.part_suspects.states_beyond(reply.parts, now),
+            [
+                observation
+                for observation in self._requests()
+                if observation not in reply.requests
+            ],
+        )
+        if unknown_there.parts or unknown_there.requests:
+            self.hub.send(peer, unknown_there)
+
+    def _digest(self) -> messages.SuspectsDigest:
+        return messages.SuspectsDigest(
+            self.context.part_suspects.digest(),
+            self.context.crash_suspects.digest(),
+        )
+
+    def _requests(self) -> list[suspects_lib.CrashObservation]:
+        """Returns the newest crashes of suspect requests."""
+        observations = self.context.crash_suspects.shared_observations()
+        return observations[-MAX_COMPARED_REQUEST_CRASHES:]
 
     def _on_digest(
-        self, peer: str, message: messages.PartSuspectsDigest
-    ) -> messages.PartSuspectsReply:
+        self, peer: str, message: messages.SuspectsDigest
+    ) -> messages.SuspectsReply:
         """Replies with the suspects if those of the sender differ."""
-        table = self.context.part_suspects
-        if message.digest == table.digest():
-            return messages.PartSuspectsReply([], differs=False)
+        if message == self._digest():
+            return messages.SuspectsReply(differs=False)
         now = context_lib.monotonic()
-        return messages.PartSuspectsReply(table.states(now))
+        states = self.context.part_suspects.states(now)
+        return messages.SuspectsReply(states, self._requests())
 
-    def _on_suspects(
-        self, peer: str, message: messages.PartSuspectsReply
-    ) -> None:
-        table = self.context.part_suspects
-        before = table.digest()
-        sound = table.merge(message.states, context_lib.monotonic())
+    def _on_suspects(self, peer: str, message: messages.SuspectsReply) -> None:
+        before = self._digest()
+        now = context_lib.monotonic()
+        self.context.crash_suspects.merge(message.requests, now)
+        sound = self.context.part_suspects.merge(message.parts, now)
         if sound:
             self.hub.send(peer, messages.PartEvidence(sound=sound))
-        if table.digest() != before:
+        if self._digest() != before:
             _log.info(
-                "suspect parts learned",
+                "suspects learned",
                 source=peer,
-                received=len(message.states),
-                known=len(table.suspects),
+                parts=len(message.parts),
+                request_crashes=len(message.requests),
             )
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -68,8 +68,8 @@
     streamOriginRequest @62 :StreamOriginRequest;
     streamOriginReply @63 :StreamOriginReply;
     partEvidence @64 :PartEvidence;
-    partSuspectsDigest @65 :PartSuspectsDigest;
-    partSuspectsReply @66 :PartSuspectsReply;
+    suspectsDigest @65 :SuspectsDigest;
+    suspectsReply @66 :SuspectsReply;
   }
 }
 
@@ -325,15 +325,6 @@
   source @0 :Text;
 }
 
-struct PartSuspectsDigest {
-  digest @0 :Int64;
-}
-
-struct PartSuspectsReply {
-  states @0 :List(SuspectState);
-  differs @1 :Bool;
-}
-
 struct PartUpdateBatch {
   payload @0 :Data;
 }
@@ -464,6 +455,17 @@
   companions @3 :List(Text);
 }
 
+struct SuspectsDigest {
+  parts @0 :Int64;
+  requests @1 :Int64;
+}
+
+struct SuspectsReply {
+  parts @0 :List(SuspectState);
+  requests @1 :List(Sighting);
+  differs @2 :Bool;
+}
+
 struct TargetDigest {
   digest @0 :Int64;
 }
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -355,25 +355,30 @@
     living: list[str] = []
 
 
-class PartSuspectsDigest(msgspec.Struct, rename="camel", frozen=True):
-    """Asks for the suspect parts of the receiver if they differ.
+class SuspectsDigest(msgspec.Struct, rename="camel", frozen=True):
+    """Asks for the suspects of the receiver if they differ.
 
     Attributes:
-        digest: Digest of those of the sender.
+        parts: Digest of the suspect parts of the sender.
+        requests: Digest of its suspect requests.
     """
 
-    digest: int
+    parts: int
+    requests: int
 
 
-class PartSuspectsReply(msgspec.Struct, rename="camel", frozen=True):
-    """Suspect parts of the sender.
+class SuspectsReply(msgspec.Struct, rename="camel", frozen=True):
+    """Suspects of the sender.
 
     Attributes:
-        states: The suspects; none if they are those of the receiver.
-        differs: Whether they differ from those of the receiver.
+        parts: Its suspect parts.
+        requests: Crashes of its suspect requests.
+        differs: Whether the suspects differ from those of the receiver; if
+            not, none are sent.
     """
 
-    states: list[part_suspects.SuspectState]
+    parts: list[part_suspects.SuspectState] = []
+    requests: list[suspects.CrashObservation] = []
     differs: bool = True
 
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -74,8 +74,8 @@
     messages.StreamOriginRequest,
     messages.StreamOriginReply,
     messages.PartEvidence,
-    messages.PartSuspectsDigest,
-    messages.PartSuspectsReply,
+    messages.SuspectsDigest,
+    messages.SuspectsReply,
 )
 
 
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -58,13 +58,13 @@
         at: Virtual time in seconds.
         sender: Name of the instance that sent it.
         parts: Ids of the parts of its prompt.
-        attempt: Number of the attempt of its call.
+        fingerprint: Fingerprint of the request.
     """
 
     at: float
     sender: str
     parts: tuple[str, ...]
-    attempt: int
+    fingerprint: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -139,6 +139,7 @@
     Attributes:
         rng: Source of randomness.
         crashing_parts: Ids of the parts that crash targets.
+        crashing_requests: Fingerprints of the requests that crash targets.
         slots: Requests that a target runs at a time.
         reset_ratio: Share of the events before which the connection breaks
             although the target goes on.
@@ -157,6 +158,7 @@
         self.slots = slots
         self.sent = []
         self.crashing_parts = set()
+        self.crashing_requests = set()
         self.reset_ratio = 0.0
         self.targets = {}
         self.arrivals = []
@@ -270,7 +272,7 @@
         guilty = self.crashing_parts & set(part_ids(call))
         for part in guilty:
             self.crashes[part].append(self.now())
-        return bool(guilty)
+        return bool(guilty) or call.fingerprint in self.crashing_requests
 
     async def receive(self, sender, call, assignment):
         """Takes a request of an instance, as ``TargetPort.send``."""
@@ -279,13 +281,15 @@
         if target is None:
             raise fake_ports.not_run(target_crashed=True)
         self.arrivals.append(
-            Arrival(self.now(), sender, part_ids(call), call.attempts)
+            Arrival(self.now(), sender, part_ids(call), call.fingerprint)
         )
         return StreamReply(self, target, call)
 
     # Callers.
 
-    def send(self, *parts, name=None, workspace="w", route=None):
+    def send(
+        self, *parts, name=None, workspace="w", route=None, fingerprint=""
+    ):
         """Sends a request with shared parts and one of its own."""
         name = name or self.rng.choice(sorted(self.instances))
         harness = self.instances[name]
@@ -298,7 +302,7 @@
             prompt=builders.make_prompt_of(*parts, f"own-{number}"),
             arrived_at=now,
             deadline=now + 5.0,
-            fingerprint=f"f-{number}",
+            fingerprint=fingerprint or f"f-{number}",
         )
         self.sent.append(SentRequest(now, part_ids(call)))
         task = asyncio.create_task(self._serve(harness, call))
--- a/tests/test_parts_that_crash.py
+++ b/tests/test_parts_that_crash.py
@@ -142,6 +142,29 @@
     )
 
 
+# Guards against the same with one request that crashes targets and comes again:
+# an instance that has started since sends it on.
+def test_an_instance_that_starts_again_knows_the_requests(monkeypatch):
+    request = "f-bad"
+
+    async def make_day(fleet):
+        fleet.crashing_requests = {request}
+        loop = asyncio.get_running_loop()
+        for member in fleet.members[-2:]:
+            loop.call_later(14.0, fleet.start_instance, member)
+
+        def send_one():
+            if not 12.0 < fleet.now() < 14.0 + CONTACT_S:
+                fleet.send("first-0", fingerprint=request)
+
+        await fleet.run_traffic(END_S, also=[(3.0, send_one)])
+
+    fleet = run_fleet(monkeypatch, make_day)
+    arrivals = [a for a in fleet.arrivals if a.fingerprint == request]
+    assert len(arrivals) >= 2
+    assert not [a for a in arrivals if a.at > 14.0 + CONTACT_S]
+
+
 # Guards against an instance that was cut off during the crashes and sends such
 # requests to targets once it is in touch again.
 def test_an_instance_that_was_cut_off_learns_the_parts(monkeypatch):
