A request on trial crashes one target at most

A request on trial that may be sent twice was still on trial after its first target had crashed, and crashed a second one. Two more crashes a trial instead of one bring the part twice as fast to the bound of BUDGET. Seen by reading the new code; test_a_request_on_trial_crashes_one_target_at_most was red before.

--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -332,7 +332,7 @@
             workspace=call.workspace,
             target_crashed=outcome.target_crashed,
             fingerprint=call.fingerprint,
-            parts=call.shared_part_ids[:MAX_LOGGED_PARTS],
+            parts=call.shared_part_ids[: suspicion_lib.MAX_LOGGED_PARTS],
         )
 
     def _log_completion(
@@ -377,7 +377,6 @@
         )
 
 
-MAX_LOGGED_PARTS = 8
 # After an unreachable target, a call is sent to another one only if it was
 # sent to at most this many targets so far, unreachable ones included.
 MAX_TARGETS_TRIED = 4
--- a/packages/chivelb-node/chivelb_node/forwarding/suspicion.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/suspicion.py
@@ -17,6 +17,7 @@
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import messages
 
+MAX_LOGGED_PARTS = 8
 _log = logs.get_logger("suspects")
 
 
@@ -102,6 +103,7 @@
         )
         if has_begun or not call.part_keys:
             return
+        call.on_trial = False
         now = context_lib.monotonic()
         table = self.context.part_suspects
         crash = part_suspects.PartCrash(target, list(call.part_keys))
@@ -113,8 +115,13 @@
             "parts suspected",
             request_id=call.request_id,
             target=target,
-            crashes={p: len(table.suspects[p].crashes) for p in new_parts},
-            refused=[p for p in new_parts if p in table.refusable],
+            crashes={
+                part: len(table.suspects[part].crashes)
+                for part in new_parts[:MAX_LOGGED_PARTS]
+            },
+            refused=[part for part in new_parts if part in table.refusable][
+                :MAX_LOGGED_PARTS
+            ],
         )
 
     def record_answer(self, call: forwarding.Call) -> None:
@@ -130,9 +137,9 @@
     def record_events(self, record: targets.TargetRecord) -> None:
         """Records that a target sent events, so that it has not crashed."""
         table = self.context.part_suspects
-        target = _incarnation(record)
-        if target not in table.by_target:
+        if not table.by_target:
             return
+        target = _incarnation(record)
         if table.add_living_target(target, context_lib.monotonic()):
             self.broadcast_evidence(messages.PartEvidence(living=[target]))
             _log.info("target had not crashed", target=target)
--- a/tests/test_parts_that_crash.py
+++ b/tests/test_parts_that_crash.py
@@ -8,6 +8,7 @@
 
 import asyncio
 
+import builders
 import crashing_fleet
 import pytest
 import simulated_runners
@@ -204,6 +205,24 @@
     assert_stopped(fleet)
 
 
+# Guards against a trial that crashes a second target: its request is sent again
+# where the route allows it.
+def test_a_request_on_trial_crashes_one_target_at_most(monkeypatch):
+    async def make_day(fleet):
+        fleet.crashing_parts = {BAD}
+        route = builders.make_route(max_attempts=2, resumable=True)
+        for number in range(30):
+            await asyncio.sleep(1.0)
+            fleet.send(f"only-{number}", BAD, route=route)
+        await fleet.run_traffic(35.0)
+
+    fleet = run_fleet(monkeypatch, make_day)
+    trials = fleet.arrivals_after(BAD, 3.0)
+    assert trials
+    times = [round(arrival.at) for arrival in trials]
+    assert len(set(times)) == len(times)
+
+
 # Guards against parts that are refused for long because targets crash for
 # another reason while requests with them wait for their first event.
 @pytest.mark.parametrize("seed", SEEDS)
