Name the crash policy of forwarding; look at waiting calls unordered

A newcomer's reading: Suspicion, a judge, said little of what the class does. The check of waiting calls needs no order, which costs a sort each 30 ms.

--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -156,7 +156,7 @@
         self, waiting_list: waiting.WaitingList, now: float
     ) -> None:
         """Rejects calls that have come to be refused while they waited."""
-        for waiting_call in list(waiting_list.in_order(now)):
+        for waiting_call in list(waiting_list.calls.values()):
             if waiting_call.item.done():
                 continue
             if self.is_refused(waiting_call.call, now):
--- a/packages/chivelb-node/chivelb_node/forwarding/suspicion.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/crash_policy.py
@@ -1,7 +1,7 @@
-"""Refuses calls that may crash targets, and records what crashes tell.
+"""Refuses calls that may crash targets, and records which may.
 
-A request is suspect as a whole, by its fingerprint, and so are the parts of its
-prompt that other prompts may share.
+A request may crash targets as a whole, known by its fingerprint, or because of
+a part of its prompt that other prompts share.
 """
 
 from collections.abc import Callable
@@ -21,8 +21,8 @@
 _log = logs.get_logger("suspects")
 
 
-class Suspicion:
-    """Judges calls by the crashes of targets that are known.
+class CrashPolicy:
+    """Decides which calls may be sent, by the known crashes of targets.
 
     Attributes:
         context: Shared state of the instance.
@@ -39,7 +39,7 @@
         broadcast_observation: Callable[[suspects_lib.CrashObservation], None],
         broadcast_evidence: Callable[[messages.PartEvidence], None],
     ) -> None:
-        """Creates a judge without evidence of its own."""
+        """Creates the policy; its state is that of the context."""
         self.context = context
         self.broadcast_observation = broadcast_observation
         self.broadcast_evidence = broadcast_evidence
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -16,9 +16,9 @@
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
 from chivelb_node.forwarding import admission as admission_lib
+from chivelb_node.forwarding import crash_policy as crash_policy_lib
 from chivelb_node.forwarding import ports
 from chivelb_node.forwarding import relay as relay_lib
-from chivelb_node.forwarding import suspicion as suspicion_lib
 from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import metrics as metrics_lib
 
@@ -32,7 +32,7 @@
         context: Shared state of the instance.
         admission_queue: Admission queue that reserves capacity at targets.
         target_port: Sends requests to targets.
-        suspicion: Refuses calls that may crash targets.
+        crash_policy: Refuses calls that may crash targets.
         count_instances: Returns how many instances share the retry budgets.
         remove_replaced_target: Called with a target whose address now belongs
             to another target, so that it gets no new requests. It is marked as
@@ -49,7 +49,7 @@
         admission_queue: admission_lib.AdmissionQueue,
         target_port: ports.TargetPort,
         origins: ports.OriginPort,
-        suspicion: suspicion_lib.Suspicion,
+        crash_policy: crash_policy_lib.CrashPolicy,
         *,
         count_instances: Callable[[], int],
         remove_replaced_target: Callable[[targets.TargetRecord], None],
@@ -62,7 +62,7 @@
         self.admission_queue = admission_queue
         self.target_port = target_port
         self.origins = origins
-        self.suspicion = suspicion
+        self.crash_policy = crash_policy
         self.count_instances = count_instances
         self.budgets: dict[str, calls.WindowBudget] = {}
 
@@ -133,7 +133,7 @@
                 _check_caller(relay.caller)
                 async with _attempt_deadline(call):
                     await self._run_attempt(call, message, relay, reservation)
-                self.suspicion.record_success(call)
+                self.crash_policy.record_success(call)
                 return
             except calls.AttemptError as failure:
                 last_outcome = failure.outcome
@@ -159,11 +159,11 @@
             responses.RequestError: The call may crash the target, or no
                 capacity can be reserved.
         """
-        self.suspicion.check(call)
+        self.crash_policy.check(call)
         reservation = await self.admission_queue.reserve(call)
         try:
             # Targets may have crashed while the call waited.
-            self.suspicion.check(call)
+            self.crash_policy.check(call)
         except responses.RequestError:
             self.admission_queue.release(reservation, call.service)
             raise
@@ -231,7 +231,7 @@
                 await relay.relay_stream(
                     reply,
                     on_events=lambda: self._record_events(call, reservation),
-                    on_answer=lambda: self.suspicion.record_answer(call),
+                    on_answer=lambda: self.crash_policy.record_answer(call),
                     follows=relay.delivery.last_event_id or call.last_event_id,
                 )
             else:
@@ -240,7 +240,7 @@
                     should_retry=lambda: self._should_retry_status(call, reply),
                 )
                 if reply.status < 300:
-                    self.suspicion.record_answer(call)
+                    self.crash_policy.record_answer(call)
         finally:
             reply.close()
         self.context.targets.record_success(record.identity)
@@ -250,7 +250,7 @@
     ) -> None:
         """Records the first token and, once, the origin of a stream."""
         self.admission_queue.record_first_event(reservation)
-        self.suspicion.record_events(reservation.record)
+        self.crash_policy.record_events(reservation.record)
         if call.origin_recorded:
             return
         call.origin_recorded = True
@@ -321,7 +321,7 @@
         self.context.metrics.attempt_results.labels(outcome.code.number).inc()
         ran = outcome.kind is not calls.OutcomeKind.NOT_RUN
         if outcome.target_crashed and ran:
-            self.suspicion.record_crash(call, record, has_begun=has_begun)
+            self.crash_policy.record_crash(call, record, has_begun=has_begun)
         _log.warning(
             "attempt failed",
             request_id=call.request_id,
@@ -332,7 +332,7 @@
             workspace=call.workspace,
             target_crashed=outcome.target_crashed,
             fingerprint=call.fingerprint,
-            parts=call.shared_part_ids[: suspicion_lib.MAX_LOGGED_PARTS],
+            parts=call.shared_part_ids[: crash_policy_lib.MAX_LOGGED_PARTS],
         )
 
     def _log_completion(
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -203,8 +203,10 @@
             return
         harness = fake_ports.ForwardingHarness(context)
         harness.forwarder.target_port = InstanceTargets(self, member.name)
-        harness.suspicion.broadcast_observation = sharing.broadcast_observation
-        harness.suspicion.broadcast_evidence = sharing.broadcast_evidence
+        harness.crash_policy.broadcast_observation = (
+            sharing.broadcast_observation
+        )
+        harness.crash_policy.broadcast_evidence = sharing.broadcast_evidence
         self.instances[member.name] = harness
 
     def _run_sharing(self, name, sharing):
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -8,10 +8,10 @@
 from chivelb_core.kv_cache import parts as parts_lib
 from chivelb_core.membership import messages as membership_messages
 from chivelb_node.forwarding import admission as admission_lib
+from chivelb_node.forwarding import crash_policy as crash_policy_lib
 from chivelb_node.forwarding import forwarder as forwarder_lib
 from chivelb_node.forwarding import placement as placement_lib
 from chivelb_node.forwarding import ports
-from chivelb_node.forwarding import suspicion as suspicion_lib
 from chivelb_node.links import stream_origins as origins_lib
 import replicas
 
@@ -131,7 +131,7 @@
         self.targets = FakeTargets(*replies)
         self.observations = []
         self.evidence = []
-        self.suspicion = suspicion_lib.Suspicion(
+        self.crash_policy = crash_policy_lib.CrashPolicy(
             context,
             broadcast_observation=self.observations.append,
             broadcast_evidence=self.evidence.append,
@@ -143,14 +143,14 @@
             context, self.directory
         )
         self.admission_queue = admission_lib.AdmissionQueue(
-            context, placement_policy, is_refused=self.suspicion.is_refused
+            context, placement_policy, is_refused=self.crash_policy.is_refused
         )
         self.forwarder = forwarder_lib.Forwarder(
             context,
             self.admission_queue,
             self.targets,
             origins or make_origins(context),
-            self.suspicion,
+            self.crash_policy,
             count_instances=lambda: 1,
             remove_replaced_target=self.retired.append,
             check_reachability=self.unreachable.append,
--- a/tests/test_caller_leaves.py
+++ b/tests/test_caller_leaves.py
@@ -12,9 +12,9 @@
 import builders
 from chivelb_core.kv_cache import parts as parts_lib
 from chivelb_node.forwarding import admission as admission_lib
+from chivelb_node.forwarding import crash_policy as crash_policy_lib
 from chivelb_node.forwarding import forwarder as forwarder_lib
 from chivelb_node.forwarding import placement as placement_lib
-from chivelb_node.forwarding import suspicion as suspicion_lib
 from chivelb_node.links import http_pool
 from chivelb_platform import caller_server
 from chivelb_platform import target_client
@@ -119,20 +119,20 @@
         placement_policy = placement_lib.PlacementPolicy(
             self.context, parts_lib.PartDirectory()
         )
-        suspicion = suspicion_lib.Suspicion(
+        crash_policy = crash_policy_lib.CrashPolicy(
             self.context,
             broadcast_observation=lambda observation: None,
             broadcast_evidence=lambda evidence: None,
         )
         self.admission_queue = admission_lib.AdmissionQueue(
-            self.context, placement_policy, is_refused=suspicion.is_refused
+            self.context, placement_policy, is_refused=crash_policy.is_refused
         )
         forwarder = forwarder_lib.Forwarder(
             self.context,
             self.admission_queue,
             target_client.TargetClient(self.pool),
             fake_ports.make_origins(self.context),
-            suspicion,
+            crash_policy,
             count_instances=lambda: 1,
             remove_replaced_target=lambda record: None,
             check_reachability=lambda record: None,
