--- a/packages/chivelb-core/chivelb_core/membership/messages.py
+++ b/packages/chivelb-core/chivelb_core/membership/messages.py
@@ -14,7 +14,7 @@
         zone: Availability zone.
         address: ``host:port`` of the peer links.
         incarnation: Number that only the instance itself raises, for example
-            to refute a crash_policy.
+            to refute a suspicion.
         status: Status of the instance, as seen by the sender.
         anchor: Whether it is known in all regions (a voter or keeper).
     """
--- a/packages/chivelb-core/chivelb_core/membership/swim.py
+++ b/packages/chivelb-core/chivelb_core/membership/swim.py
@@ -1,6 +1,6 @@
 """State machine of the SWIM membership protocol on one instance.
 
-Implements SWIM (probe, indirect probe, crash_policy, incarnation, piggybacked
+Implements SWIM (probe, indirect probe, suspicion, incarnation, piggybacked
 updates) without I/O. An instance tracks all members of its own region, but
 only delegates and anchors of other regions, so that its traffic does not grow
 with the number of instances of the whole site.
@@ -196,7 +196,7 @@
             self._ping(name, now)
 
     def tick(self, now: float) -> None:
-        """Runs the probes, crash_policy time-outs and removals that are due."""
+        """Runs the probes, suspicion time-outs and removals that are due."""
         if now - self._last_tick_at > PAUSE_THRESHOLD_S:
             # This process was paused, so missing acks are no evidence that a
             # target failed, and suspects get the full time to refute.
