--- a/tests/test_cut_streams_review.py
+++ b/tests/test_cut_streams_review.py
@@ -4,6 +4,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node.forwarding import ports
 import fake_ports
+import pytest
 import scripted
 import wire_calls
 
@@ -117,25 +118,15 @@
     assert received.body == E1
 
 
-# Guards against a crash that is not counted, so that a request that crashes
-# its targets is sent on and on: the answer without a length is cut in an event.
-def test_a_close_in_the_middle_of_an_event_counts_as_a_crash():
-    reply = fake_ports.FakeReply(E1 + E2[:4], is_stream=True)
-    reply.framing = ports.Framing.CLOSE
-    context = builders.make_context(t0={"service": "lm", "weight_version": "1"})
-    harness = fake_ports.ForwardingHarness(context, reply)
-    now = context_lib.monotonic()
-    call = builders.make_call(
-        arrived_at=now, deadline=now + 5.0, fingerprint="f"
-    )
-    harness.run_call(call)
-    assert [o.fingerprint for o in harness.observations] == ["f"]
+# What a target sends of an answer without a length before its connection closes.
+CLOSED_EARLY = {"in the middle of an event": [E1 + E2[:4]], "at once": []}
 
 
-# Guards against a crash that is not counted because the target had sent the
-# head of an answer without a length and no event yet.
-def test_a_close_before_the_first_event_counts_as_a_crash():
-    reply = fake_ports.FakeReply(is_stream=True)
+# Guards against a crash that is not counted, so that a request that crashes its
+# targets, or a part of its prompt that does, is sent on and on.
+@pytest.mark.parametrize("steps", CLOSED_EARLY.values(), ids=CLOSED_EARLY)
+def test_a_close_before_the_end_of_an_event_counts_as_a_crash(steps):
+    reply = fake_ports.FakeReply(*steps, is_stream=True)
     reply.framing = ports.Framing.CLOSE
     context = builders.make_context(t0={"service": "lm", "weight_version": "1"})
     harness = fake_ports.ForwardingHarness(context, reply)
--- a/tests/test_parts_that_crash.py
+++ b/tests/test_parts_that_crash.py
@@ -1,24 +1,20 @@
 """Requests with a part that crashes targets stop; sound ones go on.
 
-The bounds are those that callers are promised: ``CONTACT_S`` after the fifth
-crash under a part, at most ``MAX_LATER_ARRIVALS`` requests with it reach
-targets, and from twice that time on sound requests with the same workspace or
-first part begin at least half as often as before.
+The bounds, in ``crash_days``, are those that callers are promised:
+``CONTACT_S`` after the fifth crash under a part, at most
+``MAX_LATER_ARRIVALS`` requests with it reach targets, and from twice that time
+on sound requests with the same workspace or first part begin at least half as
+often as before.
 """
 
 import asyncio
 
 import builders
+import crash_days
 import crashing_fleet
 import pytest
 import simulated_runners
 
-CONTACT_S = 3.0
-CRASHES = 5
-MAX_LATER_ARRIVALS = 3
-MIN_BEGUN_RATIO = 0.5
-BEGIN_S = 5.0
-END_S = 25.0
 SEEDS = (1, 2, 3)
 BAD = "bad"
 
@@ -46,7 +42,7 @@
 
 def send_bad(fleet, *parts):
     """Returns a sender of requests with parts that crash targets."""
-    return send_after(fleet, BEGIN_S, *parts)
+    return send_after(fleet, crash_days.BEGIN_S, *parts)
 
 
 def refused_without(fleet, part):
@@ -56,25 +52,33 @@
 
 async def crash_by_one_part(fleet):
     fleet.crashing_parts = {BAD}
-    await fleet.run_traffic(END_S, also=[(3.0, send_bad(fleet, BAD))])
+    await fleet.run_traffic(
+        crash_days.END_S, also=[(3.0, send_bad(fleet, BAD))]
+    )
 
 
 def assert_stopped(fleet, part=BAD):
     assert len(fleet.crashes[part]) >= 3
-    if len(fleet.crashes[part]) < CRASHES:
+    if len(fleet.crashes[part]) < crash_days.CRASHES:
         return
-    in_force_at = fleet.crashes[part][CRASHES - 1] + CONTACT_S
+    in_force_at = (
+        fleet.crashes[part][crash_days.CRASHES - 1] + crash_days.CONTACT_S
+    )
     later = fleet.arrivals_after(part, in_force_at)
-    assert len(later) <= MAX_LATER_ARRIVALS
+    assert len(later) <= crash_days.MAX_LATER_ARRIVALS
 
 
 def assert_sound_requests_go_on(fleet, part=BAD):
-    crashes = fleet.crashes[part][:CRASHES]
-    start = crashes[-1] + 2 * CONTACT_S
+    crashes = fleet.crashes[part][: crash_days.CRASHES]
+    start = crashes[-1] + 2 * crash_days.CONTACT_S
     for name in (None, "first-0", "first-1"):
-        before = fleet.begun_between(1.0, BEGIN_S, name) / (BEGIN_S - 1.0)
-        after = fleet.begun_between(start, END_S, name) / (END_S - start)
-        assert after >= MIN_BEGUN_RATIO * before
+        before = fleet.begun_between(1.0, crash_days.BEGIN_S, name) / (
+            crash_days.BEGIN_S - 1.0
+        )
+        after = fleet.begun_between(start, crash_days.END_S, name) / (
+            crash_days.END_S - start
+        )
+        assert after >= crash_days.MIN_BEGUN_RATIO * before
 
 
 # Guards against requests that have only a part in common and crash target after
@@ -95,7 +99,7 @@
     async def make_day(fleet):
         fleet.crashing_parts = {BAD, other}
         senders = [(2.0, send_bad(fleet, part)) for part in (BAD, other)]
-        await fleet.run_traffic(END_S, also=senders)
+        await fleet.run_traffic(crash_days.END_S, also=senders)
 
     fleet = run_fleet(monkeypatch, make_day)
     assert_stopped(fleet, BAD)
@@ -111,7 +115,7 @@
     async def make_day(fleet):
         fleet.crashing_parts = {BAD}
         await fleet.run_traffic(
-            END_S,
+            crash_days.END_S,
             also=[
                 (3.0, send_bad(fleet, companion, BAD)),
                 (1.0, send_after(fleet, 12.0, companion)),
@@ -121,7 +125,9 @@
     fleet = run_fleet(monkeypatch, make_day)
     assert_stopped(fleet)
     sent = [p for p in fleet.sent if p.at > 14.0 and p.has(companion, BAD)]
-    assert fleet.begun_between(14.0, END_S + 5.0, companion) >= 0.9 * len(sent)
+    assert fleet.begun_between(
+        14.0, crash_days.END_S + 5.0, companion
+    ) >= 0.9 * len(sent)
 
 
 # Guards against an instance that was started again after the crashes, knows of
@@ -133,13 +139,15 @@
         asyncio.get_running_loop().call_later(
             14.0, fleet.start_instance, member
         )
-        await fleet.run_traffic(END_S, also=[(3.0, send_bad(fleet, BAD))])
+        await fleet.run_traffic(
+            crash_days.END_S, also=[(3.0, send_bad(fleet, BAD))]
+        )
 
     fleet = run_fleet(monkeypatch, make_day)
     assert_stopped(fleet)
     started_again = fleet.members[-1].name
     assert not fleet.arrivals_after(
-        BAD, 14.0 + CONTACT_S, senders=[started_again]
+        BAD, 14.0 + crash_days.CONTACT_S, senders=[started_again]
     )
 
 
@@ -155,15 +163,15 @@
             loop.call_later(14.0, fleet.start_instance, member)
 
         def send_one():
-            if not 12.0 < fleet.now() < 14.0 + CONTACT_S:
+            if not 12.0 < fleet.now() < 14.0 + crash_days.CONTACT_S:
                 fleet.send("first-0", fingerprint=request)
 
-        await fleet.run_traffic(END_S, also=[(3.0, send_one)])
+        await fleet.run_traffic(crash_days.END_S, also=[(3.0, send_one)])
 
     fleet = run_fleet(monkeypatch, make_day)
     arrivals = [a for a in fleet.arrivals if a.fingerprint == request]
     assert len(arrivals) >= 2
-    assert not [a for a in arrivals if a.at > 14.0 + CONTACT_S]
+    assert not [a for a in arrivals if a.at > 14.0 + crash_days.CONTACT_S]
 
 
 # Guards against an instance that was cut off during the crashes and sends such
@@ -181,15 +189,15 @@
         )
 
         def send_one():
-            if fleet.now() > BEGIN_S:
+            if fleet.now() > crash_days.BEGIN_S:
                 names = others if fleet.now() < heals_at else [cut_off]
                 fleet.send("first-0", BAD, name=fleet.rng.choice(names))
 
-        await fleet.run_traffic(END_S, also=[(3.0, send_one)])
+        await fleet.run_traffic(crash_days.END_S, also=[(3.0, send_one)])
 
     fleet = run_fleet(monkeypatch, make_day)
-    later = fleet.arrivals_after(BAD, heals_at + CONTACT_S)
-    assert len(later) <= MAX_LATER_ARRIVALS
+    later = fleet.arrivals_after(BAD, heals_at + crash_days.CONTACT_S)
+    assert len(later) <= crash_days.MAX_LATER_ARRIVALS
 
 
 # Guards against requests that wait for a target when the crashes come and are
@@ -198,7 +206,7 @@
     async def make_day(fleet):
         fleet.crashing_parts = {BAD}
         await fleet.run_traffic(
-            END_S, per_s=60.0, also=[(12.0, send_bad(fleet, BAD))]
+            crash_days.END_S, per_s=60.0, also=[(12.0, send_bad(fleet, BAD))]
         )
 
     fleet = run_fleet(monkeypatch, make_day, target_count=6, slots=4)
@@ -234,7 +242,9 @@
         await fleet.run_traffic(20.0)
 
     fleet = run_fleet(monkeypatch, make_day, seed=seed)
-    assert not [at for at, _ in fleet.refused if at > 10.5 + CONTACT_S]
+    assert not [
+        at for at, _ in fleet.refused if at > 10.5 + crash_days.CONTACT_S
+    ]
     assert len(fleet.refused) <= 0.01 * len(fleet.sent)
 
 
