Instances without suspects compare them each 2 s

62 entries that compare nothing twice a second add 6 wake-ups a second to each, and waking up is most of what peers cost (CAPACITY). An instance that has suspects still compares each 0.5 s and tells those without.

--- a/packages/chivelb-node/chivelb_node/links/suspect_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/suspect_sharing.py
@@ -28,7 +28,11 @@
 # Limit for the crashes of suspect requests in one exchange.
 MAX_COMPARED_REQUEST_CRASHES = 1_000
 REPAIR_PERIOD_S = 0.5
+# The same without suspects: an instance that has some tells those without.
+IDLE_REPAIR_PERIOD_S = 2.0
 REPAIR_TIMEOUT_S = 0.5
+# Digest of an instance without suspects.
+_NO_SUSPECTS = messages.SuspectsDigest(parts=0, requests=0)
 _log = logs.get_logger("suspects")
 
 
@@ -163,7 +167,13 @@
     async def _repair(self) -> None:
         while not self.should_stop:
             await self.repair_once()
-            await self.sleep(REPAIR_PERIOD_S)
+            await self.sleep(self.repair_period_s())
+
+    def repair_period_s(self) -> float:
+        """Returns the time until the next exchange, in seconds."""
+        if self._digest() == _NO_SUSPECTS:
+            return IDLE_REPAIR_PERIOD_S
+        return REPAIR_PERIOD_S
 
     async def repair_once(self) -> None:
         """Exchanges the suspects with a random peer if they differ."""
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -26,9 +26,6 @@
 RESTART_S = 3.0
 DETECTION_S = 0.005
 FIRST_PARTS = 4
-SHARES_PER_REPAIR = round(
-    suspect_sharing.REPAIR_PERIOD_S / suspect_sharing.SHARE_DELAY_S
-)
 SECOND_PARTS = 60
 CLEARINGS_PER_SHARE = (
     suspect_sharing.SHARE_DELAY_S / suspect_sharing.MAX_CLEARING_DELAY_S
@@ -217,7 +214,8 @@
         async def share():
             while True:
                 await sharing.repair_once()
-                for _ in range(SHARES_PER_REPAIR):
+                next_repair_at = self.now() + sharing.repair_period_s()
+                while self.now() < next_repair_at:
                     await asyncio.sleep(suspect_sharing.SHARE_DELAY_S)
                     sharing.send_crashes()
                     if sharing.context.rng.random() < CLEARINGS_PER_SHARE:
--- a/tests/test_suspect_traffic.py
+++ b/tests/test_suspect_traffic.py
@@ -98,3 +98,15 @@
 
 def test_the_comparison_of_suspects_fits_as_well(monkeypatch):
     assert run_region(monkeypatch, None) <= CONTROL_BYTES_PER_S
+
+
+# Guards against instances that wake up often to compare nothing: most of what
+# they spend on peers is spent on waking up.
+def test_instances_without_suspects_seldom_compare_them(monkeypatch):
+    async def run():
+        region = Region(count=9)
+        await asyncio.sleep(DAY_S)
+        await region.stop()
+        return len(region.network.requests) / len(region.sharings) / DAY_S
+
+    assert simulated_runners.run_in_virtual_time(run, monkeypatch) <= 0.6
