--- a/packages/chivelb-cli/chivelb_cli/lab/announcer.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/announcer.py
@@ -25,6 +25,27 @@
     draining: bool = False
 
 
+def make_record(
+    arguments: argparse.Namespace, *, incarnation: int, port: int, **fields
+) -> targets.TargetRecord:
+    """Returns the record of a simulated target.
+
+    Args:
+        arguments: Command-line arguments of the target.
+        incarnation: Its incarnation.
+        port: Port that it listens on.
+        fields: Further fields of the record.
+    """
+    return targets.TargetRecord(
+        identity=arguments.identity,
+        incarnation=incarnation,
+        address=f"{arguments.host}:{port}",
+        zone=arguments.zone,
+        lease_s=arguments.lease,
+        **fields,
+    )
+
+
 class Announcer:
     """Announces a target periodically.
 
--- a/packages/chivelb-cli/chivelb_cli/lab/runner.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/runner.py
@@ -413,11 +413,10 @@
         """Returns the target record to announce."""
         arguments = self.arguments
         running, pending, age_s = self.engine.lagged_load()
-        return targets.TargetRecord(
-            identity=arguments.identity,
+        return announcer.make_record(
+            arguments,
             incarnation=self._incarnation,
-            address=f"{arguments.host}:{self._port}",
-            zone=arguments.zone,
+            port=self._port,
             role="runner",
             service=arguments.service,
             model=arguments.model,
@@ -432,7 +431,6 @@
             link_rate=arguments.link_rate,
             bytes_per_token=arguments.bytes_per_token,
             checks_fencing=arguments.checks_fencing,
-            lease_s=arguments.lease,
         )
 
     def background_tasks(self, port: int) -> list:
--- a/packages/chivelb-cli/chivelb_cli/lab/service.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/service.py
@@ -100,17 +100,15 @@
     def build_record(self) -> targets.TargetRecord:
         """Returns the target record to announce."""
         arguments = self.arguments
-        return targets.TargetRecord(
-            identity=arguments.identity,
+        return announcer.make_record(
+            arguments,
             incarnation=self._incarnation,
-            address=f"{arguments.host}:{self._port}",
-            zone=arguments.zone,
+            port=self._port,
             role="plain",
             service=arguments.service,
             state=self.readiness,
             slots=arguments.slots,
             running=self._running,
-            lease_s=arguments.lease,
         )
 
     def background_tasks(self, port: int) -> list:
--- a/packages/chivelb-cli/chivelb_cli/lab/store.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/store.py
@@ -262,16 +262,14 @@
         and the placeholder ``kept`` as its service.
         """
         arguments = self.arguments
-        return targets.TargetRecord(
-            identity=arguments.identity,
+        return announcer.make_record(
+            arguments,
             incarnation=self._incarnation,
-            address=f"{arguments.host}:{self._port}",
-            zone=arguments.zone,
+            port=self._port,
             role="store",
             service="kept",
             link_rate=arguments.link_rate,
             pending_tokens=self.link.pending_bytes(),
-            lease_s=arguments.lease,
         )
 
     def background_tasks(self, port: int) -> list:
