--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -269,10 +269,10 @@
 
     def is_crashing(self, call):
         """Records and returns whether a call's answer crashes its target."""
-        guilty = self.crashing_parts & set(part_ids(call))
-        for part in guilty:
+        crashing = self.crashing_parts & set(part_ids(call))
+        for part in crashing:
             self.crashes[part].append(self.now())
-        return bool(guilty) or call.fingerprint in self.crashing_requests
+        return bool(crashing) or call.fingerprint in self.crashing_requests
 
     async def receive(self, sender, call, assignment):
         """Takes a request of an instance, as ``TargetPort.send``."""
--- a/tests/test_part_suspects.py
+++ b/tests/test_part_suspects.py
@@ -86,7 +86,7 @@
 
 
 # Guards against a trial that tells nothing: it has two refused parts, and
-# accuses the sound one again.
+# makes the sound one a suspect again.
 def test_a_request_with_two_refused_parts_is_no_trial():
     table = make_table(BAD, FIRST)
     crash(table, BAD, OTHER, at=0.1, name="u")
--- a/tests/test_parts_that_crash.py
+++ b/tests/test_parts_that_crash.py
@@ -108,8 +108,10 @@
 
 
 # Guards against a sound part that is refused for good because it came with the
-# culprit in all of its requests so far.
-def test_a_sound_part_that_always_came_with_the_culprit_is_served(monkeypatch):
+# crashing one in all of its requests so far.
+def test_a_sound_part_that_always_came_with_a_crashing_one_is_served(
+    monkeypatch,
+):
     companion = "companion"
 
     async def make_day(fleet):
