--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -20,6 +20,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node.control import commands
 from chivelb_node.control import group_entry
+from chivelb_node.control import group_log
 from chivelb_node.control import log_entries
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.storage import voter_files
@@ -91,7 +92,7 @@
         self._inbox: asyncio.Queue = asyncio.Queue()
         self._pending_proposals: dict[tuple[int, int], asyncio.Future] = {}
         self._seen_voters: set[str] = set()
-        self._logged_leader = ""
+        self._group_log = group_log.GroupLog(context.metrics)
         self._state_was_read = False
         for message_type in _CONSENSUS_MESSAGES:
             hub.register_handler(message_type, self._on_message)
@@ -226,7 +227,7 @@
                 self.voter.receive(self._inbox.get_nowait(), now)
             self.voter.tick(now)
             await self._execute_effects()
-            self._note_leader()
+            self._group_log.observe(self.voter, self.leader_name())
             self._complete_joins(now)
         if self.voter is not None:
             self.failure = (
@@ -235,17 +236,6 @@
             )
             _log.error("voter stopped", detail=self.failure)
 
-    def _note_leader(self) -> None:
-        leader = self.leader_name()
-        if leader != self._logged_leader:
-            self._logged_leader = leader
-            _log.info(
-                "leader changed",
-                leader=leader or "none",
-                term=self.voter.hard_state.term,
-                voters=len(self.voter.group.members),
-            )
-
     async def _wait_for_input(self) -> None:
         try:
             async with asyncio.timeout(TICK_S):
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -166,6 +166,17 @@
             "Requests in progress",
             registry=self.registry,
         )
+        self.group_members = prometheus_client.Gauge(
+            "chivelb_control_group_members",
+            "Members of the control group, as this voter knows it",
+            ("role",),
+            registry=self.registry,
+        )
+        self.leader_known = prometheus_client.Gauge(
+            "chivelb_control_group_leader_known",
+            "1 if this voter knows a leader of the control group, else 0",
+            registry=self.registry,
+        )
         self.version = prometheus_client.Gauge(
             "chivelb_document_version",
             "Document version in force",
