An append holds as many entries as a message may, by bytes too

Callers saw CONFIG: no config in time at the read-back. Cause: appends were bounded by 200 entries alone, messages by 4 MiB; a document of this site takes some 22 kB in the log, so that the leader raised WireError as a member that had lost its disk joined with an empty log, and its voter ended.

An append now carries at most 256 KiB of commands, or one entry.

--- a/packages/chivelb-core/chivelb_core/consensus/leading.py
+++ b/packages/chivelb-core/chivelb_core/consensus/leading.py
@@ -6,6 +6,8 @@
 from chivelb_core.consensus import states
 
 MAX_ENTRIES_PER_APPEND = 200
+# Applies to the commands of an append's entries, but not to its first one.
+MAX_APPEND_BYTES = 262_144
 SNAPSHOT_PART_BYTES = 262_144
 
 
@@ -40,11 +42,14 @@
     if previous_term is None:
         send_snapshot_part(member, member_id, progress, now)
         return
-    last = min(member.log.last_index, previous + MAX_ENTRIES_PER_APPEND)
-    entries = member.log.slice(previous + 1, last) if last > previous else []
+    entries = member.log.slice_within(
+        previous + 1,
+        max_entries=MAX_ENTRIES_PER_APPEND,
+        max_bytes=MAX_APPEND_BYTES,
+    )
     progress.last_sent_at = now
     # Pipelining: advanced before the reply; a rejection moves it back.
-    progress.next_index = last + 1
+    progress.next_index = previous + len(entries) + 1
     member.send(
         messages.Append(
             member_id,
--- a/packages/chivelb-core/chivelb_core/consensus/log.py
+++ b/packages/chivelb-core/chivelb_core/consensus/log.py
@@ -68,6 +68,25 @@
         first = start - self.base_index - 1
         return self.entries[first : end - self.base_index]
 
+    def slice_within(
+        self, start: int, *, max_entries: int, max_bytes: int
+    ) -> list[Entry]:
+        """Returns entries from ``start`` on, within limits.
+
+        Args:
+            start: Index of the first entry.
+            max_entries: Most entries to return.
+            max_bytes: Most bytes that their commands may have together; the
+                first entry is returned whatever its size.
+        """
+        entries = self.slice(start, start + max_entries - 1)
+        size = 0
+        for position, entry in enumerate(entries):
+            size += len(entry.data)
+            if position > 0 and size > max_bytes:
+                return entries[:position]
+        return entries
+
     def append(self, entry: Entry) -> None:
         """Appends the next entry."""
         assert entry.index == self.last_index + 1, (
