A message that is too large is dropped and logged, its sender goes on

Cause: WireError of the codec went through the hub into whoever sent, for example the loop of the voter, which serves all members; a reply that was too large ended the link, which was opened again and again.

The hub logs message not sent, counts chivelb_peer_frames_total{kind=too_large} and drops the message; a request ends at once without a reply, a reply becomes a refusal.

--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -134,14 +134,19 @@
     # Sending.
 
     def send(self, peer: str, body: Any) -> None:
-        """Sends a message without waiting; dropped if no link can be opened."""
+        """Sends a message without waiting.
+
+        It is dropped if no link can be opened, or if it is too large.
+        """
         self._send_envelope(peer, codec.Envelope(body))
 
     def broadcast(self, peers: list[str], body: Any) -> None:
-        """Sends one message to several peers, encoded once."""
+        """Sends one message to several peers, encoded once; see ``send``."""
         if not peers:
             return
-        data = codec.encode(codec.Envelope(body))
+        data = self._encode(codec.Envelope(body), peers[0])
+        if data is None:
+            return
         for peer in peers:
             self._messages.count_sent(type(body), len(data))
             self._send_encoded(peer, data)
@@ -158,7 +163,7 @@
 
         Returns:
             The reply, or None if no link can be opened, the link closes, or
-            the request times out or is refused.
+            the request is too large, times out or is refused.
         """
         if peer == self.local_name:
             return await self._call_handler(peer, body)
@@ -169,9 +174,9 @@
             async with asyncio.timeout(timeout_s):
                 if not await self.connect(peer):
                     return None
-                self._send_envelope(
-                    peer, codec.Envelope(body, request_id=request_id)
-                )
+                envelope = codec.Envelope(body, request_id=request_id)
+                if not self._send_envelope(peer, envelope):
+                    return None
                 reply = await future
         except TimeoutError:
             return None
@@ -208,10 +213,27 @@
         pending.task = asyncio.create_task(self._connect_link(peer, pending))
         return pending
 
-    def _send_envelope(self, peer: str, envelope: codec.Envelope) -> None:
-        data = codec.encode(envelope)
+    def _send_envelope(self, peer: str, envelope: codec.Envelope) -> bool:
+        """Sends an envelope; returns False if it can't be encoded."""
+        data = self._encode(envelope, peer)
+        if data is None:
+            return False
         self._messages.count_sent(type(envelope.body), len(data))
         self._send_encoded(peer, data)
+        return True
+
+    def _encode(self, envelope: codec.Envelope, peer: str) -> bytes | None:
+        """Returns the encoded envelope, or None if it is too large.
+
+        The sender goes on: one message must not end a service, which serves
+        all peers.
+        """
+        try:
+            return codec.encode(envelope)
+        except codec.WireError as error:
+            self.context.metrics.peer_frames.labels("too_large").inc()
+            _log.error("message not sent", peer=peer, detail=str(error))
+            return None
 
     def _send_encoded(self, peer: str, data: bytes) -> None:
         if self.ring is None or self.is_partitioned(peer):
@@ -395,8 +417,11 @@
             return
         if reply is None:
             reply = messages.Refusal("request not supported by this instance")
+        if self.links.get(link.peer) is None:
+            return
         response = codec.Envelope(reply, reply_to=envelope.request_id)
-        if self.links.get(link.peer) is not None:
+        if not self._send_envelope(link.peer, response):
+            response.body = messages.Refusal("reply exceeds a message")
             self._send_envelope(link.peer, response)
 
     async def _call_handler(self, peer: str, body: Any) -> Any | None:
