--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -10,6 +10,7 @@
 import mode
 
 from chivelb_node import context as context_lib
+from chivelb_node import crash_watch
 from chivelb_node import settings as settings_lib
 from chivelb_node.control import claim_client
 from chivelb_node.control import claim_keeper
@@ -44,7 +45,6 @@
 EXIT_INTERRUPTED = 3
 EXIT_CRASH = 4
 EXIT_START = 5
-CRASH_POLL_S = 0.2
 _log = logs.get_logger("app")
 
 
@@ -183,11 +183,6 @@
         for service in self.services:
             await self.add_runtime_dependency(service)
 
-    async def wait_for_crash(self) -> None:
-        """Returns when a task of any service has failed."""
-        while not any(service.crashed for service in self.services):
-            await asyncio.sleep(CRASH_POLL_S)
-
     def _operator_handlers(self) -> list:
         reporter = status_lib.StatusReporter(
             self.context,
@@ -230,19 +225,9 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, handle_signal)
     await instance.start()
-    crash_watch = asyncio.create_task(instance.wait_for_crash())
-    stop_wait = asyncio.create_task(stop_requested.wait())
-    await asyncio.wait(
-        {crash_watch, stop_wait}, return_when=asyncio.FIRST_COMPLETED
-    )
-    stop_wait.cancel()
-    if crash_watch.done():
-        # The state of a crashed service is unknown, so the process exits and
-        # leaves the restart to its supervisor.
-        _log.error("service crashed; exiting")
+    if not await crash_watch.wait_for_stop(stop_requested, instance.services):
         await instance.stop()
         return EXIT_CRASH
-    crash_watch.cancel()
     drain = asyncio.create_task(instance.server.drain())
     interrupt = asyncio.create_task(second_signal.wait())
     await asyncio.wait({drain, interrupt}, return_when=asyncio.FIRST_COMPLETED)
