A command that no message may carry is refused at once

Cause: a change, or a document with its source, could be larger than a message between instances (4 MiB): at another control instance than the leader's the request was never sent, at the leader the entry could reach no member, and all changes behind it waited for good.

Commands are bounded by 3 MiB, three quarters of a message, since its encoding may be a quarter larger; chivelbd answers 413 change_too_large (5007), the platform 413 with the sizes.

--- a/packages/chivelb-core/chivelb_core/codes.py
+++ b/packages/chivelb-core/chivelb_core/codes.py
@@ -362,6 +362,14 @@
     RetryAdvice.NO,
     "The fencing token is old.",
 )
+CHANGE_TOO_LARGE = _result_code(
+    5007,
+    "change_too_large",
+    413,
+    _NOT_RUN,
+    RetryAdvice.FIX,
+    "The change is larger than a message between instances; split it.",
+)
 
 ALL: tuple[ResultCode, ...] = tuple(
     sorted(
--- a/packages/chivelb-node/chivelb_node/control/commands.py
+++ b/packages/chivelb-node/chivelb_node/control/commands.py
@@ -3,6 +3,15 @@
 from chivelb_core import document
 import msgspec
 
+from chivelb_node.wire import codec
+
+# A log entry travels in one message, whose encoding may be a quarter larger.
+MAX_COMMAND_BYTES = codec.MAX_MESSAGE_BYTES * 3 // 4
+
+
+class CommandTooLargeError(ValueError):
+    """A command exceeds what a message between instances may hold."""
+
 
 class LeaseCommand(msgspec.Struct, frozen=True):
     """Grants a named lease under a new fencing token.
@@ -53,6 +62,19 @@
     return msgspec.msgpack.encode(command)
 
 
+def check_size(payload: bytes) -> None:
+    """Checks that a command can be sent to all members of the control group.
+
+    Raises:
+        CommandTooLargeError: It exceeds ``MAX_COMMAND_BYTES``.
+    """
+    if len(payload) > MAX_COMMAND_BYTES:
+        raise CommandTooLargeError(
+            f"command of {len(payload)} bytes: at most {MAX_COMMAND_BYTES} "
+            "are allowed; split the change"
+        )
+
+
 def decode_change(data: bytes) -> document.Change:
     """Decodes a change from a log entry."""
     return _change_decoder.decode(data)
--- a/packages/chivelb-node/chivelb_node/control/voter_client.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_client.py
@@ -83,7 +83,12 @@
                 codes.NO_QUORUM,
                 "neither voters nor a data directory are configured",
             )
-        request = messages.ChangeRequest(commands.encode(change))
+        payload = commands.encode(change)
+        try:
+            commands.check_size(payload)
+        except commands.CommandTooLargeError as error:
+            return codes.ErrorDetail(codes.CHANGE_TOO_LARGE, str(error))
+        request = messages.ChangeRequest(payload)
         uncertain = False
 
         async def ask(name: str) -> messages.ChangeReply | None:
@@ -120,7 +125,11 @@
         Returns:
             True if the command is committed. If False, it may still be
             committed, now or later.
+
+        Raises:
+            commands.CommandTooLargeError: No message may hold the command.
         """
+        commands.check_size(payload)
         request = messages.CommandRequest(kind, payload)
         deadline = context_lib.monotonic() + timeout_s
         while (remaining_s := deadline - context_lib.monotonic()) > 0:
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -329,7 +329,7 @@
             Whether the entry may be in the log, and its result if known.
         """
         position = None
-        if self.voter is not None:
+        if self.voter is not None and len(data) <= commands.MAX_COMMAND_BYTES:
             position = self.voter.propose(kind, data, context_lib.monotonic())
         if position is None:
             return False, None
