A pulled document comes with as much history as a message may hold

Cause: the reply to a pull carried all deltas (up to 2,000), or the document with 500 of them, whatever their size; beyond 4 MiB the receiver got nothing, at a start no document at all.

Deltas beyond 3 MiB give way to the whole document, its history is halved until it fits.

--- a/packages/chivelb-core/chivelb_core/document/state.py
+++ b/packages/chivelb-core/chivelb_core/document/state.py
@@ -322,6 +322,21 @@
     return msgspec.msgpack.encode(document_state)
 
 
+def encode_replica(document_state: DocumentState, max_bytes: int) -> bytes:
+    """Encodes a replica with as much of its newest history as fits.
+
+    Args:
+        document_state: The state.
+        max_bytes: Size that the history may not make the replica exceed.
+    """
+    replica = document_state.to_replica()
+    data = encode_document_state(replica)
+    while len(data) > max_bytes and replica.history:
+        del replica.history[: (len(replica.history) + 1) // 2]
+        data = encode_document_state(replica)
+    return data
+
+
 def decode_document_state(data: bytes) -> DocumentState:
     """Decodes a document state encoded by ``encode_document_state``."""
     return msgspec.msgpack.decode(data, type=DocumentState)
--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -20,6 +20,7 @@
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.telemetry import logs
+from chivelb_node.wire import codec
 from chivelb_node.wire import messages
 
 PULL_PERIOD_S = 0.2
@@ -29,6 +30,8 @@
 # A pull that has no reply after this time is repeated at another peer.
 PULL_HEDGE_DELAY_S = 0.2
 MAX_CONCURRENT_PULLS = 3
+# Payload of the reply to a pull; its encoding may be a quarter larger.
+MAX_PULLED_BYTES = codec.MAX_MESSAGE_BYTES * 3 // 4
 # A version is often announced shortly before a provider's copy arrives.
 PULL_DELAY_S = 0.05
 # Period of the checks for the first document after the start.
@@ -232,9 +235,11 @@
             return messages.VersionAnnouncement(max(version, 0))
         deltas = self.context.document_state.deltas_since(pull.have)
         if deltas is not None and pull.have > 0:
-            return messages.Deltas(pull.have, msgspec.msgpack.encode(deltas))
-        payload = state_lib.encode_document_state(
-            self.context.document_state.to_replica()
+            payload = msgspec.msgpack.encode(deltas)
+            if len(payload) <= MAX_PULLED_BYTES:
+                return messages.Deltas(pull.have, payload)
+        payload = state_lib.encode_replica(
+            self.context.document_state, MAX_PULLED_BYTES
         )
         return messages.FullDocument(version, payload)
 
