--- a/packages/chivelb-core/chivelb_core/consensus/log.py
+++ b/packages/chivelb-core/chivelb_core/consensus/log.py
@@ -31,15 +31,17 @@
         base_index: Last index that the snapshot covers.
         base_term: Term of the entry at ``base_index``.
         entries: Entries after ``base_index``.
+        command_bytes: Bytes of the commands in ``entries``.
     """
 
-    __slots__ = ("base_index", "base_term", "entries")
+    __slots__ = ("base_index", "base_term", "entries", "command_bytes")
 
     def __init__(self, base_index: int = 0, base_term: int = 0) -> None:
         """Creates a log without entries after the snapshot."""
         self.base_index = base_index
         self.base_term = base_term
         self.entries: list[Entry] = []
+        self.command_bytes = 0
 
     @property
     def last_index(self) -> int:
@@ -96,6 +98,7 @@
             f"entry term {entry.term} is older than the last, {self.last_term}"
         )
         self.entries.append(entry)
+        self.command_bytes += len(entry.data)
 
     def truncate(self, start: int) -> None:
         """Removes the entries from ``start`` on."""
@@ -103,7 +106,7 @@
             f"cannot truncate from entry {start}: the log starts after "
             f"{self.base_index}"
         )
-        del self.entries[start - self.base_index - 1 :]
+        self._remove(slice(start - self.base_index - 1, None))
 
     def compact(self, index: int) -> None:
         """Removes the entries covered by a snapshot up to ``index``."""
@@ -112,7 +115,7 @@
             f"snapshot index {index} is not in the log, which ends at "
             f"{self.last_index}"
         )
-        del self.entries[: index - self.base_index]
+        self._remove(slice(0, index - self.base_index))
         self.base_index = index
         self.base_term = term
 
@@ -120,4 +123,9 @@
         """Removes all entries; the log starts after a snapshot."""
         self.base_index = index
         self.base_term = term
-        self.entries = []
+        self._remove(slice(None))
+
+    def _remove(self, positions: slice) -> None:
+        removed = self.entries[positions]
+        self.command_bytes -= sum(len(entry.data) for entry in removed)
+        del self.entries[positions]
--- a/packages/chivelb-core/chivelb_core/consensus/voter.py
+++ b/packages/chivelb-core/chivelb_core/consensus/voter.py
@@ -16,6 +16,13 @@
 from chivelb_core.consensus import snapshots
 from chivelb_core.consensus import states
 
+SNAPSHOT_INTERVAL_ENTRIES = 4_000
+# A log smaller than this is kept however small the snapshot is.
+MIN_SNAPSHOT_INTERVAL_BYTES = 4_194_304
+# A log may grow to this multiple of the newest snapshot, so that writing
+# snapshots stays a bounded share of all that is written.
+MAX_LOG_TO_SNAPSHOT_RATIO = 2
+
 
 class Voter(member_lib.Member):
     """A member that handles messages, ticks and proposals.
@@ -163,6 +170,24 @@
         }
         return self.group.is_quorum(acked | {self.member_id})
 
+    def is_snapshot_due(self) -> bool:
+        """Returns whether the caller should store a snapshot and compact.
+
+        Bounds the log by entries and by bytes, hence the disk that it takes
+        and the time to read and apply it at a start.
+        """
+        if self.applied_index == self.log.base_index:
+            return False
+        count = self.applied_index - self.log.base_index
+        max_bytes = max(
+            MIN_SNAPSHOT_INTERVAL_BYTES,
+            MAX_LOG_TO_SNAPSHOT_RATIO * len(self.snapshot_data),
+        )
+        return (
+            count >= SNAPSHOT_INTERVAL_ENTRIES
+            or self.log.command_bytes > max_bytes
+        )
+
     def compact(self, index: int, data: bytes) -> None:
         """Removes entries covered by a snapshot that the caller stored.
 
--- a/packages/chivelb-core/chivelb_core/testing/control_group.py
+++ b/packages/chivelb-core/chivelb_core/testing/control_group.py
@@ -54,7 +54,8 @@
     def log(self) -> log_lib.Log:
         """Returns the log as recovered after a restart."""
         log = log_lib.Log(*self.base)
-        log.entries = list(self.entries)
+        for entry in self.entries:
+            log.append(entry)
         return log
 
 
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -28,7 +28,6 @@
 from chivelb_node.wire import messages
 
 TICK_S = 0.03
-SNAPSHOT_INTERVAL_ENTRIES = 4_000
 APPLY_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 1.0
 # Kinds of log entries that a ``CommandRequest`` may propose, all of them
@@ -303,10 +302,7 @@
 
     async def _compact(self) -> None:
         voter = self.voter
-        if (
-            voter.applied_index - voter.log.base_index
-            < SNAPSHOT_INTERVAL_ENTRIES
-        ):
+        if not voter.is_snapshot_due():
             return
         data = snapshots.encode_snapshot(
             voter.committed_group(),
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -352,3 +352,24 @@
     # A new leader does not have the membership change in its log.
     append(voter, 1, 3, [make_entry(2, term=4)], commit=1, term=4)
     assert voter.group == before
+
+
+# Guards against a log of large entries that fills the disk, and that is read
+# and applied as a whole at each start, before the first snapshot is due.
+def test_a_snapshot_is_due_before_large_entries_make_a_large_log():
+    voter = make_follower([], commit=0)
+    entry_bytes = 22_000
+    due_at = None
+    for index in range(1, 1_001):
+        data = bytes([index % 256]) * entry_bytes
+        term = 3 if index > 1 else 0
+        entry = make_entry(index, data=data)
+        append(voter, index - 1, term, [entry], commit=index)
+        if due_at is None and voter.is_snapshot_due():
+            due_at = index
+            voter.compact(index - 1, b"snapshot" * 500_000)
+            assert voter.log.command_bytes == entry_bytes
+    assert due_at * entry_bytes < 5_000_000
+    # A larger snapshot allows a larger log.
+    assert voter.is_snapshot_due()
+    assert voter.log.command_bytes > 8_000_000
