A voter that the leader does not hear gives its vote to a standby

Cause: the previous member of a replaced instance was looked for by name; on the platform the name is the address, so that the successor became a fourth voter and the gone one stayed. Each replacement raised the quorum, until one more loss left no majority, no leader, no document for entries that start.

The leader now keeps an odd number of voters and treats one more as a standby, which takes the vote of a voter without a reply for 2 s. A member without contact to a leader for 2 s asks to join again, so that one that was removed while it was down, or whose admission was lost, returns with its disk.

--- a/packages/chivelb-core/chivelb_core/consensus/elections.py
+++ b/packages/chivelb-core/chivelb_core/consensus/elections.py
@@ -156,10 +156,10 @@
     member.leader = member.member_id
     member.leader_since = now
     member.progress = {}
-    member.reconcile_progress()
+    member.reconcile_progress(now)
     entry = log_lib.Entry(
         member.log.last_index + 1, member.hard_state.term, "noop", b""
     )
     member.term_start_index = entry.index
-    leading.append_entry(member, entry)
+    leading.append_entry(member, entry, now)
     leading.broadcast(member, now)
--- a/packages/chivelb-core/chivelb_core/consensus/leading.py
+++ b/packages/chivelb-core/chivelb_core/consensus/leading.py
@@ -11,7 +11,9 @@
 SNAPSHOT_PART_BYTES = 262_144
 
 
-def append_entry(member: member_lib.Member, entry: log_lib.Entry) -> None:
+def append_entry(
+    member: member_lib.Member, entry: log_lib.Entry, now: float
+) -> None:
     """Appends an entry to the leader's own log."""
     assert member.role is states.Role.LEADER, (
         f"{member.member_id} appends entry {entry.index} as "
@@ -20,6 +22,7 @@
     member.log.append(entry)
     member.effects.entries.append(entry)
     member.update_group(entry)
+    member.reconcile_progress(now)
 
 
 def broadcast(member: member_lib.Member, now: float) -> None:
--- a/packages/chivelb-core/chivelb_core/consensus/member.py
+++ b/packages/chivelb-core/chivelb_core/consensus/member.py
@@ -159,6 +159,18 @@
         """Returns whether this member is a voter whose disk is trusted."""
         return self.member_id in self.group.voters and not self.disowned
 
+    def needs_admission(self, now: float) -> bool:
+        """Returns whether this member should ask to join the group.
+
+        A member without contact to a leader may have been removed, or its
+        admission was lost with the leader that granted it. A leader that knows
+        the member ignores the request.
+        """
+        if self.role is states.Role.LEADER or self.disowned:
+            return False
+        silent_s = now - self.last_leader_contact_at
+        return silent_s >= self.timing.replace_after_s
+
     def election_delay(self) -> float:
         """Returns a randomized election time-out in seconds."""
         return self.timing.election_timeout_s * (1.0 + self.rng.random())
@@ -194,12 +206,12 @@
         }
         return self.group.is_quorum(contacted | {self.member_id})
 
-    def reconcile_progress(self) -> None:
+    def reconcile_progress(self, now: float) -> None:
         """Adds and removes progress entries to match the current group."""
         for member_id in self.group.members:
             if member_id != self.member_id and member_id not in self.progress:
                 self.progress[member_id] = states.Progress(
-                    self.log.last_index + 1
+                    self.log.last_index + 1, now
                 )
         for member_id in list(self.progress):
             if member_id not in self.group.members:
@@ -223,8 +235,6 @@
         self.group = snapshots.decode_group(entry.data)
         self.group_index = entry.index
         self.group_history.append((entry.index, self.group))
-        if self.role is states.Role.LEADER:
-            self.reconcile_progress()
 
     def send(self, message: messages.Message) -> None:
         """Adds an outgoing message to the effects."""
--- a/packages/chivelb-core/chivelb_core/consensus/states.py
+++ b/packages/chivelb-core/chivelb_core/consensus/states.py
@@ -25,10 +25,15 @@
             an election may start; an isolated leader also steps down within
             this time.
         heartbeat_period_s: Period of the leader's heartbeats.
+        replace_after_s: Time without a reply after which a member counts as
+            unreachable, so that a learner may take its place as a voter.
+        discard_after_s: Time without a reply after which a learner is removed.
     """
 
     election_timeout_s: float = 1.0
     heartbeat_period_s: float = 0.15
+    replace_after_s: float = 2.0
+    discard_after_s: float = 10.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +43,8 @@
     Attributes:
         next_index: Index of the next entry to send.
         match_index: Highest index known to be synced on the member.
+        tracked_since: Monotonic time at which the leader began to send to the
+            member, in seconds.
         last_reply_at: Monotonic time of the newest reply, in seconds.
         acked_round: Highest round number that the member replied to.
         last_sent_at: Monotonic time of the newest append, in seconds.
@@ -49,6 +56,7 @@
     """
 
     next_index: int
+    tracked_since: float
     match_index: int = 0
     last_reply_at: float = float("-inf")
     acked_round: int = 0
@@ -57,6 +65,10 @@
     match_round: int = 0
     rolled_back: bool = False
 
+    def silent_s(self, now: float) -> float:
+        """Returns the seconds since the newest reply, or since the start."""
+        return now - max(self.last_reply_at, self.tracked_since)
+
 
 @dataclasses.dataclass(slots=True)
 class HardState:
--- a/packages/chivelb-core/chivelb_core/consensus/voter.py
+++ b/packages/chivelb-core/chivelb_core/consensus/voter.py
@@ -102,7 +102,7 @@
         entry = log_lib.Entry(
             self.log.last_index + 1, self.hard_state.term, kind, data
         )
-        leading.append_entry(self, entry)
+        leading.append_entry(self, entry, now)
         for member_id in self.progress:
             leading.send_append(self, member_id, now)
         return entry.index, entry.term
--- a/packages/chivelb-core/chivelb_core/testing/control_group.py
+++ b/packages/chivelb-core/chivelb_core/testing/control_group.py
@@ -5,7 +5,6 @@
 import random
 from typing import Any
 
-from chivelb_core import codes
 from chivelb_core import consensus
 from chivelb_core.consensus import group as group_lib
 from chivelb_core.consensus import log as log_lib
@@ -333,7 +332,7 @@
             for entry in effects.committed:
                 self._apply(name, entry)
         if voter.role is states.Role.LEADER:
-            new_group = replacement_lib.plan_membership_change(voter)
+            new_group = replacement_lib.plan_membership_change(voter, self.now)
             if new_group is not None:
                 voter.propose_group(new_group, self.now)
 
@@ -370,29 +369,39 @@
             self.acknowledged.append((entry.index, proposed))
 
     def _propose_joins(self) -> None:
+        for name, member in list(self.voters.items()):
+            if member.needs_admission(self.now):
+                self._propose_learner(name, member.member_id)
         for name, member_id in list(self.joining.items()):
-            for voter in list(self.voters.values()):
-                if voter.role is not states.Role.LEADER:
-                    continue
-                member = voter.group.members.get(member_id)
-                if member is None:
-                    appended = voter.propose_group(
-                        replacement_lib.admit_learner(
-                            voter.group, member_id, name
-                        ),
-                        self.now,
-                    )
-                    assert appended is not None, (
-                        f"{voter.member_id} neither appended nor rejected the "
-                        f"learner {member_id}"
-                    )
-                    if isinstance(appended, codes.ErrorDetail):
-                        continue
-                elif member.votes and member_id in (
-                    voter.committed_group().voters
-                ):
-                    del self.joining[name]
-                    break
+            if self._is_committed_voter(member_id):
+                del self.joining[name]
+
+    def _propose_learner(self, name: str, member_id: str) -> None:
+        """Asks all leaders to admit a member as a learner."""
+        for leader in self._leaders():
+            if member_id in leader.group.members:
+                continue
+            appended = leader.propose_group(
+                replacement_lib.admit_learner(leader.group, member_id, name),
+                self.now,
+            )
+            assert appended is not None, (
+                f"{leader.member_id} neither appended nor rejected the "
+                f"learner {member_id}"
+            )
+
+    def _is_committed_voter(self, member_id: str) -> bool:
+        return any(
+            member_id in leader.committed_group().voters
+            for leader in self._leaders()
+        )
+
+    def _leaders(self) -> list[consensus.Voter]:
+        return [
+            voter
+            for voter in self.voters.values()
+            if voter.role is states.Role.LEADER
+        ]
 
     # Invariants.
 
--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -102,7 +102,10 @@
         self.claim_keeper_service: claim_keeper.ClaimKeeperService | None = None
         if settings.instance.name in self.replica.voter_client.voters():
             self.voter_service = voter_service.VoterService(
-                self.context, self.hub, self.replica.push_latest
+                self.context,
+                self.hub,
+                self.replica.push_latest,
+                self.gossip.control_instances,
             )
             self.replica.voter_client.voter_service = self.voter_service
         if settings.instance.name in self.claims.keepers:
--- a/packages/chivelb-node/chivelb_node/control/group_entry.py
+++ b/packages/chivelb-node/chivelb_node/control/group_entry.py
@@ -5,13 +5,16 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
+import functools
 import secrets
 
 from chivelb_core.consensus import group as group_lib
 from chivelb_core.consensus import snapshots
 import mode
 
+from chivelb_node import hedging
 from chivelb_node import settings as settings_lib
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.telemetry import logs
@@ -20,6 +23,7 @@
 HELLO_PERIOD_S = 0.3
 HELLO_TIMEOUT_S = 0.5
 JOIN_PERIOD_S = 0.5
+JOIN_HEDGE_DELAY_S = 0.1
 _log = logs.get_logger("voter")
 
 
@@ -38,7 +42,10 @@
 
 
 async def find_membership(
-    service: mode.Service, hub: hub_lib.Hub, settings: settings_lib.Settings
+    service: mode.Service,
+    hub: hub_lib.Hub,
+    settings: settings_lib.Settings,
+    control_instances: Callable[[], list[str]],
 ) -> Membership | None:
     """Decides whether to found a group or to join one, and joins it.
 
@@ -46,6 +53,7 @@
         service: The service that waits for the decision.
         hub: Links to peers.
         settings: Settings of the instance.
+        control_instances: Returns the names of the known control instances.
 
     Returns:
         The membership, or None if the service stops first.
@@ -53,7 +61,7 @@
     name = settings.instance.name
     names = settings.control.voters or [name]
     if settings.control.start == "join":
-        return await _join(service, hub, name, names)
+        return await _join(service, hub, name, control_instances)
     founded = Membership(
         group_lib.original_member_id(name), group_lib.initial_group(names)
     )
@@ -66,7 +74,7 @@
         if any(_is_rejoining(name, s) for s in joined):
             # This instance voted before and lost its disk, or the group
             # was restored from a snapshot without it.
-            return await _join(service, hub, name, [s.name for s in joined])
+            return await _join(service, hub, name, control_instances)
         if len(voter_states) == len(names) - 1:
             return founded
         await service.sleep(HELLO_PERIOD_S)
@@ -91,7 +99,10 @@
 
 
 async def _join(
-    service: mode.Service, hub: hub_lib.Hub, name: str, names: list[str]
+    service: mode.Service,
+    hub: hub_lib.Hub,
+    name: str,
+    control_instances: Callable[[], list[str]],
 ) -> Membership | None:
     """Joins an existing group under a new member id.
 
@@ -99,16 +110,37 @@
         service: The service that waits for the admission.
         hub: Links to peers.
         name: Name of this instance.
-        names: Names of the instances to ask; one of them may be the leader.
+        control_instances: Returns the names of the known control instances;
+            one of them may be the leader.
     """
     member_id = f"{name}/{secrets.token_hex(4)}"
     _log.warning("no state on disk; joining as a new member", member=member_id)
     while not service.should_stop:
-        for other in names:
-            reply = await hub.request(
-                other, messages.JoinRequest(name, member_id), HELLO_TIMEOUT_S
-            )
-            if isinstance(reply, messages.JoinReply) and reply.accepted:
-                return Membership(member_id, group_lib.Group())
+        request = messages.JoinRequest(name, member_id)
+        if await request_admission(hub, request, control_instances()):
+            return Membership(member_id, group_lib.Group())
         await service.sleep(JOIN_PERIOD_S)
     return None
+
+
+async def request_admission(
+    hub: hub_lib.Hub, request: messages.JoinRequest, names: list[str]
+) -> bool:
+    """Asks instances in turn to admit a member, until the leader has done so.
+
+    Args:
+        hub: Links to peers.
+        request: Names the member.
+        names: Names of the instances, one of which may be the leader.
+    """
+    reply = await hedging.first_accepted(
+        (
+            functools.partial(hub.request, name, request, HELLO_TIMEOUT_S)
+            for name in names
+        ),
+        delay_s=JOIN_HEDGE_DELAY_S,
+        accept=lambda reply: (
+            isinstance(reply, messages.JoinReply) and reply.accepted
+        ),
+    )
+    return reply is not None
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -1,6 +1,7 @@
 """Runs a voter: its files, its messages and its proposals."""
 
 import asyncio
+from collections.abc import Callable
 import pathlib
 import random
 from typing import Any
@@ -54,12 +55,15 @@
     The control group is the Raft group of the instances that hold the durable
     state. A voter's member id is ``NAME/1`` in a new group. A voter that lost
     its disk joins as a learner under a new id, ``NAME/`` and random hex digits,
-    and replaces its old member once it has caught up with the log.
+    and replaces its old member once it has caught up with the log. So does the
+    successor of an instance, which has another name, once the leader has not
+    heard of a voter for some time; see ``consensus.replacement``.
 
     Attributes:
         context: Shared state of the instance.
         hub: Links to peers.
         on_applied: Called after a new document version was published.
+        control_instances: Returns the names of the known control instances.
         voter: Consensus state machine, or None before the group is known.
         document_state: Document state that committed entries are applied to.
         failure: Reason why the voter stopped, or empty.
@@ -70,6 +74,7 @@
         context: context_lib.InstanceContext,
         hub: hub_lib.Hub,
         on_applied,
+        control_instances: Callable[[], list[str]],
     ) -> None:
         """Creates the service.
 
@@ -77,11 +82,14 @@
             context: Shared state of the instance.
             hub: Links to peers.
             on_applied: Called after a new document version was published.
+            control_instances: Returns the names of the known control
+                instances.
         """
         super().__init__()
         self.context = context
         self.hub = hub
         self.on_applied = on_applied
+        self.control_instances = control_instances
         self.voter: consensus.Voter | None = None
         self.document_state = document.DocumentState()
         self.failure = ""
@@ -147,7 +155,7 @@
         if member_id:
             return
         membership = await group_entry.find_membership(
-            self, self.hub, self.context.settings
+            self, self.hub, self.context.settings, self.control_instances
         )
         if membership is not None:
             self._create(membership)
@@ -227,7 +235,7 @@
             self.voter.tick(now)
             await self._execute_effects()
             self._group_log.observe(self.voter, self.leader_name())
-            self._complete_joins(now)
+            self._change_group(now)
         if self.voter is not None:
             self.failure = (
                 "stored state was rolled back to an older one; "
@@ -403,7 +411,7 @@
                 )
         return stale
 
-    # Replacement of members that lost their disk.
+    # Members that join, and changes of the group.
 
     def _on_join(
         self, peer: str, request: messages.JoinRequest
@@ -423,13 +431,24 @@
             True, self.name, snapshots.encode_group(self.voter.group)
         )
 
-    def _complete_joins(self, now: float) -> None:
-        """Proposes the next step to replace an old member by its learner.
-
-        The learner must have caught up with the log.
-        """
+    def _change_group(self, now: float) -> None:
+        """Proposes the next change of the group's members, if one is due."""
         if not self.is_leader:
             return
-        step = replacement_lib.plan_membership_change(self.voter)
+        step = replacement_lib.plan_membership_change(self.voter, now)
         if step is not None:
             self.voter.propose_group(step, now)
+
+    @mode.Service.task
+    async def _stay_member(self) -> None:
+        """Asks to join again while the leader seems not to know this member."""
+        while not self.should_stop:
+            await self.sleep(JOIN_PERIOD_S)
+            voter = self.voter
+            if voter is not None and voter.needs_admission(
+                context_lib.monotonic()
+            ):
+                request = messages.JoinRequest(self.name, voter.member_id)
+                await group_entry.request_admission(
+                    self.hub, request, self.control_instances()
+                )
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -112,6 +112,22 @@
         state = self.swim.members.get(name)
         return state is not None and state.member.anchor
 
+    def control_instances(self) -> list[str]:
+        """Returns the names of all control instances but this one.
+
+        Those of the settings come first. Instances that seem to be down are
+        included.
+        """
+        configured = self.context.settings.control.voters
+        found = sorted(
+            name
+            for name, state in self.swim.members.items()
+            if state.member.anchor
+        )
+        names = dict.fromkeys([*configured, *found])
+        names.pop(self.swim.local_member.name, None)
+        return list(names)
+
     def entry_instance_count(self) -> int:
         """Returns the number of entry instances of the region.
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -233,6 +233,10 @@
     return voter
 
 
+def plan_change(voter):
+    return control_group.replacement_lib.plan_membership_change(voter, 9.3)
+
+
 def acknowledge(voter, index):
     voter.receive(
         consensus_messages.AppendReply("a/1", "b/1", 3, True, index, 1), 9.1
@@ -265,11 +269,11 @@
     voter.record_synced(3, 9.2)
     acknowledge(voter, 3)
     assert voter.commit_index == 3
-    assert control_group.replacement_lib.plan_membership_change(voter) is None
+    assert plan_change(voter) is None
     voter.receive(
         consensus_messages.AppendReply("a/1", "c/2", 3, True, 3, 2), 9.3
     )
-    step = control_group.replacement_lib.plan_membership_change(voter)
+    step = plan_change(voter)
     assert "c/1" not in step.members
 
 
--- /dev/null
+++ b/tests/test_voter_service.py
@@ -0,0 +1,122 @@
+"""Voter services that exchange messages in memory, with files on disk."""
+
+import asyncio
+import contextlib
+import random
+
+import builders
+from chivelb_node.control import voter_service
+import pytest
+import replicas
+
+SEEDS = ["v1", "v2", "v3"]
+WAIT_S = 30.0
+
+
+class ControlGroup:
+    """Voter services by name, and their network."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.network = replicas.MemoryNetwork()
+        self.services = {}
+
+    async def start(self, name, *, start):
+        context = builders.make_context()
+        context.rng = random.Random(name)
+        settings = context.settings
+        settings.instance.name = name
+        settings.instance.data_dir = str(self.directory / name)
+        settings.control.voters = SEEDS
+        settings.control.start = start
+        settings.control.election_timeout_s = 0.3
+        settings.control.heartbeat_s = 0.06
+        service = voter_service.VoterService(
+            context,
+            replicas.MemoryHub(name, self.network),
+            lambda: None,
+            lambda: [other for other in self.network.hubs if other != name],
+        )
+        self.services[name] = service
+        self.network.silent.discard(name)
+        await service.start()
+
+    async def stop(self, name):
+        """Stops an instance without a word to the others."""
+        self.network.silent.add(name)
+        await self.services.pop(name).stop()
+
+    def leader(self):
+        return next((s for s in self.services.values() if s.is_leader), None)
+
+    def voter_names(self):
+        leader = self.leader()
+        return set(leader.voter_names()) if leader is not None else set()
+
+    async def wait_until(self, condition):
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def commit(self):
+        await self.wait_until(self.leader)
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                leader = self.leader()
+                if leader is not None:
+                    await leader.propose("test", b"")
+                    if leader.voter.commit_index == leader.voter.log.last_index:
+                        return
+                await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def running_group(directory):
+    group = ControlGroup(directory)
+    for name in SEEDS:
+        await group.start(name, start="found")
+    await group.wait_until(group.leader)
+    try:
+        yield group
+    finally:
+        for name in list(group.services):
+            await group.stop(name)
+
+
+# Guards against a control group that keeps an instance as a voter which was
+# replaced at another address, and is lost with the next loss.
+@pytest.mark.parametrize("planned", [True, False])
+def test_a_successor_takes_the_vote_of_a_replaced_instance(tmp_path, planned):
+    async def run():
+        async with running_group(tmp_path) as group:
+            if planned:
+                await group.start("v4", start="join")
+            await group.stop("v1")
+            if not planned:
+                await group.start("v4", start="join")
+            await group.wait_until(
+                lambda: group.voter_names() == {"v2", "v3", "v4"}
+            )
+            await group.stop("v2")
+            await group.commit()
+
+    asyncio.run(run())
+
+
+# Guards against an instance that runs without a vote for ever, because it was
+# replaced while it was down.
+def test_an_instance_that_returns_after_its_replacement_joins_again(tmp_path):
+    async def run():
+        async with running_group(tmp_path) as group:
+            await group.start("v4", start="join")
+            await group.stop("v1")
+            await group.wait_until(
+                lambda: group.voter_names() == {"v2", "v3", "v4"}
+            )
+            await group.start("v1", start="found")
+            await group.stop("v2")
+            await group.wait_until(
+                lambda: group.voter_names() == {"v1", "v3", "v4"}
+            )
+
+    asyncio.run(run())
