A voter whose disk failed for a while votes again

Found by reading.

The voter reads its files again each second until it can write them. Before that it writes them anew and syncs them, because after a failed sync the page cache may show records that are not on the disk.

--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -29,6 +29,8 @@
 from chivelb_node.wire import messages
 
 TICK_S = 0.03
+# Pause before the files are read again after a write has failed.
+DISK_RETRY_S = 1.0
 APPLY_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 1.0
 # Kinds of log entries that a ``CommandRequest`` may propose, all of them
@@ -66,7 +68,7 @@
         control_instances: Returns the names of the known control instances.
         voter: Consensus state machine, or None before the group is known.
         document_state: Document state that committed entries are applied to.
-        failure: Reason why the voter stopped, or empty.
+        failure: Reason why the voter does not run, or empty.
     """
 
     def __init__(
@@ -138,18 +140,28 @@
 
     @mode.Service.task
     async def _main(self) -> None:
-        try:
-            await self._initialize_voter()
-            await self._run_voter()
-        except OSError as error:
-            # After a failed sync the contents of the files are unknown.
-            self.failure = f"disk: {error}"
-            self.voter = None
-            _log.error("voter stopped", detail=self.failure)
+        while not self.should_stop:
+            try:
+                await self._initialize_voter()
+                await self._run_voter()
+                return
+            except OSError as error:
+                self._stop_voter(f"disk: {error}")
+            await self.sleep(DISK_RETRY_S)
+
+    def _stop_voter(self, failure: str) -> None:
+        if failure != self.failure:
+            _log.error("voter stopped", detail=failure)
+        self.failure = failure
+        self.voter = None
+        self._files.close()
 
     async def _initialize_voter(self) -> None:
         member_id = self._files.read_identity()
         if member_id:
+            if self.failure:
+                # After a failed sync, what is read may not be on the disk.
+                await self._files.rewrite()
             self._recover()
         self._state_was_read = True
         if member_id:
@@ -191,6 +203,8 @@
 
     def _recover(self) -> None:
         recovered = self._files.recover()
+        self.failure = ""
+        self.document_state = document.DocumentState()
         self._seen_voters = self._files.read_seen_voters()
         group = group_lib.Group()
         if recovered.snapshot:
@@ -237,11 +251,10 @@
             self._group_log.observe(self.voter, self.leader_name())
             self._change_group(now)
         if self.voter is not None:
-            self.failure = (
+            self._stop_voter(
                 "stored state was rolled back to an older one; "
                 "empty the data directory"
             )
-            _log.error("voter stopped", detail=self.failure)
 
     async def _wait_for_input(self) -> None:
         try:
--- a/packages/chivelb-node/chivelb_node/storage/voter_files.py
+++ b/packages/chivelb-node/chivelb_node/storage/voter_files.py
@@ -72,7 +72,10 @@
     def __init__(self, folder: pathlib.Path) -> None:
         """Creates the object without reading any file."""
         self.folder = folder
-        self.journal = journal_lib.Journal(folder / "log.journal")
+        self._open_journal()
+
+    def _open_journal(self) -> None:
+        self.journal = journal_lib.Journal(self.folder / "log.journal")
 
     def read_identity(self) -> str:
         """Returns the member id, or empty if there is no state."""
@@ -129,6 +132,28 @@
                         log.append(log_lib.Entry(index, term, kind, entry_data))
         return RecoveredState(self.read_identity(), hard_state, log, data)
 
+    async def rewrite(self) -> None:
+        """Writes all files again, so that what is read from them is synced.
+
+        Must be called before ``recover`` after a write or sync has failed.
+
+        Raises:
+            journal_lib.JournalError: A file is damaged.
+            OSError: A file can't be written.
+        """
+        snapshot = self._read_snapshot()
+        if snapshot is not None:
+            self.write_snapshot(*snapshot)
+        self.write_seen_voters(self.read_seen_voters())
+        records = self.journal.open()
+        await self.journal.rewrite(records)
+        self.close()
+
+    def close(self) -> None:
+        """Closes the journal; it can be recovered again."""
+        self.journal.close()
+        self._open_journal()
+
     async def store(self, effects: consensus.Effects) -> None:
         """Writes and syncs the durable effects of a step.
 
--- a/tests/test_voter_service.py
+++ b/tests/test_voter_service.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import errno
 import random
 
 import builders
 from chivelb_node.control import voter_service
+from chivelb_node.storage import journal as journal_lib
 import pytest
 import replicas
 
@@ -69,6 +71,11 @@
                         return
                 await asyncio.sleep(0.05)
 
+    async def commit_again_and_again(self):
+        while True:
+            await self.commit()
+            await asyncio.sleep(0.02)
+
 
 @contextlib.asynccontextmanager
 async def running_group(directory):
@@ -120,3 +127,53 @@
             )
 
     asyncio.run(run())
+
+
+@pytest.fixture
+def failing_folders(monkeypatch):
+    """Folders whose files refuse each write."""
+    folders = set()
+    write = journal_lib.Journal._write
+    replace_file = journal_lib.replace_file
+
+    def check(path):
+        if any(path.is_relative_to(folder) for folder in folders):
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+    def checked_write(journal, data):
+        check(journal.path)
+        write(journal, data)
+
+    def checked_replace(path, data):
+        check(path)
+        replace_file(path, data)
+
+    monkeypatch.setattr(journal_lib.Journal, "_write", checked_write)
+    monkeypatch.setattr(journal_lib, "replace_file", checked_replace)
+    return folders
+
+
+# Guards against a voter that ends for good as its disk fails for a while, while
+# its process goes on: after two such failures nobody leads.
+def test_a_voter_votes_again_once_its_disk_works_again(
+    tmp_path, monkeypatch, failing_folders
+):
+    monkeypatch.setattr(voter_service, "DISK_RETRY_S", 0.05, raising=False)
+
+    async def run():
+        async with running_group(tmp_path) as group:
+            for name in SEEDS:
+                await group.commit()
+                failing_folders.add(tmp_path / name)
+                service = group.services[name]
+                changes = asyncio.create_task(group.commit_again_and_again())
+                await group.wait_until(lambda s=service: s.failure)
+                failing_folders.clear()
+                await group.wait_until(
+                    lambda s=service: s.voter is not None and not s.failure
+                )
+                changes.cancel()
+                assert service.voter.member_id == f"{name}/1"
+            await group.commit()
+
+    asyncio.run(run())
