--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -292,12 +292,23 @@
         sender = group_lib.instance_name(message.from_member)
         if self.voter is None or sender != peer:
             return
-        if peer not in self._seen_voters:
-            # Synced before the vote of the peer can count. This tells a later
-            # start of the peer after a disk loss from its first start.
-            self._seen_voters.add(peer)
-            self._files.write_seen_voters(self._seen_voters)
-        self._inbox.put_nowait(message)
+        if peer in self._seen_voters or self._note_seen(peer):
+            self._inbox.put_nowait(message)
+
+    def _note_seen(self, peer: str) -> bool:
+        """Notes durably that a peer takes part; returns False on failure.
+
+        Synced before the vote of the peer can count. This tells a later start
+        of the peer after a disk loss from its first start.
+        """
+        names = {*self._seen_voters, peer}
+        try:
+            self._files.write_seen_voters(names)
+        except OSError as error:
+            _log.warning("message of peer dropped", peer=peer, error=str(error))
+            return False
+        self._seen_voters = names
+        return True
 
     def _install_snapshot(self, data: bytes) -> None:
         snapshot = snapshots.decode_snapshot(data)
--- a/tests/test_voter_service.py
+++ b/tests/test_voter_service.py
@@ -6,6 +6,7 @@
 import random
 
 import builders
+from chivelb_core.consensus import messages as consensus_messages
 from chivelb_node.control import voter_service
 from chivelb_node.storage import journal as journal_lib
 import pytest
@@ -177,3 +178,25 @@
             await group.commit()
 
     asyncio.run(run())
+
+
+# Guards against a peer whose messages are taken although it was not noted, so
+# that its first start could not be told from one after a disk loss.
+def test_a_peer_that_cannot_be_noted_on_the_disk_is_not_heard(
+    tmp_path, failing_folders
+):
+    async def run():
+        async with running_group(tmp_path) as group:
+            service = group.services["v1"]
+            failing_folders.add(tmp_path / "v1")
+            message = consensus_messages.AppendReply(
+                "v1/1", "v9/1", 1, True, 0, 0
+            )
+            for _ in range(2):
+                service._on_message("v9", message)
+            assert "v9" not in service._seen_voters
+            failing_folders.clear()
+            service._on_message("v9", message)
+            assert "v9" in service._files.read_seen_voters()
+
+    asyncio.run(run())
