--- a/packages/chivelb-node/chivelb_node/storage/journal.py
+++ b/packages/chivelb-node/chivelb_node/storage/journal.py
@@ -2,11 +2,14 @@
 
 import asyncio
 from collections.abc import Iterator
+import itertools
 import os
 import pathlib
 import zlib
 
 HEADER_BYTES = 8
+# First byte of a record that holds a batch; never the first of MessagePack.
+BATCH_MARK = b"\xc1"
 MAX_RECORD_BYTES = 67_108_864
 
 
@@ -30,6 +33,31 @@
     return length + checksum + payload
 
 
+def encode_batch(payloads: list[bytes]) -> bytes:
+    """Returns one record that holds several.
+
+    What is written at once is valid as a whole or not at all: after a loss of
+    power any part of the last write may be on the disk.
+    """
+    lengths = (len(payload).to_bytes(4, "big") for payload in payloads)
+    parts = zip(lengths, payloads, strict=True)
+    return encode_record(
+        BATCH_MARK + b"".join(itertools.chain.from_iterable(parts))
+    )
+
+
+def _split_batch(record: bytes) -> Iterator[bytes]:
+    """Yields the payloads of a record, which may hold a batch."""
+    if not record.startswith(BATCH_MARK):
+        yield record
+        return
+    offset = len(BATCH_MARK)
+    while offset < len(record):
+        start = offset + 4
+        offset = start + int.from_bytes(record[offset:start], "big")
+        yield record[start:offset]
+
+
 def iterate_records(data: bytes) -> Iterator[tuple[int, bytes]]:
     """Yields the end offset and payload of each valid record.
 
@@ -82,7 +110,7 @@
         self.path = path
         self.size = 0
         self._file = None
-        self._queue: list[tuple[bytes, asyncio.Future]] = []
+        self._queue: list[tuple[list[bytes], asyncio.Future]] = []
         self._flushing: asyncio.Task | None = None
 
     def open(self) -> list[bytes]:
@@ -96,7 +124,7 @@
         payloads = []
         end = 0
         for end, payload in iterate_records(data):  # noqa: B007
-            payloads.append(payload)
+            payloads += _split_batch(payload)
         if end < len(data) and _has_valid_record_after(data, end):
             raise JournalError(
                 f"{self.path}: damaged at byte {end} before valid records; "
@@ -125,9 +153,8 @@
         """
         if not payloads and not self._queue and not self._is_flushing():
             return
-        data = b"".join(encode_record(payload) for payload in payloads)
         future = asyncio.get_running_loop().create_future()
-        self._queue.append((data, future))
+        self._queue.append((payloads, future))
         if not self._is_flushing():
             self._flushing = asyncio.create_task(self._flush())
         await future
@@ -138,7 +165,8 @@
     async def _flush(self) -> None:
         while self._queue:
             batch, self._queue = self._queue, []
-            data = b"".join(data for data, _ in batch)
+            records = [record for payloads, _ in batch for record in payloads]
+            data = encode_batch(records) if records else b""
             try:
                 if data:
                     await asyncio.to_thread(self._write, data)
@@ -162,7 +190,7 @@
 
         Must not run concurrently with ``append``.
         """
-        data = b"".join(encode_record(payload) for payload in payloads)
+        data = b"".join(encode_batch([payload]) for payload in payloads)
         await asyncio.to_thread(replace_file, self.path, data)
         self._file.close()
         self._file = self.path.open("r+b")
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -17,10 +17,13 @@
 
 
 def write(path, payloads):
+    """Writes records each of which is synced before the next is written."""
+
     async def run():
         journal_file = journal.Journal(path)
         journal_file.open()
-        await asyncio.gather(*(journal_file.append([p]) for p in payloads))
+        for payload in payloads:
+            await journal_file.append([payload])
         journal_file.close()
 
     asyncio.run(run())
@@ -39,6 +42,12 @@
     assert read(tmp_path / "j") == payloads
 
 
+def test_records_that_share_a_write_survive_in_order(tmp_path):
+    payloads = [bytes([n]) * n for n in range(50)]
+    batch_bytes(tmp_path, [payloads])
+    assert read(tmp_path / "j") == payloads
+
+
 @pytest.mark.parametrize("cut", range(1, 20))
 def test_a_torn_tail_is_truncated(tmp_path, cut):
     write(tmp_path / "j", [b"first", b"second", b"third record"])
@@ -138,3 +147,49 @@
         restore.restore_voter(data, tmp_path, name="a", above=0)
     with pytest.raises(ValueError, match="not a saved document state"):
         restore.restore_voter(b"?", tmp_path / "b", name="a", above=0)
+
+
+def batch_bytes(tmp_path, batches):
+    """Returns the file after each batch, which is one write."""
+    path = tmp_path / "j"
+    states_of_file = [b""]
+
+    async def run():
+        journal_file = journal.Journal(path)
+        journal_file.open()
+        for batch in batches:
+            # Appends that arrive together share one write.
+            await asyncio.gather(
+                *(journal_file.append([payload]) for payload in batch)
+            )
+            states_of_file.append(path.read_bytes())
+        journal_file.close()
+
+    asyncio.run(run())
+    return states_of_file
+
+
+# Guards against a voter that refuses to start after a loss of power because a
+# later part of its last write reached the disk and an earlier one did not.
+@pytest.mark.parametrize("lost", range(0, 60, 4))
+def test_a_last_write_that_reached_the_disk_in_part_is_discarded(
+    tmp_path, lost
+):
+    first = [b"first", b"second"]
+    last = [b"third record", b"fourth record", b"fifth record"]
+    before, after = batch_bytes(tmp_path, [first, last])[1:]
+    data = bytearray(after)
+    start = len(before) + min(lost, len(after) - len(before) - 8)
+    data[start : start + 4] = bytes(4)
+    (tmp_path / "j").write_bytes(data)
+    assert read(tmp_path / "j") == first
+
+
+def test_records_of_an_earlier_version_are_read(tmp_path):
+    payloads = [b"\x93one", b"\x93two"]
+    (tmp_path / "j").write_bytes(
+        b"".join(journal.encode_record(payload) for payload in payloads)
+    )
+    assert read(tmp_path / "j") == payloads
+    write(tmp_path / "j", [b"\x93three"])
+    assert read(tmp_path / "j") == [*payloads, b"\x93three"]
