--- a/packages/chivelb-node/chivelb_node/storage/journal.py
+++ b/packages/chivelb-node/chivelb_node/storage/journal.py
@@ -120,7 +120,26 @@
             JournalError: A record before the tail is damaged.
         """
         existed = self.path.exists()
-        data = self.path.read_bytes() if existed else b""
+        payloads, end = self._read()
+        self._file = self.path.open("r+b" if existed else "w+b")
+        self._file.truncate(end)
+        self._file.seek(end)
+        os.fsync(self._file.fileno())
+        sync_directory(self.path.parent)
+        self.size = end
+        return payloads
+
+    def read(self) -> list[bytes]:
+        """Returns all payloads.
+
+        Raises:
+            JournalError: A record before the tail is damaged.
+        """
+        return self._read()[0]
+
+    def _read(self) -> tuple[list[bytes], int]:
+        """Returns all payloads, and the size of the valid records in bytes."""
+        data = self.path.read_bytes() if self.path.exists() else b""
         payloads = []
         end = 0
         for end, payload in iterate_records(data):  # noqa: B007
@@ -130,13 +149,7 @@
                 f"{self.path}: damaged at byte {end} before valid records; "
                 "restart this instance with an empty data directory"
             )
-        self._file = self.path.open("r+b" if existed else "w+b")
-        self._file.truncate(end)
-        self._file.seek(end)
-        os.fsync(self._file.fileno())
-        sync_directory(self.path.parent)
-        self.size = end
-        return payloads
+        return payloads, end
 
     async def append(self, payloads: list[bytes]) -> None:
         """Appends records and returns when they are synced.
--- a/packages/chivelb-node/chivelb_node/storage/voter_files.py
+++ b/packages/chivelb-node/chivelb_node/storage/voter_files.py
@@ -127,9 +127,8 @@
                 case TruncateRecord(start):
                     _truncate(log, start)
                 case EntryRecord(index, term, kind, entry_data):
-                    if index > log.base_index:
-                        _truncate(log, index)
-                        log.append(log_lib.Entry(index, term, kind, entry_data))
+                    entry = log_lib.Entry(index, term, kind, entry_data)
+                    _restore_entry(log, entry)
         return RecoveredState(self.read_identity(), hard_state, log, data)
 
     async def rewrite(self) -> None:
@@ -163,6 +162,7 @@
         if effects.snapshot is not None:
             index, term, data = effects.snapshot
             self.write_snapshot(index, term, data)
+            await self._drop_entries()
         records: list[Record] = []
         if effects.hard_state is not None:
             hard_state = effects.hard_state
@@ -172,6 +172,15 @@
         records += [_entry_record(entry) for entry in effects.entries]
         await self.journal.append([msgspec.msgpack.encode(r) for r in records])
 
+    async def _drop_entries(self) -> None:
+        """Removes all entries; the newest hard state stays."""
+        hard_records = [
+            payload
+            for payload in self.journal.read()
+            if isinstance(_decoder.decode(payload), HardRecord)
+        ]
+        await self.journal.rewrite(hard_records[-1:])
+
     async def compact(
         self, voter: consensus.Voter, index: int, data: bytes
     ) -> None:
@@ -227,6 +236,16 @@
         raise journal_lib.JournalError(f"{source}: {error}") from None
 
 
+def _restore_entry(log: log_lib.Log, entry: log_lib.Entry) -> None:
+    """Adds an entry unless the snapshot covers or replaces it."""
+    if entry.index <= log.base_index:
+        return
+    _truncate(log, entry.index)
+    follows = entry.index == log.last_index + 1
+    if follows and entry.term >= log.last_term:
+        log.append(entry)
+
+
 def _truncate(log: log_lib.Log, start: int) -> None:
     if log.base_index < start <= log.last_index:
         log.truncate(start)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -193,3 +193,36 @@
     assert read(tmp_path / "j") == payloads
     write(tmp_path / "j", [b"\x93three"])
     assert read(tmp_path / "j") == [*payloads, b"\x93three"]
+
+
+# Guards against a voter that ends at its start because its journal still has
+# entries from before a snapshot of the leader replaced its log.
+@pytest.mark.parametrize("crashed_between", [False, True])
+def test_entries_from_before_an_installed_snapshot_are_dropped(
+    tmp_path, crashed_between
+):
+    folder = tmp_path / "voter"
+
+    async def run():
+        files = voter_files.VoterFiles(folder)
+        files.create("a/1")
+        files.recover()
+        await files.store(
+            make_effects(
+                hard_state=states.HardState(1, ""),
+                entries=[entry(index, 1) for index in range(1, 9)],
+            )
+        )
+        stored = files.journal.path.read_bytes()
+        await files.store(
+            make_effects(
+                hard_state=states.HardState(7, "b/1"), snapshot=(5, 7, b"s")
+            )
+        )
+        if crashed_between:
+            files.journal.path.write_bytes(stored)
+
+    asyncio.run(run())
+    recovered = voter_files.VoterFiles(folder).recover()
+    assert recovered.log.base_index == 5
+    assert recovered.log.entries == []
