A voter with damaged files joins as a new member

JournalError ended the service, and since a crashed service ends the program, the platform's program would have been started again and again. Damage is now treated as a lost disk: the voter asks to join under a new id, and its files are kept until a leader, hence a majority, has admitted it.

--- a/packages/chivelb-node/chivelb_node/control/group_entry.py
+++ b/packages/chivelb-node/chivelb_node/control/group_entry.py
@@ -61,7 +61,7 @@
     name = settings.instance.name
     names = settings.control.voters or [name]
     if settings.control.start == "join":
-        return await _join(service, hub, name, control_instances)
+        return await join_group(service, hub, name, control_instances)
     founded = Membership(
         group_lib.original_member_id(name), group_lib.initial_group(names)
     )
@@ -74,7 +74,7 @@
         if any(_is_rejoining(name, s) for s in joined):
             # This instance voted before and lost its disk, or the group
             # was restored from a snapshot without it.
-            return await _join(service, hub, name, control_instances)
+            return await join_group(service, hub, name, control_instances)
         if len(voter_states) == len(names) - 1:
             return founded
         await service.sleep(HELLO_PERIOD_S)
@@ -98,7 +98,7 @@
     return [r for r in replies if isinstance(r, messages.VoterState)]
 
 
-async def _join(
+async def join_group(
     service: mode.Service,
     hub: hub_lib.Hub,
     name: str,
@@ -114,7 +114,9 @@
             one of them may be the leader.
     """
     member_id = f"{name}/{secrets.token_hex(4)}"
-    _log.warning("no state on disk; joining as a new member", member=member_id)
+    _log.warning(
+        "no usable state on disk; joining as a new member", member=member_id
+    )
     while not service.should_stop:
         request = messages.JoinRequest(name, member_id)
         if await request_admission(hub, request, control_instances()):
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -24,6 +24,7 @@
 from chivelb_node.control import group_log
 from chivelb_node.control import log_entries
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.storage import journal
 from chivelb_node.storage import voter_files
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import messages
@@ -157,21 +158,37 @@
         self._files.close()
 
     async def _initialize_voter(self) -> None:
-        member_id = self._files.read_identity()
-        if member_id:
-            if self.failure:
-                # After a failed sync, what is read may not be on the disk.
-                await self._files.rewrite()
-            self._recover()
-        self._state_was_read = True
-        if member_id:
+        if self._files.read_identity():
+            await self._recover_or_rejoin()
             return
+        self._state_was_read = True
         membership = await group_entry.find_membership(
             self, self.hub, self.context.settings, self.control_instances
         )
         if membership is not None:
             self._create(membership)
 
+    async def _recover_or_rejoin(self) -> None:
+        """Recovers the voter; joins as a new member if files are damaged.
+
+        Damaged files are kept until a leader has admitted the new member, so
+        that nothing is erased as long as no majority has all that they held.
+        """
+        try:
+            if self.failure:
+                # After a failed sync, what is read may not be on the disk.
+                await self._files.rewrite()
+            self._recover()
+        except journal.JournalError as error:
+            self._stop_voter(f"files: {error}")
+        self._state_was_read = True
+        if self.voter is None:
+            membership = await group_entry.join_group(
+                self, self.hub, self.name, self.control_instances
+            )
+            if membership is not None:
+                self._create(membership)
+
     def _on_hello(
         self, peer: str, hello: messages.VoterHello
     ) -> messages.VoterState | None:
