Instances obey the limits of targets together, by grants of an owner

Callers' targets got 53 requests in 4 s with a limit of 4.1 a second (LIMIT). Cause: nobody read the limit that a target names in its answers, and no mechanism bounds what all instances together send to one target.

The platform passes on what each answer names, also one that was not executed. A limited target has an owner, the first live instance by rendezvous hashing, which grants requests as far apart as the limit asks and tells all instances of changes; the reservation that every attempt passes uses a grant. Calls go elsewhere as long as others serve them in time; where all targets are limited, what can't be served is refused at once with the expected wait.

--- a/packages/chivelb-core/chivelb_core/forwarding/waiting.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/waiting.py
@@ -16,6 +16,9 @@
 FIRST_BYTE_LATENCY_S = 0.1
 # One of this many starts goes to the oldest late call, so that none starves.
 STARTS_PER_LATE_START = 4
+# Factor by which the wait for targets with request limits may be longer than
+# expected.
+LIMITED_WAIT_FACTOR = 2
 # Sliding window over which the rate of starts is estimated.
 START_RATE_WINDOW_S = 2.0
 # With fewer starts in the window the rate counts as unknown.
@@ -115,42 +118,88 @@
                 start_number += 1
                 yield waiting_call
 
-    def start_interval_s(self, now: float) -> float:
+    def start_interval_s(
+        self, now: float, *, is_limited: bool = False
+    ) -> float:
         """Returns the estimated interval between starts, in seconds.
 
         The estimate is zero while there are too few recent starts, so that
         no call is refused for an unknown rate.
+
+        Args:
+            now: Monotonic time in seconds.
+            is_limited: Whether few starts mean a low rate, because all targets
+                limit it.
         """
         recent_starts = sum(
             1 for at in self.start_times if at >= now - START_RATE_WINDOW_S
         )
+        if is_limited:
+            return START_RATE_WINDOW_S / max(1, recent_starts)
         return (
             0.0
             if recent_starts < START_RATE_MIN_SAMPLES
             else START_RATE_WINDOW_S / recent_starts
         )
 
+    def _without_start_s(self, now: float) -> float:
+        """Returns for how long calls have waited without any start."""
+        since = min(
+            (
+                waiting_call.wait_started_at
+                for waiting_call in self.calls.values()
+            ),
+            default=now,
+        )
+        if self.start_times:
+            since = max(since, self.start_times[-1])
+        return now - since
+
     def expected_timeouts(
-        self, now: float
+        self,
+        now: float,
+        *,
+        first_wait_s: float = 0.0,
+        min_interval_s: float = 0.0,
     ) -> Iterator[tuple[WaitingCall, float]]:
         """Yields calls that are expected to time out before they start.
 
         Args:
             now: Monotonic time in seconds.
+            first_wait_s: Expected wait until the next start, in seconds.
+            min_interval_s: Least interval between starts, in seconds.
 
         Yields:
             The queue entry, and the expected wait until its start in
             seconds.
         """
-        interval_s = self.start_interval_s(now)
-        wait_s = 0.0
+        interval_s = max(
+            min_interval_s,
+            self.start_interval_s(now, is_limited=min_interval_s > 0.0),
+        )
+        wait_s = first_wait_s
+        if min_interval_s:
+            # What has taken this long is expected to take as long again.
+            wait_s = max(wait_s, self._without_start_s(now))
         for waiting_call in self.in_order(now):
-            if would_time_out(waiting_call, wait_s=wait_s, now=now):
-                yield waiting_call, wait_s
+            own_wait_s = wait_s
+            if min_interval_s:
+                own_wait_s *= _limited_wait_factor(waiting_call.call, now)
+            if would_time_out(waiting_call, wait_s=own_wait_s, now=now):
+                yield waiting_call, own_wait_s
             else:
                 wait_s += interval_s
 
 
+def _limited_wait_factor(call: call_lib.Call, now: float) -> float:
+    """Returns the factor by which a wait for limited targets may be longer.
+
+    Other instances may be granted what is expected here, and calls that can
+    still be in time overtake those that are late.
+    """
+    return STARTS_PER_LATE_START if is_late(call, now) else LIMITED_WAIT_FACTOR
+
+
 def _interleave(
     calls: list[WaitingCall], start_number: int, now: float
 ) -> Iterator[WaitingCall]:
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -11,6 +11,7 @@
 from chivelb_core import rollout
 from chivelb_core import routing
 from chivelb_core import targets
+from chivelb_core.forwarding import request_limits
 from chivelb_core.routing import policies
 
 from chivelb_node import settings as settings_lib
@@ -70,6 +71,7 @@
         crash_suspects: Crash-suspect prompts and requests, which were running
             on a target when it crashed and may have caused the crash.
         part_suspects: Parts of prompts that may crash targets.
+        request_limits: Limits that targets named, and grants to send to them.
         retry_budget: Limits the retries of model calls and calls to plain
             services that this instance makes, as a ratio of its first attempts.
             It is not shared with other instances and has no settings.
@@ -103,6 +105,7 @@
         self.directory = kv_cache.Directory()
         self.crash_suspects = calls.SuspectTable()
         self.part_suspects = calls.PartSuspects()
+        self.request_limits = request_limits.LimitTable()
         self.retry_budget = calls.TokenBucketBudget()
         self.queues: dict[str, admission.FairQueue] = {}
         self.policies = policies.make_policies()
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -108,7 +108,7 @@
         )
         self._has_waiting_calls.set()
         self.dispatch(call.service)
-        self._shed_calls(waiting_list, now)
+        self._shed_calls(call.service, waiting_list, now)
         try:
             async with asyncio.timeout(max(0.0, deadline - now)):
                 return await future
@@ -131,7 +131,7 @@
             self.release(future.result(), service)
 
     def _shed_calls(
-        self, waiting_list: waiting.WaitingList, now: float
+        self, service: str, waiting_list: waiting.WaitingList, now: float
     ) -> None:
         """Rejects calls whose callers would leave before their turn.
 
@@ -140,7 +140,13 @@
         """
         if not self.context.settings.decisions.shedding:
             return
-        for waiting_call, wait_s in list(waiting_list.expected_timeouts(now)):
+        first_wait_s, interval_s = self.placement_policy.limited_wait(
+            service, now
+        )
+        timeouts = waiting_list.expected_timeouts(
+            now, first_wait_s=first_wait_s, min_interval_s=interval_s
+        )
+        for waiting_call, wait_s in list(timeouts):
             waiting_list.leave(waiting_call)
             if waiting_call.item.done():
                 continue
@@ -175,7 +181,9 @@
             if waiting_call.item.done():
                 waiting_list.leave(waiting_call)
                 continue
-            reservation = self._try_reserve(waiting_call.call, now)
+            reservation = self._try_reserve(
+                waiting_call.call, now, waiting_calls=len(waiting_list.calls)
+            )
             if (
                 reservation is None
                 and waiting_call.call.software_version is not None
@@ -187,10 +195,18 @@
             waiting_list.start(waiting_call, now)
             waiting_call.item.set_result(reservation)
 
+    def dispatch_target(self, identity: str) -> None:
+        """Starts waiting calls of a target's service; see ``dispatch``."""
+        entry = self.context.targets.entries.get(identity)
+        if entry is not None:
+            self.dispatch(entry.record.service)
+
     def _try_reserve(
-        self, call: forwarding.Call, now: float
+        self, call: forwarding.Call, now: float, *, waiting_calls: int = 0
     ) -> Reservation | None:
-        placement = self.placement_policy.place(call, now)
+        placement = self.placement_policy.place(
+            call, now, waiting_calls=waiting_calls
+        )
         if placement is None:
             return None
         save_addresses = self.placement_policy.record_placed(
@@ -202,6 +218,7 @@
             call.mean_kv_tokens,
             placement.tokens_to_prefill,
         )
+        self.context.request_limits.spend(placement.record.identity)
         self.context.load.record_send(
             placement.record.identity,
             now,
@@ -279,15 +296,19 @@
         )
         self.dispatch(service)
 
+    def update_queues(self) -> None:
+        """Starts waiting calls, and rejects those that can't be served."""
+        for service, waiting_list in self.waiting_lists.items():
+            now = context_lib.monotonic()
+            self._reject_refused_calls(waiting_list, now)
+            self.dispatch(service)
+            self._shed_calls(service, waiting_list, now)
+
     @mode.Service.task
     async def _dispatch_periodically(self) -> None:
         while not self.should_stop:
             await self.wait(self._has_waiting_calls)
             await self.sleep(DISPATCH_PERIOD_S)
-            for service, waiting_list in self.waiting_lists.items():
-                now = context_lib.monotonic()
-                self._reject_refused_calls(waiting_list, now)
-                self.dispatch(service)
-                self._shed_calls(waiting_list, now)
+            self.update_queues()
             if not any(w.calls for w in self.waiting_lists.values()):
                 self._has_waiting_calls.clear()
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -82,13 +82,53 @@
         return in_force or records
 
     def place(
-        self, call: forwarding.Call, now: float
+        self, call: forwarding.Call, now: float, *, waiting_calls: int = 0
     ) -> choice_lib.Placement | None:
-        """Returns the best placement, or None if no target has capacity."""
+        """Returns the best placement, or None if no target has capacity.
+
+        Args:
+            call: The call.
+            now: Monotonic time in seconds.
+            waiting_calls: Number of calls that wait for the same targets.
+        """
         service = self.context.document.services.get(call.service)
         if service is None:
             return None
-        records = self.eligible(call, now)
+        limits = self.context.request_limits
+        free, granted, limited = limits.partition(self.eligible(call, now), now)
+        # A grant is used by the next call, since it was wanted by one before.
+        for records in (granted, free):
+            placement = self._place_on_any(call, records, service, now)
+            if placement is not None:
+                break
+        if limited and not granted and self._is_late(call, placement):
+            limits.want(
+                limited,
+                calls=max(1, waiting_calls),
+                now=now,
+                rng=self.context.rng,
+            )
+        return placement
+
+    def _is_late(
+        self, call: forwarding.Call, placement: choice_lib.Placement | None
+    ) -> bool:
+        """Returns whether a call would miss its latency objective."""
+        return (
+            placement is None
+            or placement.time_to_first_token_s > call.route.target_latency_s
+        )
+
+    def _place_on_any(
+        self,
+        call: forwarding.Call,
+        records: list[targets.TargetRecord],
+        service: document.Service,
+        now: float,
+    ) -> choice_lib.Placement | None:
+        """Returns the best placement on some targets, or None."""
+        if not records:
+            return None
         if service.engine is None or call.prompt is None:
             return choice_lib.choose_plain_target(
                 records,
@@ -99,6 +139,22 @@
             )
         return self._place_on_runner(call, records, service.engine, now)
 
+    def limited_wait(self, service: str, now: float) -> tuple[float, float]:
+        """Returns what limits make calls of a service wait at least.
+
+        Returns:
+            Expected time until a call may be sent to any target, and least
+            interval between calls to all targets together, in seconds; zeros
+            if a target has no limit.
+        """
+        limits = self.context.request_limits
+        if not limits.limits:
+            return 0.0, 0.0
+        records = self.context.targets.eligible(service, now)
+        return limits.expected_wait(
+            [record.identity for record in records], now
+        )
+
     def _place_on_runner(
         self,
         call: forwarding.Call,
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -70,6 +70,9 @@
     partEvidence @64 :PartEvidence;
     suspectsDigest @65 :SuspectsDigest;
     suspectsReply @66 :SuspectsReply;
+    limitNotice @67 :LimitNotice;
+    grantRequest @68 :GrantRequest;
+    grantReply @69 :GrantReply;
   }
 }
 
@@ -211,6 +214,16 @@
   payload @1 :Data;
 }
 
+struct GrantReply {
+  limit @0 :LimitNotice;
+  isGranted @1 :Bool;
+  delayS @2 :Float64;
+}
+
+struct GrantRequest {
+  limit @0 :LimitNotice;
+}
+
 struct Holding {
   identity @0 :Text;
   blocks @1 :Int64;
@@ -253,6 +266,13 @@
   requestId @3 :Text;
 }
 
+struct LimitNotice {
+  identity @0 :Text;
+  isLimited @1 :Bool;
+  ratePerS @2 :Float64;
+  ageS @3 :Float64;
+}
+
 struct ListingReply {
   keeper @0 :Text;
   serving @1 :Bool;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -509,6 +509,48 @@
     group: bytes
 
 
+class LimitNotice(msgspec.Struct, rename="camel", frozen=True):
+    """Tells of the request limit of a target, or that it has none any more.
+
+    Attributes:
+        identity: The target.
+        is_limited: Whether it has a limit.
+        rate_per_s: Requests that it takes in a second from all instances
+            together; 0 without a limit.
+        age_s: Seconds since the answer that told.
+    """
+
+    identity: str
+    is_limited: bool
+    rate_per_s: float
+    age_s: float
+
+
+class GrantRequest(msgspec.Struct, rename="camel", frozen=True):
+    """Asks the owner of a limited target whether a request may be sent to it.
+
+    Attributes:
+        limit: What the sender knows of the limit.
+    """
+
+    limit: LimitNotice
+
+
+class GrantReply(msgspec.Struct, rename="camel", frozen=True):
+    """Reply of the owner of a limited target.
+
+    Attributes:
+        limit: What the owner knows of the limit.
+        is_granted: Whether one request may be sent.
+        delay_s: Seconds after which it may be sent, or after which to ask
+            again if it is not granted.
+    """
+
+    limit: LimitNotice
+    is_granted: bool
+    delay_s: float
+
+
 class Refusal(msgspec.Struct, rename="camel", frozen=True):
     """Reply to a request that could not be served.
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -76,6 +76,9 @@
     messages.PartEvidence,
     messages.SuspectsDigest,
     messages.SuspectsReply,
+    messages.LimitNotice,
+    messages.GrantRequest,
+    messages.GrantReply,
 )
 
 
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -95,6 +95,9 @@
     def peers_in_region(self):
         return self.swim.live_members(REGION)
 
+    def region_members(self):
+        return sorted([*self.peers_in_region(), self.swim.local_member.name])
+
     def is_control_instance(self, name):
         return name.startswith("core-")
 
