A question about an unknown limit is refused, not answered with an error

Read as a newcomer: an invalid notice in a question about a target that nobody limits raised KeyError in the handler of the peer's link, which closed; a limit forgotten between the wish for a grant and the question would have ended the service, hence the program. Both are guarded; without any limit, the targets of a call are no longer looked up one by one. test_invalid_news_of_a_peer_is_ignored now asks as well, and failed before with KeyError.

--- a/packages/chivelb-core/chivelb_core/forwarding/request_limits.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/request_limits.py
@@ -216,6 +216,8 @@
             Those without a limit, those with a grant, and the identities of
             those that would need a grant.
         """
+        if not self.limits:
+            return list(records), [], []
         free, granted, limited = [], [], []
         for record in records:
             if self.rate_per_s(record.identity) is None:
--- a/packages/chivelb-node/chivelb_node/links/limit_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/limit_sharing.py
@@ -161,6 +161,8 @@
 
     async def request_grant(self, identity: str) -> None:
         """Asks the owner of a target for a grant, and records its reply."""
+        if self.context.request_limits.rate_per_s(identity) is None:
+            return
         request = messages.GrantRequest(self._notice(identity))
         for owner in self._owners(identity)[:MAX_OWNERS_ASKED]:
             reply = await self.hub.request(owner, request, GRANT_TIMEOUT_S)
@@ -191,10 +193,12 @@
 
     def _on_grant_request(
         self, peer: str, request: messages.GrantRequest
-    ) -> messages.GrantReply:
+    ) -> messages.GrantReply | None:
         identity = request.limit.identity
         if self._apply(peer, request.limit):
             self._tell_of(identity)
+        if identity not in self.context.request_limits.limits:
+            return None
         rate_per_s = self.context.request_limits.rate_per_s(identity)
         if rate_per_s is None:
             return messages.GrantReply(self._notice(identity), True, 0.0)
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -214,9 +214,10 @@
     services, _ = make_sharing(2)
     service = services["front-0"]
     for rate, age in ((float("nan"), 0.0), (-1.0, 0.0), (1.0, float("inf"))):
-        service._on_notice(
-            "front-1", messages.LimitNotice("t", True, rate, age)
-        )
+        notice = messages.LimitNotice("t", True, rate, age)
+        service._on_notice("front-1", notice)
+        request = messages.GrantRequest(notice)
+        assert service._on_grant_request("front-1", request) is None
     assert limits_at(services) == {None}
 
 
