A resume that leaves out a begun event is not joined

The id of a begun event is kept; a resume that begins behind it is no continuation, so that the answer is aborted. Both cases of test_a_resume_that_leaves_out_a_begun_event_is_not_joined failed before; a resume that begins with the begun event is joined as before.

--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -29,6 +29,7 @@
         target_events: Number of runs of events that this target sent.
         unfinished_event: Whether a part of an event was received after the
             last complete one, from any target.
+        begun_event_id: Id of that event, as far as it was received.
     """
 
     head_sent: bool = False
@@ -38,6 +39,7 @@
     framing: ports.Framing | None = None
     target_events: int = 0
     unfinished_event: bool = False
+    begun_event_id: str = ""
 
 
 class ResponseRelay:
@@ -126,8 +128,8 @@
             async with contextlib.aclosing(runs):
                 async for run in runs:
                     event_id = events.last_event_id(run)
-                    if follows and event_id:
-                        _check_continues(run, follows)
+                    if event_id:
+                        _check_continues(run, follows, delivery.begun_event_id)
                         follows = ""
                     on_events()
                     await self._send_head(reply)
@@ -137,6 +139,7 @@
         finally:
             if events.has_event(incomplete):
                 delivery.unfinished_event = True
+                delivery.begun_event_id = events.begun_event_id(incomplete)
 
     def _record_run(self, run: bytes, on_answer: Callable[[], None]) -> None:
         """Records a run of complete events; others have comments only."""
@@ -144,6 +147,7 @@
             return
         self.delivery.target_events += 1
         self.delivery.unfinished_event = False
+        self.delivery.begun_event_id = ""
         if self.delivery.target_events == 2:
             on_answer()
 
@@ -202,9 +206,20 @@
         await self.caller.send_head(reply, length)
 
 
-def _check_continues(run: bytes, last_event_id: str) -> None:
-    """Raises ``StreamError`` if a resumed stream begins too early."""
-    if events.is_repeated(run, last_event_id):
+def _check_continues(run: bytes, last_event_id: str, begun_id: str) -> None:
+    """Raises ``StreamError`` if a resumed stream begins too early or too late.
+
+    Args:
+        run: First run of events with an id.
+        last_event_id: Id of the event that it must follow, or empty.
+        begun_id: Id of the event that an earlier target began, or empty.
+    """
+    if events.leaves_out(run, begun_id):
+        raise events.StreamError(
+            f"resumed stream begins at event {events.first_event_id(run)!r}, "
+            f"without event {begun_id!r} that was begun"
+        )
+    if last_event_id and events.is_repeated(run, last_event_id):
         raise events.StreamError(
             f"resumed stream begins at event {events.first_event_id(run)!r}, "
             f"expected one after {last_event_id!r}"
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -106,6 +106,25 @@
     return _event_id_at(run, start)
 
 
+def begun_event_id(data: bytes | bytearray) -> str:
+    """Returns the id of an incomplete event if all of its line is there."""
+    complete_lines = bytes(data[: data.rfind(b"\n") + 1])
+    return first_event_id(complete_lines)
+
+
+def leaves_out(run: bytes, begun_id: str) -> bool:
+    """Returns whether a run begins behind an event that must come first.
+
+    Args:
+        run: Run of events.
+        begun_id: Id of an event that an earlier target began, or empty.
+    """
+    first_id = first_event_id(run)
+    if not (first_id.isdigit() and begun_id.isdigit()):
+        return False
+    return int(first_id) > int(begun_id)
+
+
 def _event_id_at(run: bytes, start: int) -> str:
     line = run[start + len(b"id:") : run.find(b"\n", start)]
     return line.strip().decode("ascii", "replace")
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -133,3 +133,19 @@
             return data
 
     assert asyncio.run(read_and_close()) == E1
+
+
+# Guards against an answer that lacks an event, framed as complete: one target
+# was cut while it wrote the event, and the next one goes on behind it.
+@pytest.mark.parametrize("begun", [b"id: 2\n", b"id: 2\ndata: x"])
+def test_a_resume_that_leaves_out_a_begun_event_is_not_joined(begun):
+    received = call(unframed(E1, begun), chunked(E3))
+    assert received.body == E1
+    assert not received.is_framed_as_complete
+
+
+# The same event with other bytes is what the resume is asked for.
+def test_a_resume_may_begin_with_the_event_that_was_begun():
+    received = call(unframed(E1, b"id: 2\nda"), chunked(E2, E3))
+    assert received.body == E1 + E2 + E3
+    assert received.is_framed_as_complete
