--- a/packages/chivelb-node/chivelb_node/storage/voter_files.py
+++ b/packages/chivelb-node/chivelb_node/storage/voter_files.py
@@ -4,6 +4,7 @@
 received consensus messages of any kind. They include learners.
 """
 
+import asyncio
 import dataclasses
 import pathlib
 import zlib
@@ -160,8 +161,7 @@
             OSError: The write or sync failed; the voter must stop.
         """
         if effects.snapshot is not None:
-            index, term, data = effects.snapshot
-            self.write_snapshot(index, term, data)
+            await asyncio.to_thread(self.write_snapshot, *effects.snapshot)
             await self._drop_entries()
         records: list[Record] = []
         if effects.hard_state is not None:
@@ -186,7 +186,7 @@
     ) -> None:
         """Writes a snapshot, then removes the records that it covers."""
         term = voter.log.term_at(index)
-        self.write_snapshot(index, term, data)
+        await asyncio.to_thread(self.write_snapshot, index, term, data)
         hard_state = voter.hard_state
         records: list[Record] = [
             HardRecord(hard_state.term, hard_state.voted_for)
