--- a/tests/test_voter_service.py
+++ b/tests/test_voter_service.py
@@ -53,8 +53,12 @@
         return next((s for s in self.services.values() if s.is_leader), None)
 
     def voter_names(self):
+        """Returns the names of the voters of the committed group."""
         leader = self.leader()
-        return set(leader.voter_names()) if leader is not None else set()
+        if leader is None:
+            return set()
+        group = leader.voter.committed_group()
+        return {group.members[voter].name for voter in group.voters}
 
     async def wait_until(self, condition):
         async with asyncio.timeout(WAIT_S):
