--- a/tests/crash_days.py
+++ b/tests/crash_days.py
@@ -5,14 +5,12 @@
 
 import asyncio
 import dataclasses
-import multiprocessing
 import random
 import sys
 
 import builders
 import crashing_fleet
-import simulated_runners
-import structlog
+import seeded_days
 
 CONTACT_S = 3.0
 CRASHES = 5
@@ -153,27 +151,14 @@
     rng = random.Random(seed)
     day = CrashDay(seed, rng.choice(KINDS), rng)
 
-    async def run():
-        fleet = crashing_fleet.Fleet(**day.fleet_options())
-        await day.play(fleet)
-        return fleet
+    def make_fleet():
+        return crashing_fleet.Fleet(**day.fleet_options())
 
-    fleet = simulated_runners.run_in_virtual_time(run, monkeypatch)
-    return day, fleet, list(day.problems(fleet))
+    return day, *seeded_days.run_day(day, make_fleet, monkeypatch)
 
 
-class _Attributes:
-    """Sets attributes for good, in a process of its own."""
-
-    def setattr(self, owner, name, value):
-        setattr(owner, name, value)
-
-
-def _describe(seed):
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(50)  # critical
-    )
-    day, fleet, problems = run_day(seed, _Attributes())
+def _describe(seed, attributes):
+    day, fleet, problems = run_day(seed, attributes)
     crashes = {part: len(times) for part, times in fleet.crashes.items()}
     refused = sum(
         not fleet.crashing_parts & set(call.shared_part_ids)
@@ -184,10 +169,8 @@
 
 def main():
     """Plays the days of a range of seeds and prints those with problems."""
-    first, end = map(int, sys.argv[1:3])
-    with multiprocessing.Pool(4) as pool:
-        results = list(pool.imap_unordered(_describe, range(first, end)))
-    for seed, kind, crashes, refused, problems in sorted(results):
+    results = seeded_days.play_seeds(_describe)
+    for seed, kind, crashes, refused, problems in results:
         if problems or refused > 50:
             print(seed, kind, crashes, f"{refused} sound refused", problems)
     broken = sum(bool(problems) for *_, problems in results)
--- a/tests/limit_days.py
+++ b/tests/limit_days.py
@@ -5,13 +5,11 @@
 
 import asyncio
 import dataclasses
-import multiprocessing
 import random
 import sys
 
 import limited_fleet
-import simulated_runners
-import structlog
+import seeded_days
 
 NAMED_AT_S = 5.0
 CHANGED_AT_S = 16.0
@@ -128,38 +126,21 @@
     """
     day = make_day(seed)
 
-    async def run():
-        fleet = limited_fleet.Fleet(
-            seed=seed, instance_count=day.instance_count
-        )
-        await day.play(fleet)
-        return fleet
+    def make_fleet():
+        return limited_fleet.Fleet(seed=seed, instance_count=day.instance_count)
 
-    fleet = simulated_runners.run_in_virtual_time(run, monkeypatch)
-    return day, fleet, list(day.problems(fleet))
+    return day, *seeded_days.run_day(day, make_fleet, monkeypatch)
 
 
-class _Attributes:
-    """Sets attributes for good, in a process of its own."""
-
-    def setattr(self, owner, name, value):
-        setattr(owner, name, value)
-
-
-def _describe(seed):
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(50)  # critical
-    )
-    day, _, problems = run_day(seed, _Attributes())
+def _describe(seed, attributes):
+    day, _, problems = run_day(seed, attributes)
     return seed, day, problems
 
 
 def main():
     """Plays the days of a range of seeds and prints those with problems."""
-    first, end = map(int, sys.argv[1:3])
-    with multiprocessing.Pool(4) as pool:
-        results = list(pool.imap_unordered(_describe, range(first, end)))
-    broken = sorted((r for r in results if r[2]), key=lambda r: r[0])
+    results = seeded_days.play_seeds(_describe)
+    broken = [result for result in results if result[2]]
     for seed, day, problems in broken:
         print(seed, day, problems[:4])
     print(f"{len(results)} days, {len(broken)} with problems")
