Count and log how many targets of a service an instance reaches

For the incident of instances without a path to targets: the logs did not tell an instance that reaches nothing from one that meets a few dead targets.

--- a/packages/chivelb-node/chivelb_node/links/reachability.py
+++ b/packages/chivelb-node/chivelb_node/links/reachability.py
@@ -44,6 +44,7 @@
                 "target unreachable",
                 target=record.identity,
                 address=record.address,
+                **self._counts(record.service),
             )
             self.add_future(self._check(record))
 
@@ -57,9 +58,31 @@
             except http_pool.NotSentError:
                 continue
             self.context.targets.record_success(record.identity)
-            _log.info("target reachable again", target=record.identity)
+            _log.info(
+                "target reachable again",
+                target=record.identity,
+                **self._counts(record.service),
+            )
             return
 
+    def _counts(self, service: str) -> dict[str, str | int]:
+        """Returns how many targets of a service are known and reachable."""
+        now = context_lib.monotonic()
+        table = self.context.targets
+        known = [record.identity for record in table.eligible(service, now)]
+        reachable = [
+            identity
+            for identity in known
+            if not table.entries[identity].is_unreachable
+        ]
+        gauge = self.context.metrics.unreachable_targets
+        gauge.labels(service).set(len(known) - len(reachable))
+        return {
+            "service": service,
+            "reachable": len(reachable),
+            "known": len(known),
+        }
+
     def _is_unreachable(self, record: targets.TargetRecord) -> bool:
         """Returns whether the same incarnation is still in the table."""
         entry = self.context.targets.entries.get(record.identity)
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -161,6 +161,12 @@
             "Bytes that wait to be sent, on all links to other instances",
             registry=self.registry,
         )
+        self.unreachable_targets = prometheus_client.Gauge(
+            "chivelb_unreachable_targets",
+            "Targets to which this instance could open no connection",
+            ("service",),
+            registry=self.registry,
+        )
         self.in_progress = prometheus_client.Gauge(
             "chivelb_requests_in_progress",
             "Requests in progress",
