Send attempts through a peer while no connection to a target opens

Cause: an instance sends to targets with connections of its own only. What it accepts without a path it can only hold or refuse, after up to four dead connections of 0.3 s a call.

Now a peer makes the attempt, with the target and parameters that this instance decided on; retries, budget and what the caller has stay here. After three targets in a row without a connection the whole service is presumed unreachable.

--- a/packages/chivelb-core/chivelb_core/codes.py
+++ b/packages/chivelb-core/chivelb_core/codes.py
@@ -393,6 +393,9 @@
     retry_after_s: float | None = None
 
 
+BY_NUMBER = {code.number: code for code in ALL}
+
+
 def render_result_codes(codes: tuple[ResultCode, ...] = ALL) -> str:
     """Renders the table as the Markdown page ``docs/result-codes.md``.
 
--- /dev/null
+++ b/packages/chivelb-core/chivelb_core/forwarding/reach.py
@@ -0,0 +1,44 @@
+"""Whether an instance reaches the targets of a service by itself."""
+
+# An instance that could open a connection to none of this many targets of a
+# service in a row is presumed to reach no target of it.
+ISOLATING_FAILURES = 3
+# A failure counts for this long; checks of unreachable targets renew it.
+FAILURE_TTL_S = 3.0
+
+
+class ReachTable:
+    """Targets of each service to which no connection opened lately.
+
+    Attributes:
+        failures: Monotonic time of the last failure of each target since a
+            target of its service was reached, in seconds, by service.
+    """
+
+    __slots__ = ("failures",)
+
+    def __init__(self) -> None:
+        """Creates a table of an instance that reaches all targets."""
+        self.failures: dict[str, dict[str, float]] = {}
+
+    def record_failure(self, service: str, identity: str, now: float) -> None:
+        """Records that no connection to a target could be opened."""
+        self.failures.setdefault(service, {})[identity] = now
+
+    def record_reached(self, service: str) -> None:
+        """Records that a target of a service was reached."""
+        self.failures.pop(service, None)
+
+    def is_isolated(self, service: str, target_count: int, now: float) -> bool:
+        """Returns whether no target of a service is presumed to be reachable.
+
+        Args:
+            service: The service.
+            target_count: Number of its targets that may receive requests.
+            now: Monotonic time in seconds.
+        """
+        failures = self.failures.get(service)
+        if not failures:
+            return False
+        recent = sum(now - at < FAILURE_TTL_S for at in failures.values())
+        return recent >= max(1, min(ISOLATING_FAILURES, target_count))
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -24,7 +24,7 @@
         failed_at: Monotonic time of the last failure that this instance
             observed, in seconds; None without one, or after a success.
         is_unreachable: Whether this instance could not open a connection to it
-            and has not succeeded since.
+            and has opened none since.
         is_replaced: Whether another target has since announced itself at the
             same address.
         paused_until: Monotonic time until which the target receives no new
@@ -168,17 +168,37 @@
             ):
                 yield identity
 
+    def failed_since(self, at: float) -> Iterator[str]:
+        """Yields the identities of targets that failed a request since a time.
+
+        Args:
+            at: Monotonic time in seconds.
+        """
+        for identity, entry in self.entries.items():
+            if entry.failed_at is not None and entry.failed_at > at:
+                yield identity
+
     def record_failure(self, identity: str, now: float) -> None:
         """Records that a request to a target failed."""
         if identity in self.entries:
             self.entries[identity].failed_at = now
 
     def record_success(self, identity: str) -> None:
-        """Clears a recorded failure."""
+        """Clears a recorded failure of a request."""
+        if identity in self.entries:
+            self.entries[identity].failed_at = None
+
+    def record_reached(self, identity: str) -> None:
+        """Records that a connection to a target was opened."""
         if identity in self.entries:
             self.entries[identity].failed_at = None
             self.entries[identity].is_unreachable = False
 
+    def is_unreachable(self, identity: str) -> bool:
+        """Returns whether this instance could open no connection to it."""
+        entry = self.entries.get(identity)
+        return entry is not None and entry.is_unreachable
+
     def record_unreachable(self, identity: str) -> bool:
         """Records that no connection could be opened.
 
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -11,6 +11,7 @@
 from chivelb_core import rollout
 from chivelb_core import routing
 from chivelb_core import targets
+from chivelb_core.forwarding import reach as reach_lib
 from chivelb_core.forwarding import request_limits
 from chivelb_core.routing import policies
 
@@ -71,6 +72,7 @@
         crash_suspects: Crash-suspect prompts and requests, which were running
             on a target when it crashed and may have caused the crash.
         part_suspects: Parts of prompts that may crash targets.
+        reach: Whether it reaches the targets of a service by itself.
         request_limits: Limits that targets named, and grants to send to them.
         retry_budget: Limits the retries of model calls and calls to plain
             services that this instance makes, as a ratio of its first attempts.
@@ -105,6 +107,7 @@
         self.directory = kv_cache.Directory()
         self.crash_suspects = calls.SuspectTable()
         self.part_suspects = calls.PartSuspects()
+        self.reach = reach_lib.ReachTable()
         self.request_limits = request_limits.LimitTable()
         self.retry_budget = calls.TokenBucketBudget()
         self.queues: dict[str, admission.FairQueue] = {}
@@ -133,6 +136,19 @@
         """
         return now < self.startup_ends_at
 
+    def is_isolated(self, service: str, now: float) -> bool:
+        """Returns whether this instance reaches no target of a service."""
+        if service not in self.reach.failures:
+            return False
+        count = sum(1 for _ in self.targets.eligible(service, now))
+        return self.reach.is_isolated(service, count, now)
+
+    def is_unreachable(self, record: targets.TargetRecord, now: float) -> bool:
+        """Returns whether this instance has no path to a target."""
+        return self.targets.is_unreachable(record.identity) or self.is_isolated(
+            record.service, now
+        )
+
     @property
     def document(self) -> document_lib.Document:
         """The document in force."""
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -69,6 +69,10 @@
         ]
         failing = set(table.recent_failures(now, FAILURE_COOLDOWN_S))
         healthy = [r for r in records if r.identity not in failing]
+        if self.context.is_isolated(call.service, now):
+            # All paths lead through peers, which may reach any of them.
+            failed = set(table.failed_since(now - FAILURE_COOLDOWN_S))
+            healthy = [r for r in records if r.identity not in failed]
         return healthy or records
 
     def _without_overdue(
--- /dev/null
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
@@ -0,0 +1,188 @@
+"""Makes attempts for peers that have no path to a target."""
+
+import asyncio
+
+from chivelb_core import calls
+from chivelb_core import codes
+from chivelb_core import targets
+from chivelb_core.calls import attempt as attempt_lib
+from chivelb_core.document import model as model_lib
+
+from chivelb_node import context as context_lib
+from chivelb_node.forwarding import ports
+from chivelb_node.forwarding import relay_channel
+from chivelb_node.telemetry import logs
+from chivelb_node.wire import relay_messages
+
+# Attempts made for peers at a time; each holds a connection to a target.
+MAX_IN_PROGRESS = 256
+_log = logs.get_logger("relays")
+
+
+class RelayServer:
+    """Serves the channels on which peers ask for attempts.
+
+    It sends only to targets that this instance knows and reaches by itself,
+    so that a request takes one hop at most.
+
+    Attributes:
+        context: Shared state of the instance.
+        target_port: Sends requests to targets, with connections of this
+            instance.
+        in_progress: Number of attempts in progress.
+    """
+
+    def __init__(
+        self,
+        context: context_lib.InstanceContext,
+        target_port: ports.TargetPort,
+    ) -> None:
+        """Creates the server."""
+        self.context = context
+        self.target_port = target_port
+        self.in_progress = 0
+
+    async def serve(self, channel: relay_channel.ChannelPort) -> None:
+        """Serves one channel until it ends, and closes it.
+
+        The attempt ends with the channel: the peer closes it when its caller
+        has left or its deadline has passed.
+        """
+        self.context.in_progress += 1
+        self.in_progress += 1
+        try:
+            request = await channel.receive()
+            if isinstance(request, relay_messages.RelayRequest):
+                await self._serve_request(channel, request)
+        except OSError:
+            # The peer has gone; there is nobody to answer.
+            pass
+        finally:
+            channel.close()
+            self.in_progress -= 1
+            self.context.in_progress -= 1
+
+    async def _serve_request(
+        self,
+        channel: relay_channel.ChannelPort,
+        request: relay_messages.RelayRequest,
+    ) -> None:
+        route = self.context.document.routes.get(request.route)
+        entry = self.context.targets.entries.get(request.identity)
+        record = None if entry is None else entry.record
+        refusal = self._refusal(request, route, record)
+        if refusal is not None:
+            self._log_end(channel, request, refusal.reason)
+            await channel.send(refusal)
+            return
+        attempt = await relay_channel.receive_attempt(
+            channel, request, route, record
+        )
+        if attempt is None:
+            return
+        relay = asyncio.create_task(self._make_attempt(channel, attempt))
+        # Nothing more is sent by the peer; this ends with the channel.
+        closing = asyncio.create_task(channel.receive())
+        try:
+            await asyncio.wait(
+                (relay, closing), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            closing.cancel()
+            if not relay.done():
+                relay.cancel()
+        result = await _result(relay)
+        self._log_end(channel, request, result)
+
+    def _refusal(
+        self,
+        request: relay_messages.RelayRequest,
+        route: model_lib.Route | None,
+        record: targets.TargetRecord | None,
+    ) -> relay_messages.RelayRefusal | None:
+        """Returns why an attempt can't be made here; None if it can."""
+        now = context_lib.monotonic()
+        if self.context.draining or not self.context.ready:
+            return relay_messages.RelayRefusal("not serving", True)
+        if self.in_progress > MAX_IN_PROGRESS:
+            return relay_messages.RelayRefusal("too many in progress", True)
+        if route is None or record is None:
+            return relay_messages.RelayRefusal("unknown route or target", True)
+        if record.incarnation != request.incarnation:
+            return relay_messages.RelayRefusal("another incarnation", True)
+        services = [share.service for share in route.split]
+        if record.service not in services:
+            return relay_messages.RelayRefusal(
+                "not a target of the route", True
+            )
+        if self.context.is_isolated(record.service, now):
+            return relay_messages.RelayRefusal("no path to the service", False)
+        return None
+
+    async def _make_attempt(
+        self,
+        channel: relay_channel.ChannelPort,
+        attempt: relay_channel.Attempt,
+    ) -> str:
+        """Makes an attempt and returns how it ended, for logs."""
+        record = attempt.assignment.record
+        reach = self.context.reach
+        now = context_lib.monotonic()
+        try:
+            if self.context.targets.is_unreachable(record.identity):
+                raise _unreachable(record)
+            reply = await self.target_port.send(
+                attempt.call, attempt.message, attempt.assignment
+            )
+        except calls.AttemptError as error:
+            if error.outcome.code is codes.TARGET_UNREACHABLE:
+                reach.record_failure(record.service, record.identity, now)
+            await channel.send(relay_channel.encode_outcome(error.outcome))
+            return error.outcome.detail
+        reach.record_reached(record.service)
+        try:
+            await relay_channel.send_response(channel, reply)
+        except calls.AttemptError as error:
+            await channel.send(relay_channel.encode_outcome(error.outcome))
+            return error.outcome.detail
+        finally:
+            reply.close()
+        return "complete"
+
+    def _log_end(
+        self,
+        channel: relay_channel.ChannelPort,
+        request: relay_messages.RelayRequest,
+        result: str,
+    ) -> None:
+        kind = "complete" if result == "complete" else "failed"
+        self.context.metrics.relayed.labels("in", kind).inc()
+        _log.info(
+            "relay ended",
+            request_id=request.request_id,
+            peer=channel.peer,
+            target=request.identity,
+            result=result,
+        )
+
+
+def _unreachable(record: targets.TargetRecord) -> calls.AttemptError:
+    return calls.AttemptError(
+        attempt_lib.Outcome(
+            calls.OutcomeKind.NOT_RUN,
+            codes.TARGET_UNREACHABLE,
+            f"{record.address}: unreachable",
+            True,
+        )
+    )
+
+
+async def _result(relay: asyncio.Task) -> str:
+    try:
+        return await relay
+    except asyncio.CancelledError:
+        if not relay.cancelled():
+            raise
+        return "given up by the peer"
+    except OSError as error:
+        return f"channel lost: {error}"
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -144,6 +144,18 @@
         )
         return others + (0 if local_member.anchor else 1)
 
+    def entry_peers_by_zone(self) -> list[list[str]]:
+        """Returns the other live entry instances of this region by zone.
+
+        The zone of this instance comes first.
+        """
+        zones: dict[str, list[str]] = {self.swim.local_member.zone: []}
+        for name in self.peers_in_region():
+            member = self.swim.members[name].member
+            if not member.anchor:
+                zones.setdefault(member.zone, []).append(name)
+        return list(zones.values())
+
     def region_members(self) -> list[str]:
         """Returns the live instances of this region, including this one."""
         return sorted([*self.peers_in_region(), self.swim.local_member.name])
--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -14,6 +15,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node import settings as settings_lib
 from chivelb_node.links import partition_hook
+from chivelb_node.links import peer_channel
 from chivelb_node.links import peer_link
 from chivelb_node.links import traffic
 from chivelb_node.telemetry import logs
@@ -22,6 +24,8 @@
 from chivelb_node.wire import messages
 
 CONNECT_TIMEOUT_S = 0.5
+# A caller waits for a channel; another peer may be asked instead.
+CHANNEL_TIMEOUT_S = 0.3
 HANDSHAKE_TIMEOUT_S = 1.0
 MAX_QUEUED_FRAMES = 2_000
 MAX_WRITE_BUFFER_BYTES = 16_777_216
@@ -30,8 +34,17 @@
 # Period of the checks for unusable links and for a changed key file.
 CHECK_PERIOD_S = 0.5
 MAX_UNAUTHENTICATED_LINKS = 64
+FRAME_OVERHEAD_BYTES = peer_link.FRAME_LENGTH_BYTES + authentication.MAC_BYTES
 
 Handler = Callable[[str, Any], Awaitable[Any] | Any]
+ChannelHandler = Callable[[peer_channel.Channel], Awaitable[None]]
+_OPEN_ERRORS = (
+    OSError,
+    TimeoutError,
+    asyncio.IncompleteReadError,
+    authentication.AuthenticationError,
+    ValueError,
+)
 _log = logs.get_logger("hub")
 
 
@@ -87,6 +100,7 @@
         self.addresses: dict[str, tuple[str, str]] = {}
         self.links: dict[str, peer_link.Link] = {}
         self._handlers: dict[type, Handler] = {}
+        self._channel_handler: ChannelHandler | None = None
         self._pending_replies: dict[int, PendingReply] = {}
         self._request_ids = itertools.count(1)
         self._pending_links: dict[str, PendingLink] = {}
@@ -124,6 +138,14 @@
         """
         self._handlers[message_type] = handler
 
+    def register_channel_handler(self, handler: ChannelHandler) -> None:
+        """Registers what serves the channels that peers open.
+
+        Args:
+            handler: Called with each channel, which it closes.
+        """
+        self._channel_handler = handler
+
     def is_partitioned(self, peer: str) -> bool:
         """Returns whether the test hook refuses links to a peer."""
         zone = self.addresses.get(peer, ("", ""))[1]
@@ -203,6 +225,27 @@
             await asyncio.wait([pending.task])
         return peer in self.links
 
+    async def open_channel(self, peer: str) -> peer_channel.Channel | None:
+        """Opens a channel: a connection for one exchange with a peer.
+
+        Unlike a link it makes its sender wait while the receiver reads slower,
+        so that what it carries delays no other messages.
+
+        Returns:
+            The channel, or None if it can't be opened.
+        """
+        if self.ring is None or self.is_partitioned(peer):
+            return None
+        if peer not in self.addresses:
+            return None
+        try:
+            async with asyncio.timeout(CHANNEL_TIMEOUT_S):
+                link, reader = await self._open_link(peer, peer_channel.PURPOSE)
+        except _OPEN_ERRORS as error:
+            _log.debug("opening channel failed", peer=peer, detail=str(error))
+            return None
+        return peer_channel.Channel(link, reader, self._bytes_out)
+
     def _start_connecting(self, peer: str) -> PendingLink | None:
         pending = self._pending_links.get(peer)
         if pending is not None:
@@ -255,9 +298,7 @@
             self._close_link(link, "write buffer is full")
             return
         link.used_at = context_lib.monotonic()
-        frame = link.outgoing.sign(data) + data
-        link.writer.write(len(frame).to_bytes(4, "big") + frame)
-        self._bytes_out.inc(len(frame) + 4)
+        self._bytes_out.inc(peer_link.write_frame(link, data))
 
     # Opening and accepting links.
 
@@ -265,13 +306,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 link, reader = await self._open_link(peer)
-        except (
-            OSError,
-            TimeoutError,
-            asyncio.IncompleteReadError,
-            authentication.AuthenticationError,
-            ValueError,
-        ) as error:
+        except _OPEN_ERRORS as error:
             self._reconnect_at[peer] = (
                 context_lib.monotonic() + RECONNECT_DELAY_S
             )
@@ -284,16 +319,20 @@
             self._write(link, data)
 
     async def _open_link(
-        self, peer: str
+        self, peer: str, purpose: str = ""
     ) -> tuple[peer_link.Link, asyncio.StreamReader]:
         address, _ = self.addresses[peer]
-        own_hello = self._make_hello(self.ring.signing_key_id)
+        own_hello = self._make_hello(self.ring.signing_key_id, purpose)
         key = self.ring.keys[own_hello.key_id]
         return await peer_link.open_link(peer, address, own_hello, key)
 
-    def _make_hello(self, key_id: str) -> authentication.Hello:
+    def _make_hello(
+        self, key_id: str, purpose: str = ""
+    ) -> authentication.Hello:
         instance = self.context.settings.instance
-        return authentication.make_hello(key_id, instance.name, instance.zone)
+        return authentication.make_hello(
+            key_id, instance.name, instance.zone, purpose
+        )
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -324,7 +363,26 @@
             return
         finally:
             self._unauthenticated_links -= 1
-        self._register_link(link, reader)
+        if link.purpose:
+            self._serve_channel(link, reader)
+        else:
+            self._register_link(link, reader)
+
+    def _serve_channel(
+        self, link: peer_link.Link, reader: asyncio.StreamReader
+    ) -> None:
+        handler = self._channel_handler
+        if handler is None or link.purpose != peer_channel.PURPOSE:
+            _log.warning("channel refused", peer=link.peer, kind=link.purpose)
+            link.writer.close()
+            return
+        channel = peer_channel.Channel(link, reader, self._bytes_out)
+        self._start_task(handler(channel))
+
+    def _start_task(self, coroutine: Coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._background_tasks.add(task)
+        task.add_done_callback(self._background_tasks.discard)
 
     def _is_refused(self, hello: authentication.Hello) -> bool:
         """Returns whether the test hook refuses the sender of a hello."""
@@ -338,9 +396,7 @@
         # If two instances connect to each other at the same time, both links
         # are read and the newer one is used for writing.
         self.links[link.peer] = link
-        task = asyncio.create_task(self._read_frames(link, reader))
-        self._background_tasks.add(task)
-        task.add_done_callback(self._background_tasks.discard)
+        self._start_task(self._read_frames(link, reader))
 
     # Receiving.
 
@@ -350,18 +406,8 @@
         reason = "closed"
         try:
             while True:
-                head = await reader.readexactly(4)
-                size = int.from_bytes(head, "big")
-                limit = codec.MAX_MESSAGE_BYTES + authentication.MAC_BYTES
-                if not authentication.MAC_BYTES <= size <= limit:
-                    raise authentication.AuthenticationError(
-                        f"frame size of {size} bytes is out of bounds"
-                    )
-                frame = await reader.readexactly(size)
-                self._bytes_in.inc(size + 4)
-                mac = frame[: authentication.MAC_BYTES]
-                data = frame[authentication.MAC_BYTES :]
-                link.incoming.verify(mac, data)
+                data = await peer_link.read_frame(link, reader)
+                self._bytes_in.inc(len(data) + FRAME_OVERHEAD_BYTES)
                 link.used_at = context_lib.monotonic()
                 if not self.is_partitioned(link.peer):
                     self._handle_frame(link, data)
@@ -397,9 +443,7 @@
         if not asyncio.iscoroutine(result):
             self._reply(link, envelope, result)
             return
-        task = asyncio.create_task(self._reply_later(link, envelope, result))
-        self._background_tasks.add(task)
-        task.add_done_callback(self._background_tasks.discard)
+        self._start_task(self._reply_later(link, envelope, result))
 
     async def _reply_later(
         self,
--- a/packages/chivelb-node/chivelb_node/links/peer_link.py
+++ b/packages/chivelb-node/chivelb_node/links/peer_link.py
@@ -14,8 +14,10 @@
 from chivelb_node import settings as settings_lib
 from chivelb_node.links import sockets
 from chivelb_node.wire import authentication
+from chivelb_node.wire import codec
 
 MAX_HELLO_BYTES = 512
+FRAME_LENGTH_BYTES = 4
 # These detect a peer that became unreachable without a TCP reset.
 USER_TIMEOUT_MS = 1_000
 KEEPALIVE_IDLE_S = 1
@@ -35,6 +37,8 @@
         outgoing: Signs the frames sent to the peer.
         incoming: Verifies the frames received from the peer.
         used_at: Monotonic time of the last frame, in seconds.
+        purpose: What the side that opened the connection uses it for; empty
+            for a link, which carries all messages but those of channels.
     """
 
     peer: str
@@ -44,6 +48,35 @@
     outgoing: authentication.FrameAuthenticator
     incoming: authentication.FrameAuthenticator
     used_at: float
+    purpose: str = ""
+
+
+def write_frame(link: Link, data: bytes) -> int:
+    """Writes an authenticated frame; returns its size in bytes."""
+    frame = link.outgoing.sign(data) + data
+    link.writer.write(len(frame).to_bytes(FRAME_LENGTH_BYTES, "big") + frame)
+    return FRAME_LENGTH_BYTES + len(frame)
+
+
+async def read_frame(link: Link, reader: asyncio.StreamReader) -> bytes:
+    """Reads the next frame and returns its data.
+
+    Raises:
+        asyncio.IncompleteReadError: The connection was closed.
+        OSError: The connection failed.
+        authentication.AuthenticationError: The frame is forged or too large.
+    """
+    head = await reader.readexactly(FRAME_LENGTH_BYTES)
+    size = int.from_bytes(head, "big")
+    limit = codec.MAX_MESSAGE_BYTES + authentication.MAC_BYTES
+    if not authentication.MAC_BYTES <= size <= limit:
+        raise authentication.AuthenticationError(
+            f"frame size of {size} bytes is out of bounds"
+        )
+    frame = await reader.readexactly(size)
+    data = frame[authentication.MAC_BYTES :]
+    link.incoming.verify(frame[: authentication.MAC_BYTES], data)
+    return data
 
 
 async def open_link(
@@ -86,6 +119,7 @@
             ),
             authentication.FrameAuthenticator(key, own_hello, peer_hello, "in"),
             context_lib.monotonic(),
+            own_hello.purpose,
         )
         mac = await reader.readexactly(authentication.MAC_BYTES)
         link.incoming.verify(mac, b"")
@@ -141,6 +175,7 @@
         authentication.FrameAuthenticator(key, peer_hello, own_hello, "in"),
         authentication.FrameAuthenticator(key, peer_hello, own_hello, "out"),
         context_lib.monotonic(),
+        peer_hello.purpose,
     )
     writer.write(link.outgoing.sign(b""))
     mac = await reader.readexactly(authentication.MAC_BYTES)
--- a/packages/chivelb-node/chivelb_node/links/reachability.py
+++ b/packages/chivelb-node/chivelb_node/links/reachability.py
@@ -25,6 +25,7 @@
     Attributes:
         context: Shared state of the instance.
         pool: Connections to targets.
+        probed: Services to which a path is looked for.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         super().__init__()
         self.context = context
         self.pool = pool
+        self.probed: set[str] = set()
 
     def start_checking(self, record: targets.TargetRecord) -> None:
         """Marks a target as unreachable and checks it from now on."""
@@ -47,6 +49,40 @@
                 **self._counts(record.service),
             )
             self.add_future(self._check(record))
+        self._probe_if_isolated(record.service)
+
+    def _probe_if_isolated(self, service: str) -> None:
+        """Looks for any path to a service while none is presumed to be open.
+
+        The targets that failed may have stopped, so that no check of theirs
+        would succeed.
+        """
+        now = context_lib.monotonic()
+        if service in self.probed or not self.context.is_isolated(service, now):
+            return
+        self.probed.add(service)
+        _log.warning("no path to service", service=service)
+        self.add_future(self._probe(service))
+
+    async def _probe(self, service: str) -> None:
+        delay_s = FIRST_CHECK_DELAY_S
+        while self.context.is_isolated(service, context_lib.monotonic()):
+            await asyncio.sleep(delay_s)
+            delay_s = min(MAX_CHECK_DELAY_S, BACKOFF_FACTOR * delay_s)
+            now = context_lib.monotonic()
+            records = list(self.context.targets.eligible(service, now))
+            if not records:
+                break
+            record = self.context.rng.choice(records)
+            try:
+                await self.pool.open_idle(record.address)
+            except http_pool.NotSentError:
+                now = context_lib.monotonic()
+                self.context.reach.record_failure(service, record.identity, now)
+            else:
+                self.context.reach.record_reached(service)
+        self.probed.discard(service)
+        _log.info("service has a path again", service=service)
 
     async def _check(self, record: targets.TargetRecord) -> None:
         delay_s = FIRST_CHECK_DELAY_S
@@ -56,8 +92,14 @@
             try:
                 await self.pool.open_idle(record.address)
             except http_pool.NotSentError:
+                self.context.reach.record_failure(
+                    record.service,
+                    record.identity,
+                    context_lib.monotonic(),
+                )
                 continue
-            self.context.targets.record_success(record.identity)
+            self.context.targets.record_reached(record.identity)
+            self.context.reach.record_reached(record.service)
             _log.info(
                 "target reachable again",
                 target=record.identity,
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -167,6 +167,11 @@
             ("service",),
             registry=self.registry,
         )
+        self.relayed = self._counter(
+            "relayed_attempts",
+            "Attempts through another instance",
+            ("direction", "result"),
+        )
         self.in_progress = prometheus_client.Gauge(
             "chivelb_requests_in_progress",
             "Requests in progress",
--- a/packages/chivelb-node/chivelb_node/wire/authentication.py
+++ b/packages/chivelb-node/chivelb_node/wire/authentication.py
@@ -116,6 +116,7 @@
         name: Name of the sending instance.
         zone: Availability zone of the sending instance.
         nonce: Random bytes, in hex.
+        purpose: What the connection is for; empty for a link.
     """
 
     magic: str
@@ -123,13 +124,13 @@
     name: str
     zone: str
     nonce: str
+    purpose: str = ""
 
 
-def make_hello(key_id: str, name: str, zone: str) -> Hello:
+def make_hello(key_id: str, name: str, zone: str, purpose: str = "") -> Hello:
     """Returns a hello message with a new random nonce."""
-    return Hello(
-        MAGIC.decode(), key_id, name, zone, secrets.token_hex(NONCE_BYTES)
-    )
+    nonce = secrets.token_hex(NONCE_BYTES)
+    return Hello(MAGIC.decode(), key_id, name, zone, nonce, purpose)
 
 
 class FrameAuthenticator:
@@ -168,6 +169,8 @@
                 server.nonce,
             )
         )
+        if client.purpose:
+            context += f"/{client.purpose}"
         self._key = hmac.digest(key, context.encode(), "sha256")
         self.frame_count = 0
 
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -73,6 +73,12 @@
     limitNotice @67 :LimitNotice;
     grantRequest @68 :GrantRequest;
     grantReply @69 :GrantReply;
+    relayRequest @70 :RelayRequest;
+    relayData @71 :RelayData;
+    relayHead @72 :RelayHead;
+    relayEnd @73 :RelayEnd;
+    relayRefusal @74 :RelayRefusal;
+    relayFailure @75 :RelayFailure;
   }
 }
 
@@ -380,6 +386,58 @@
   reason @0 :Text;
 }
 
+struct RelayData {
+  data @0 :Data;
+}
+
+struct RelayEnd {
+}
+
+struct RelayFailure {
+  outcome @0 :Text;
+  code @1 :Int64;
+  detail @2 :Text;
+  targetCrashed @3 :Bool;
+}
+
+struct RelayHead {
+  status @0 :Int64;
+  headers @1 :List(RelayHeader);
+  bodyBytes @2 :Int64;
+  isStream @3 :Bool;
+  framing @4 :Text;
+}
+
+struct RelayHeader {
+  name @0 :Data;
+  value @1 :Data;
+}
+
+struct RelayRefusal {
+  reason @0 :Text;
+  reachesService @1 :Bool;
+}
+
+struct RelayRequest {
+  requestId @0 :Text;
+  route @1 :Text;
+  workspace @2 :Text;
+  priority @3 :Int64;
+  hasPrompt @4 :Bool;
+  identity @5 :Text;
+  incarnation @6 :Int64;
+  remainingS @7 :Float64;
+  weightVersion @8 :Int64;
+  salt @9 :Text;
+  fetchAddresses @10 :List(Text);
+  saveAddresses @11 :List(Text);
+  resumeAfter @12 :Text;
+  method @13 :Text;
+  requestTarget @14 :Data;
+  headers @15 :List(RelayHeader);
+  bodyBytes @16 :Int64;
+}
+
 struct ReleaseBlocks {
   store @0 :Text;
   reader @1 :Text;
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from chivelb_node.wire import messages
+from chivelb_node.wire import relay_messages
 
 # The position determines the field's ordinal in the schema: append new
 # messages at the end, never reorder or remove any.
@@ -79,6 +80,12 @@
     messages.LimitNotice,
     messages.GrantRequest,
     messages.GrantReply,
+    relay_messages.RelayRequest,
+    relay_messages.RelayData,
+    relay_messages.RelayHead,
+    relay_messages.RelayEnd,
+    relay_messages.RelayRefusal,
+    relay_messages.RelayFailure,
 )
 
 
--- a/tests/cut_fleet.py
+++ b/tests/cut_fleet.py
@@ -15,9 +15,12 @@
 from chivelb_node import context as context_lib
 from chivelb_node.forwarding import admission as admission_lib
 from chivelb_node.forwarding import ports
+from chivelb_node.forwarding import relay_server
+from chivelb_node.forwarding import target_paths
 from chivelb_node.links import http_pool
 from chivelb_node.links import reachability
 import fake_ports
+import memory_channels
 import replicas
 
 SERVICES = ("lm", "web")
@@ -156,6 +159,7 @@
         network: Links between the instances.
         instances: Forwarding harness of each instance, by name.
         paths: Connections to targets of each instance, by name.
+        relays: What makes attempts for peers at each instance, by name.
         tries: First tries of all requests.
         arrivals: Request id, time and sender of what reached targets.
     """
@@ -170,6 +174,7 @@
         self.members = replicas.make_members(0, instance_count)
         self.instances = {}
         self.paths = {}
+        self.relays = {}
         self.services = []
         self.tries = []
         self.arrivals = []
@@ -190,12 +195,31 @@
         paths = InstancePaths(self, member.name)
         checks = reachability.ReachabilityChecks(context, paths)
         harness = fake_ports.ForwardingHarness(context)
-        harness.forwarder.target_port = paths
+        self.relays[member.name] = relay_server.RelayServer(context, paths)
+        harness.forwarder.target_port = target_paths.TargetPaths(
+            context,
+            paths,
+            open_channel=lambda peer: self._open_channel(member.name, peer),
+            peers_by_zone=lambda: self._peers_by_zone(member),
+        )
         harness.forwarder.check_reachability = checks.start_checking
         self.instances[member.name] = harness
         self.paths[member.name] = paths
         self.services.append(checks)
 
+    async def _open_channel(self, name, peer):
+        await asyncio.sleep(CONNECT_S)
+        here, there = memory_channels.make_pair(name, peer)
+        self._start(self.relays[peer].serve(there))
+        return here
+
+    def _peers_by_zone(self, member):
+        zones = {member.zone: []}
+        for other in self.members:
+            if other.name != member.name:
+                zones.setdefault(other.zone, []).append(other.name)
+        return list(zones.values())
+
     def _make_context(self, member):
         engine = builders.make_engine(slots=64, kv_tokens=1_000_000)
         context = builders.make_context(
@@ -258,6 +282,7 @@
         call = builders.make_call(
             route,
             request_id=f"r-{number}",
+            route_name=route_name,
             prompt=builders.make_prompt_of("shared", f"own-{number}")
             if route.split[0].service == "lm"
             else None,
@@ -265,7 +290,10 @@
             deadline=now + CALLER_TIMEOUT_S,
             fingerprint=f"f-{number}",
         )
-        task = asyncio.create_task(self._serve(name, call))
+        self._start(self._serve(name, call))
+
+    def _start(self, coroutine):
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
