Keep brittle targets from having to turn requests away

A target that says so, or that has just rested, gets no more requests from an instance than its share of 0.85 of the slots, so that all instances together fit although they hear of each other's load 5 to 100 ms late. A call that finds only resting targets waits for the end of a short rest, else it is refused at once with the rest as Retry-After.

The wire form of the signals is one type now (ports.Signals).

--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -17,10 +17,14 @@
 from chivelb_core.document import model as model_lib
 from chivelb_core.forwarding import call as call_lib
 from chivelb_core.forwarding import fetch_plan as fetch_plan_lib
+from chivelb_core.forwarding import subset
 
 # Fraction of a runner's KV cache that running requests may occupy by
 # estimate, by priority. The margin is reserved for higher priorities.
 MEMORY_FRACTIONS = (1.0, 0.97, 0.9)
+# Fraction of the slots and of the KV cache of a target that must not have to
+# turn requests away: the estimate of its load lags behind.
+CAREFUL_FRACTION = 0.85
 # Maximum prompt tokens awaiting prefill at a runner when a call is placed
 # there, by priority. Further calls wait at the instance that received them:
 # KV cache that a runner fetches for a call in its own queue may be evicted
@@ -57,12 +61,15 @@
             is one attempt of a call.
         used_kv_tokens: KV cache tokens that they occupy.
         pending_tokens: Prompt tokens that await prefill.
+        free_share: How many more requests this instance may send to a target
+            that must not have to turn any away; None for any other target.
     """
 
     record: targets.TargetRecord
     running: int = 0
     used_kv_tokens: int = 0
     pending_tokens: int = 0
+    free_share: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,12 +104,36 @@
         )
 
 
+def careful_share(slots: int, *, instance_count: int, target_count: int) -> int:
+    """Returns how many requests an instance may have at a careful target.
+
+    The shares of all instances fit into the slots together, so that nothing
+    is turned away although the instances hear of each other's load too late.
+
+    Args:
+        slots: Slots of the target.
+        instance_count: Number of instances that place calls.
+        target_count: Number of targets of the service.
+    """
+    users = instance_count * min(
+        1.0, subset.MIN_SUBSET_SIZE / max(1, target_count)
+    )
+    return max(1, int(CAREFUL_FRACTION * slots / max(1.0, users)))
+
+
 def has_capacity(
     call: call_lib.Call,
     candidate: TargetCandidate,
     engine: model_lib.EngineConfig,
 ) -> bool:
     """Returns whether a runner is estimated to have capacity for a call."""
+    if candidate.free_share is not None and candidate.running:
+        return (
+            candidate.free_share > 0
+            and candidate.running < CAREFUL_FRACTION * engine.slots
+            and candidate.used_kv_tokens + call.mean_kv_tokens
+            <= CAREFUL_FRACTION * engine.kv_tokens
+        )
     if candidate.running >= engine.slots:
         return False
     if not candidate.used_kv_tokens:
@@ -196,6 +227,9 @@
     zone: str,
     now: float,
     rng: random.Random,
+    free_share: Callable[
+        [targets.TargetRecord, float], int | None
+    ] = lambda record, now: None,
 ) -> Placement | None:
     """Selects the least loaded target of a plain service.
 
@@ -208,14 +242,21 @@
         zone: Availability zone of this instance.
         now: Monotonic time in seconds.
         rng: Random number generator that breaks ties.
+        free_share: Returns ``TargetCandidate.free_share`` of a target at a
+            monotonic time, in seconds.
 
     Returns:
-        The placement, or None if there is no target.
+        The placement, or None if there is no target with room.
     """
     best = None
     best_key = None
     for record in records:
         running = load.running(record.identity, now)
+        share = free_share(record, now)
+        if share is not None and (
+            share <= 0 or running >= CAREFUL_FRACTION * record.slots
+        ):
+            continue
         # Half a request breaks ties between zones in favor of this one.
         key = (
             running >= record.slots,
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -9,6 +9,9 @@
 from chivelb_core.targets import record as record_lib
 
 FORGET_AFTER_S = 300.0
+# Time after a rest in which a target gets no more requests than it has slots:
+# those that waited for the end of the rest would come all at once.
+CAREFUL_AFTER_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +32,10 @@
             same address.
         paused_until: Monotonic time until which the target receives no new
             requests because its weights are being changed, in seconds.
+        resting_until: Monotonic time until which it receives none of this
+            instance because it had no room for one, in seconds.
+        is_brittle: Whether it says that it stops if it has to turn away many
+            requests for want of room.
     """
 
     record: record_lib.TargetRecord
@@ -39,6 +46,16 @@
     is_unreachable: bool = False
     is_replaced: bool = False
     paused_until: float = -math.inf
+    resting_until: float = -math.inf
+    is_brittle: bool = False
+
+    def needs_room(self, now: float) -> bool:
+        """Returns whether requests must not be turned away there.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return self.is_brittle or now - self.resting_until < CAREFUL_AFTER_S
 
 
 class TargetTable:
@@ -83,6 +100,8 @@
             entry.failed_at = known.failed_at
             entry.is_unreachable = known.is_unreachable
             entry.paused_until = known.paused_until
+            entry.resting_until = known.resting_until
+            entry.is_brittle = known.is_brittle
         self.entries[record.identity] = entry
         self._claim_address(entry)
         return True
@@ -122,6 +141,53 @@
         if known is not None and known.record.incarnation == incarnation:
             known.paused_until = until
 
+    def rest(self, identity: str, incarnation: int, until: float) -> bool:
+        """Lets a target rest until a monotonic time, unless it rests longer.
+
+        Returns:
+            True if the end of its rest has changed.
+        """
+        known = self.entries.get(identity)
+        if known is None or known.record.incarnation != incarnation:
+            return False
+        if until <= known.resting_until:
+            return False
+        known.resting_until = until
+        return True
+
+    def set_brittle(
+        self, identity: str, incarnation: int, *, is_brittle: bool
+    ) -> bool:
+        """Records whether a target is brittle; returns True if it changed."""
+        known = self.entries.get(identity)
+        if known is None or known.record.incarnation != incarnation:
+            return False
+        changed = known.is_brittle != is_brittle
+        known.is_brittle = is_brittle
+        return changed
+
+    def rest_ends_at(self, service: str, now: float) -> float:
+        """Returns when the first resting target of a service may get requests.
+
+        Returns:
+            Monotonic time in seconds; infinite if none is only resting.
+        """
+        return min(
+            (
+                entry.resting_until
+                for entry in self.entries.values()
+                if entry.record.service == service
+                and entry.resting_until > now
+                and self._may_serve(entry, now)
+            ),
+            default=math.inf,
+        )
+
+    def needs_room(self, identity: str, now: float) -> bool:
+        """Returns whether requests must not be turned away at a target."""
+        entry = self.entries.get(identity)
+        return entry is not None and entry.needs_room(now)
+
     def set_weight_version(self, identity: str, incarnation: int, version: str):
         """Updates the weight version of a target's incarnation."""
         known = self.entries.get(identity)
@@ -135,10 +201,16 @@
         known = self.entries.get(identity)
         return (
             known is not None
-            and not known.is_leaving
-            and not known.is_replaced
-            and known.record.state == "ready"
-            and known.paused_until <= now < known.expires_at
+            and known.resting_until <= now
+            and self._may_serve(known, now)
+        )
+
+    def _may_serve(self, entry: TargetEntry, now: float) -> bool:
+        return (
+            not entry.is_leaving
+            and not entry.is_replaced
+            and entry.record.state == "ready"
+            and entry.paused_until <= now < entry.expires_at
         )
 
     def eligible(
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 
 from chivelb_core import codes
 from chivelb_core import forwarding
@@ -18,6 +19,9 @@
 from chivelb_node.telemetry import metrics as metrics_lib
 
 DISPATCH_PERIOD_S = 0.03
+# Share of the time that a call has left which it may wait for the end of a
+# target's rest.
+MAX_REST_SHARE = 0.3
 _log = logs.get_logger("gate")
 
 
@@ -98,10 +102,7 @@
         since = now if call.attempts else call.arrived_at
         deadline = call.next_byte_deadline(since)
         if not self.placement_policy.eligible(call, now):
-            if not self.context.is_starting(now):
-                raise responses.RequestError(codes.NO_TARGET)
-            # Targets may be announced until the start is over.
-            deadline = min(deadline, self.context.startup_ends_at)
+            deadline = min(deadline, self._wait_for_targets(call, now))
         future = asyncio.get_running_loop().create_future()
         waiting_call = waiting_list.join(
             call, wait_started_at=since, item=future
@@ -124,6 +125,22 @@
         finally:
             waiting_list.leave(waiting_call)
 
+    def _wait_for_targets(self, call: forwarding.Call, now: float) -> float:
+        """Returns until when a call without a target may wait for one.
+
+        Raises:
+            responses.RequestError: It would wait in vain.
+        """
+        if self.context.is_starting(now):
+            # Targets may be announced until the start is over.
+            return self.context.startup_ends_at
+        rest_ends_at = self.context.targets.rest_ends_at(call.service, now)
+        rest_s = rest_ends_at - now
+        if rest_s <= MAX_REST_SHARE * (call.deadline - now):
+            return call.deadline
+        backlog_s = 0.0 if math.isinf(rest_s) else rest_s
+        raise responses.RequestError(codes.NO_TARGET, backlog_s=backlog_s)
+
     def _release_if_granted(self, future: asyncio.Future, service: str) -> None:
         """Releases a reservation granted while its call was being cancelled."""
         granted = future.done() and not future.cancelled()
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -33,6 +33,7 @@
         directory: Prompt parts by the source that holds their KV cache.
         count_zone_instances: Returns the number of entry instances of this
             zone, including this one.
+        count_instances: Returns the number of entry instances of the region.
     """
 
     def __init__(
@@ -41,11 +42,13 @@
         directory: parts_lib.PartDirectory,
         *,
         count_zone_instances: Callable[[], int] = lambda: 1,
+        count_instances: Callable[[], int] = lambda: 1,
     ) -> None:
         """Creates a placement policy."""
         self.context = context
         self.directory = directory
         self.count_zone_instances = count_zone_instances
+        self.count_instances = count_instances
         self._preferred_by_service: dict[str, tuple[tuple, frozenset[str]]] = {}
         self._stores_version = -1
         self._store_links: list[fetch_plan_lib.Link] = []
@@ -161,6 +164,7 @@
                 zone=self.context.settings.instance.zone,
                 now=now,
                 rng=self.context.rng,
+                free_share=self._free_share,
             )
         return self._place_on_runner(call, records, service.engine, now)
 
@@ -228,8 +232,27 @@
             load.running(identity, now),
             load.used_kv_tokens(identity, now),
             load.pending(identity, now),
+            self._free_share(record, now),
         )
 
+    def _free_share(
+        self, record: targets.TargetRecord, now: float
+    ) -> int | None:
+        """Returns how many more requests a careful target may get from here.
+
+        Returns:
+            The number, or None if the target need not be careful.
+        """
+        table = self.context.targets
+        if not table.needs_room(record.identity, now):
+            return None
+        share = choice_lib.careful_share(
+            record.slots,
+            instance_count=self.count_instances(),
+            target_count=sum(1 for _ in table.eligible(record.service, now)),
+        )
+        return share - self.context.load.own_load(record.identity)[0]
+
     def _plan_placement(
         self,
         call: forwarding.Call,
--- a/packages/chivelb-node/chivelb_node/forwarding/ports.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/ports.py
@@ -58,6 +58,23 @@
     new_connection: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Signals:
+    """What a target tells of itself in an answer.
+
+    Attributes:
+        limits: All values in which it names its request limit.
+        brittle: All values in which it says that it is brittle, and how many
+            requests it may turn away in a second.
+        is_refused: Whether it had no room for the request, or would not take
+            it for another reason, and has not run it.
+    """
+
+    limits: list[str] = dataclasses.field(default_factory=list)
+    brittle: list[str] = dataclasses.field(default_factory=list)
+    is_refused: bool = False
+
+
 class Framing(enum.Enum):
     """What ends the body of a response: its length, a last chunk, a close."""
 
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -79,6 +79,7 @@
     relayEnd @73 :RelayEnd;
     relayRefusal @74 :RelayRefusal;
     relayFailure @75 :RelayFailure;
+    targetFull @76 :TargetFull;
   }
 }
 
@@ -548,6 +549,11 @@
   digest @0 :Int64;
 }
 
+struct TargetFull {
+  identity @0 :Text;
+  incarnation @1 :Int64;
+}
+
 struct TargetHold {
   identity @0 :Text;
   incarnation @1 :Int64;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -551,6 +551,18 @@
     delay_s: float
 
 
+class TargetFull(msgspec.Struct, rename="camel", frozen=True):
+    """Tells that a brittle target has turned a request away.
+
+    Attributes:
+        identity: The target.
+        incarnation: Lifetime of the target.
+    """
+
+    identity: str
+    incarnation: int
+
+
 class Refusal(msgspec.Struct, rename="camel", frozen=True):
     """Reply to a request that could not be served.
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -86,6 +86,7 @@
     relay_messages.RelayEnd,
     relay_messages.RelayRefusal,
     relay_messages.RelayFailure,
+    messages.TargetFull,
 )
 
 
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -139,11 +139,13 @@
         self.retired = []
         self.unreachable = []
         self.directory = parts_lib.PartDirectory()
-        placement_policy = placement_lib.PlacementPolicy(
+        self.placement_policy = placement_lib.PlacementPolicy(
             context, self.directory
         )
         self.admission_queue = admission_lib.AdmissionQueue(
-            context, placement_policy, is_refused=self.crash_policy.is_refused
+            context,
+            self.placement_policy,
+            is_refused=self.crash_policy.is_refused,
         )
         self.forwarder = forwarder_lib.Forwarder(
             context,
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -98,6 +98,12 @@
     def region_members(self):
         return sorted([*self.peers_in_region(), self.swim.local_member.name])
 
+    def zone_members(self, zone):
+        names = self.swim.live_members(REGION, zone)
+        if zone == self.swim.local_member.zone:
+            names = sorted([*names, self.swim.local_member.name])
+        return names
+
     def is_control_instance(self, name):
         return name.startswith("core-")
 
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -258,8 +258,8 @@
         [wire_calls.make_request(wire_calls.STREAM_PATH)],
         [scripted.ScriptedTarget(script)],
         idle_s=0.5,
-        record_limits=lambda identity, values, _: told.append(
-            (identity, values)
+        record_signals=lambda record, signals, _: told.append(
+            (record.identity, signals.limits)
         ),
     )
     assert told == expected
