--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -13,6 +13,7 @@
 from chivelb_node.forwarding import placement as placement_lib
 from chivelb_node.forwarding import ports
 from chivelb_node.links import stream_origins as origins_lib
+from chivelb_node.links import target_signals
 import replicas
 
 
@@ -114,6 +115,20 @@
     )
 
 
+def make_signals(context):
+    """Returns what obeys the targets of an instance without peers."""
+    settings = context.settings.instance
+    member = membership_messages.Member(
+        settings.name, settings.region, settings.zone, "127.0.0.1:1", 1
+    )
+    return target_signals.TargetSignals(
+        context,
+        replicas.MemoryHub(settings.name, replicas.MemoryNetwork()),
+        replicas.StaticGossip([member], settings.name, context.rng),
+        lambda *_: None,
+    )
+
+
 class ForwardingHarness:
     """A forwarder connected to fake callers and targets.
 
--- a/tests/wire_calls.py
+++ b/tests/wire_calls.py
@@ -111,7 +111,7 @@
     *,
     idle_s=10.0,
     stop_after=b"",
-    record_signals=lambda *_: None,
+    record_signals=None,
     **options,
 ):
     """Sends requests, one after the other, to an instance.
@@ -123,7 +123,7 @@
         targets: The scripted targets.
         idle_s: Time after which a caller stops waiting for more bytes.
         stop_after: Bytes after which the instance stops; empty for never.
-        record_signals: As in ``TargetClient``.
+        record_signals: As in ``TargetClient``; None for ``TargetSignals``.
         options: Further fields of the targets' records, each a list with one
             value for each target.
 
@@ -148,8 +148,9 @@
             harness = fake_ports.ForwardingHarness(
                 builders.make_context(**records)
             )
+            signals = fake_ports.make_signals(harness.context)
             harness.forwarder.target_port = target_client.TargetClient(
-                pool, record_signals
+                pool, record_signals or signals.record_answer
             )
             _prefer_in_order(harness)
             async with _serve_callers(harness) as port:
