Send a target nothing for the rest that it asks for

Cause: Retry-After of a target was not read; a refusal left no trace, so that the target was eligible for the next call at once, and each refusal went on to the next.

Now the longest rest that a lifetime of a target has asked this instance for is kept in the table where all sends pass, also those made for peers; a value that is no number makes a rest of a second.

--- a/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
@@ -118,6 +118,8 @@
             )
         if record.incarnation != request.incarnation:
             return relay_messages.RelayRefusal("another incarnation", "target")
+        if not self.context.targets.is_eligible(record.identity, now):
+            return relay_messages.RelayRefusal("target takes none", "target")
         services = [share.service for share in route.split]
         if record.service not in services:
             return relay_messages.RelayRefusal(
--- a/packages/chivelb-node/chivelb_node/links/target_signals.py
+++ b/packages/chivelb-node/chivelb_node/links/target_signals.py
@@ -5,6 +5,7 @@
 
 from chivelb_core import targets
 from chivelb_core.forwarding import request_limits as limits_lib
+from chivelb_core.forwarding import rests
 
 from chivelb_node import context as context_lib
 from chivelb_node.forwarding import ports
@@ -60,11 +61,49 @@
         self.record_limits(record.identity, signals.limits, at)
         is_brittle = self._decode_brittle(record, signals.brittle)
         self._set_brittle(record.identity, record.incarnation, is_brittle)
+        self._obey_rest(record, signals.rests)
         if signals.is_refused and is_brittle:
             message = messages.TargetFull(record.identity, record.incarnation)
             if self._on_full(self.hub.local_name, message):
                 self.hub.broadcast(self._entry_peers(), message)
 
+    def _obey_rest(
+        self, record: targets.TargetRecord, values: Sequence[str]
+    ) -> None:
+        """Sends a target nothing for as long as it asks.
+
+        The rest is for this instance alone; others may have been told nothing.
+        """
+        try:
+            rest_s = rests.parse_rest(values)
+        except rests.RestError as error:
+            _log.warning(
+                "rest not understood",
+                target=record.identity,
+                detail=str(error),
+                rest_s=rests.DEFAULT_REST_S,
+            )
+            rest_s = rests.DEFAULT_REST_S
+        if not rest_s:
+            return
+        until = context_lib.monotonic() + rest_s
+        if self.context.targets.rest(
+            record.identity, record.incarnation, until
+        ):
+            self._log_rest(record.identity, rest_s, "asked for it", "target")
+
+    def _log_rest(
+        self, identity: str, rest_s: float, reason: str, source: str
+    ) -> None:
+        self.context.metrics.rests.labels(reason).inc()
+        _log.info(
+            "target rests",
+            target=identity,
+            rest_s=round(rest_s, 3),
+            reason=reason,
+            source=source,
+        )
+
     def _decode_brittle(
         self, record: targets.TargetRecord, values: Sequence[str]
     ) -> bool:
@@ -115,11 +154,5 @@
             return False
         if not table.rest(message.identity, message.incarnation, until):
             return False
-        _log.info(
-            "target rests",
-            target=message.identity,
-            rest_s=round(until - now, 3),
-            reason="no room",
-            source=peer,
-        )
+        self._log_rest(message.identity, until - now, "no room", peer)
         return True
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -167,6 +167,9 @@
             ("service",),
             registry=self.registry,
         )
+        self.rests = self._counter(
+            "target_rests", "Rests of targets that began here", ("reason",)
+        )
         self.relayed = self._counter(
             "relayed_attempts",
             "Attempts through another instance",
--- a/tests/brittle_fleet.py
+++ b/tests/brittle_fleet.py
@@ -29,10 +29,21 @@
         refusals: Times at which each target turned a request away.
         stopped_until: Until when each target is stopped.
         stops: Time and identity of each stop.
+        rest_s: Rest that a target asks for instead of saying that it is
+            brittle; 0 for none.
+        rests: Target, instance, start and end of each rest.
         foreign_load: Share of the slots that others than the instances use.
     """
 
-    def __init__(self, *, brittle_from=5.0, allowed=3, **options):
+    def __init__(
+        self,
+        *,
+        brittle_from=5.0,
+        allowed=3,
+        rest_s=0.0,
+        foreign_load=0.0,
+        **options,
+    ):
         self.signals = {}
         self.loads = []
         self.brittle_from = brittle_from
@@ -41,7 +52,9 @@
         self.refusals = collections.defaultdict(list)
         self.stopped_until = collections.Counter()
         self.stops = []
-        self.foreign_load = 0.0
+        self.foreign_load = foreign_load
+        self.rest_s = rest_s
+        self.rests = []
         super().__init__(**options)
 
     def start_instance(self, name):
@@ -100,6 +113,11 @@
     def _tell(self, sender, identity, sent_at, *, is_refused=False):
         context = self.instances[sender].context
         record = context.targets.entries[identity].record
-        brittle = [str(self.allowed)] if self.now() >= self.brittle_from else []
-        signals = ports.Signals(brittle=brittle, is_refused=is_refused)
+        signals = ports.Signals(is_refused=is_refused)
+        if self.rest_s and is_refused:
+            signals.rests = [str(self.rest_s)]
+            end = self.now() + self.rest_s
+            self.rests.append((identity, sender, self.now(), end))
+        elif not self.rest_s and self.now() >= self.brittle_from:
+            signals.brittle = [str(self.allowed)]
         self.signals[sender].record_answer(record, signals, sent_at)
