--- a/packages/chivelb-node/chivelb_node/links/target_signals.py
+++ b/packages/chivelb-node/chivelb_node/links/target_signals.py
@@ -32,6 +32,8 @@
         gossip: Membership.
         record_limits: Called for each answer with the target, all limits that
             the answer names, and the time at which the request was sent.
+        mark_leaving: Called with a target that leaves; its lifetime gets no
+            new requests of any instance then.
     """
 
     def __init__(
@@ -40,12 +42,15 @@
         hub: hub_lib.Hub,
         gossip: gossip_lib.Gossip,
         record_limits: Callable[[str, Sequence[str], float], None],
+        *,
+        mark_leaving: Callable[[targets.TargetRecord], None],
     ) -> None:
         """Registers the handler for what peers tell."""
         self.context = context
         self.hub = hub
         self.gossip = gossip
         self.record_limits = record_limits
+        self.mark_leaving = mark_leaving
         hub.register_handler(messages.TargetFull, self._on_full)
 
     def record_answer(
@@ -61,6 +66,8 @@
         self.record_limits(record.identity, signals.limits, at)
         is_brittle = self._decode_brittle(record, signals.brittle)
         self._set_brittle(record.identity, record.incarnation, is_brittle)
+        if signals.is_leaving:
+            self.mark_leaving(record)
         self._obey_rest(record, signals.rests)
         if signals.is_refused and is_brittle:
             message = messages.TargetFull(record.identity, record.incarnation)
--- a/tests/brittle_fleet.py
+++ b/tests/brittle_fleet.py
@@ -68,7 +68,11 @@
             load_sharing.LoadReporting(context, sharing.hub, sharing.gossip)
         )
         self.signals[name] = target_signals.TargetSignals(
-            context, sharing.hub, sharing.gossip, sharing.record_answer
+            context,
+            sharing.hub,
+            sharing.gossip,
+            sharing.record_answer,
+            mark_leaving=None,
         )
 
     async def run_traffic(self, until_s, *, per_s):
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -126,6 +126,9 @@
         replicas.MemoryHub(settings.name, replicas.MemoryNetwork()),
         replicas.StaticGossip([member], settings.name, context.rng),
         lambda *_: None,
+        mark_leaving=lambda record: context.targets.mark_leaving(
+            record.identity, record.incarnation
+        ),
     )
 
 
--- a/tests/test_brittle_targets.py
+++ b/tests/test_brittle_targets.py
@@ -78,7 +78,7 @@
     hub = replicas.MemoryHub(members[0].name, network)
     gossip = replicas.StaticGossip(members, members[0].name, context.rng)
     signals = target_signals.TargetSignals(
-        context, hub, gossip, lambda *_: None
+        context, hub, gossip, lambda *_: None, mark_leaving=None
     )
     told = []
     hub.broadcast = lambda peers, message: told.append((peers, message))
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -61,6 +61,29 @@
     assert all(data.startswith(b"HTTP/1.1 200") for data in received)
 
 
+# Guards against heartbeats that do not say so yet, and against a target that is
+# lost for good when it comes back.
+def test_a_target_that_left_is_used_again_in_its_next_lifetime():
+    context = builders.make_context(t={"service": "lm"})
+    signals = fake_ports.make_signals(context)
+    record = context.targets.entries["t"].record
+    now = context_lib.monotonic()
+    signals.record_answer(record, ports.Signals(is_leaving=True), now)
+    later = builders.make_record("t", service="lm", sequence=9, lease_s=0.0)
+    context.targets.announce(later, now)
+    assert not list(context.targets.eligible("lm", now))
+    again = builders.make_record("t", service="lm", incarnation=2, lease_s=0.0)
+    context.targets.announce(again, now)
+    assert list(context.targets.eligible("lm", now))
+
+
+@pytest.mark.parametrize("value", [b"0", b"", b"no"])
+def test_only_1_says_that_a_target_leaves(value):
+    target = scripted.ScriptedTarget(*[ok(b"Server-Leaving: " + value)] * 2)
+    send(2, target)
+    assert len(target.requests) == 2
+
+
 @pytest.mark.parametrize(
     ("values", "expected"),
     [
