--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -312,7 +312,8 @@
         has_begun: bool,
     ) -> None:
         now = context_lib.monotonic()
-        if outcome.target_crashed:
+        if outcome.target_crashed or outcome.code is codes.TARGET_REFUSED:
+            # A target that refuses at once would look idle.
             self.context.targets.record_failure(record.identity, now)
         if outcome.code is codes.TARGET_UNREACHABLE:
             self.check_reachability(record)
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -212,3 +212,18 @@
     assert caller.error_detail.code.status == 503
     assert caller.error_detail.retry_after_s >= 19.0
     assert harness.targets.sent == []
+
+
+# Guards against a target that draws calls because it refuses them at once.
+def test_a_target_that_refused_is_avoided_while_others_serve():
+    refusing = scripted.ScriptedTarget(*[refusal()] * 4)
+    other = scripted.ScriptedTarget(*[ok()] * 4)
+    received = send(4, refusing, other)
+    assert len(refusing.requests) <= 2
+    assert sum(data.startswith(b"HTTP/1.1 200") for data in received) >= 2
+
+
+def test_a_target_that_refused_is_used_if_no_other_remains():
+    target = scripted.ScriptedTarget(refusal(), ok())
+    received = send(2, target)
+    assert received[1].startswith(b"HTTP/1.1 200")
