Failing tests: streams taken up after a kill of all entry instances

A new instance knows only the versions that serve since its start, and takes the only one for that of the stream (ORDER); with two versions no stream goes on at all (LOST), since entry instances alone keep the origins.

--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -26,21 +26,53 @@
 
 
 class Group:
-    """The origins of several entry instances, linked in memory.
+    """The origins of several instances, linked in memory.
+
+    All have been running for some time.
 
     Attributes:
+        members: All instances.
         network: Links between the instances.
-        instances: Origins by name of the instance.
+        instances: Origins by name of the entry instance.
+        control: Origins by name of the control instance.
     """
 
     def __init__(self, entry_count=9, versions=MIXED):
-        members = replicas.make_members(3, entry_count)
+        self.members = replicas.make_members(3, entry_count)
         self.network = replicas.MemoryNetwork()
-        self.instances = {
-            member.name: self.make_instance(member, members, versions)
-            for member in members
-            if not member.anchor
-        }
+        self.instances = {}
+        self.control = {}
+        for member in self.members:
+            instances = self.control if member.anchor else self.instances
+            instance = self.make_instance(member, self.members, versions)
+            instance.watches_from = float("-inf")
+            instances[member.name] = instance
+
+    def kill_entries(self, versions=MIXED):
+        """Kills all entry instances and starts them again."""
+        for member in self.members:
+            if not member.anchor:
+                self.instances[member.name] = self.make_instance(
+                    member, self.members, versions
+                )
+
+    def serve(self, *versions):
+        """Lets targets of these versions serve, as control instances see it."""
+        for instance in self.control.values():
+            entries = instance.context.targets.entries
+            for entry in entries.values():
+                entry.is_leaving = True
+            now = context_lib.monotonic()
+            for version in versions:
+                record = builders.make_record(
+                    f"later-{version}",
+                    service="lm",
+                    software_version=version,
+                    address="127.0.0.1:9019",
+                    lease_s=0.0,
+                )
+                instance.context.targets.announce(record, now)
+            instance._observed_at = float("-inf")
 
     def make_instance(self, member, members, versions):
         context = builders.make_context(
@@ -275,3 +307,56 @@
     assert len(table.recorded) == 3
     assert table.find(bytes([5]) * 8, 9.9) == V1
     assert table.find(bytes([5]) * 8, 10.0) is None
+
+
+# Guards against streams that are all refused after a kill of all entry
+# instances, although their version still serves.
+def test_origins_outlive_all_entry_instances():
+    async def run():
+        group = Group()
+        await group.begin("front-0", "r-1")
+        await group.begin("front-4", "r-2", origin=V2)
+        group.kill_entries()
+        for name in group.names():
+            assert (await group.find(name, "r-1")).origin == V1
+            assert (await group.find(name, "r-2")).origin == V2
+
+    asyncio.run(run())
+
+
+# Guards against a stream of a version that has left, joined with one that
+# serves now: an instance that has just started knows the present ones only.
+def test_a_new_instance_does_not_guess_from_the_versions_that_serve_now():
+    async def run():
+        group = Group(versions=("v1",))
+        await group.begin("front-0", "r-1")
+        group.kill_entries(versions=("v2",))
+        group.serve("v2")
+        return await group.find("front-3", "r-1")
+
+    assert asyncio.run(run()).origin in (None, V1)
+
+
+# Guards against a guess where nobody has watched for as long as the stream may
+# be old.
+def test_without_anyone_who_has_watched_a_stream_is_refused():
+    async def run():
+        group = Group(versions=("v1",))
+        group.kill_entries(versions=("v1",))
+        group.network.silent.update(group.control)
+        finding = await group.find("front-3", "r-1")
+        return finding.origin, finding.source
+
+    assert asyncio.run(run()) == (None, "unknown")
+
+
+# Guards against streams that are refused although there was one version only.
+def test_a_new_instance_learns_that_there_was_one_version():
+    async def run():
+        group = Group(versions=("v1",))
+        group.kill_entries(versions=("v1",))
+        group.network.silent.update(["core-0", "front-1"])
+        finding = await group.find("front-3", "r-1")
+        return finding.origin, finding.source
+
+    assert asyncio.run(run()) == (V1, "only version")
