Keep the origins of streams where a kill of all entry instances leaves them

Cause: the origins, and the versions seen, lived in the memory of entry instances alone. A new one saw the versions of the present only and took a single one for that of any stream.

Now one control instance, by rendezvous hashing, keeps the origins of an entry instance besides its two keepers. An instance takes the only version that it knows for that of a stream only if it, or one that it asks, has watched for as long as such a stream may be old; control instances keep the recent versions on disk for that. Nobody has: the stream is refused.

--- a/packages/chivelb-core/chivelb_core/forwarding/stream_origins.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/stream_origins.py
@@ -13,11 +13,13 @@
 import dataclasses
 import hashlib
 
+from chivelb_core.forwarding import choice
 from chivelb_core.targets import table as table_lib
 
 KEY_BYTES = 8
 MAX_ORIGINS = 50_000
 KEEPER_COUNT = 2
+CONTROL_KEEPER_COUNT = 1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -183,3 +185,16 @@
         others = sorted(entries_by_zone[other_zone])
         found.append(others[position % len(others)])
     return [each for each in found if each != name][:KEEPER_COUNT]
+
+
+def control_keepers(name: str, control_instances: Sequence[str]) -> list[str]:
+    """Returns the control instance that keeps the origins of an instance.
+
+    It outlives a kill of all entry instances.
+
+    Args:
+        name: Name of the instance that forwards the streams.
+        control_instances: Names of the live control instances.
+    """
+    ranked = choice.rank_by_rendezvous(name, control_instances)
+    return ranked[:CONTROL_KEEPER_COUNT]
--- a/packages/chivelb-node/chivelb_node/links/stream_origins.py
+++ b/packages/chivelb-node/chivelb_node/links/stream_origins.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Iterator
-import itertools
+import dataclasses
 
 from chivelb_core import forwarding
 from chivelb_core.forwarding import stream_origins
@@ -16,6 +16,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.storage import version_history
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import messages
 
@@ -29,9 +30,32 @@
 # A stream may be taken up for some time after the deadline of its first
 # attempt, which its caller counts from another moment.
 EXPIRY_MARGIN_S = 2.0
+HISTORY_PERIOD_S = 0.5
 _log = logs.get_logger("stream-origins")
 
 
+@dataclasses.dataclass(slots=True)
+class VersionKnowledge:
+    """What several instances know of the versions that served within a time.
+
+    Attributes:
+        is_complete: Whether one of them has watched for all of that time.
+        origins: Services and versions that served.
+    """
+
+    is_complete: bool
+    origins: set[stream_origins.StreamOrigin]
+
+    def add(self, reply: messages.StreamOriginReply) -> None:
+        """Adds what another instance knows."""
+        self.is_complete = self.is_complete or reply.has_watched
+        self.origins.update(
+            stream_origins.StreamOrigin(each.service, version)
+            for each in reply.seen
+            for version in each.versions
+        )
+
+
 class StreamOrigins(mode.Service):
     """Records, shares and finds the origins of streams.
 
@@ -41,6 +65,9 @@
         gossip: Membership.
         table: Known origins.
         serving: Software versions of the targets.
+        watches_from: Monotonic time from which it has seen all versions that
+            served, in seconds.
+        history: Versions on disk; None at instances without one.
     """
 
     def __init__(
@@ -48,20 +75,51 @@
         context: context_lib.InstanceContext,
         hub: hub_lib.Hub,
         gossip: gossip_lib.Gossip,
+        *,
+        history: version_history.VersionHistory | None = None,
     ) -> None:
-        """Creates the service."""
+        """Creates the service.
+
+        Args:
+            context: Shared state of the instance.
+            hub: Links to peers.
+            gossip: Membership.
+            history: Versions that served before the start of this instance,
+                on disk; None at instances without one.
+        """
         super().__init__()
         self.context = context
         self.hub = hub
         self.gossip = gossip
         self.table = stream_origins.OriginTable()
         self.serving = stream_origins.ServingVersions()
+        self.watches_from = context_lib.monotonic()
+        self.history = history
         self._observed_at = float("-inf")
         self._mixed_services: set[str] = set()
         self._to_share: list[stream_origins.RecordedOrigin] = []
         self._has_origins_to_share = asyncio.Event()
         hub.register_handler(messages.StreamStarts, self._on_stream_starts)
         hub.register_handler(messages.StreamOriginRequest, self._on_request)
+        if history is not None:
+            self._load_history()
+
+    def _load_history(self) -> None:
+        """Takes over what was known before the start of this instance.
+
+        Its file holds all versions that served until then. At the first start
+        of a whole system none have served.
+        """
+        known = self.history.written
+        is_first_start = self.context.settings.control.start == "found"
+        if known is None and not is_first_start:
+            return
+        now = self.watches_from
+        for service, versions in (known or {}).items():
+            for version in versions:
+                origin = stream_origins.StreamOrigin(service, version)
+                self.serving.note(origin, now)
+        self.watches_from = float("-inf")
 
     # Streams of this instance.
 
@@ -142,9 +200,19 @@
             self.context.settings.instance.zone,
             self._entries_by_zone(),
         )
+        peers += stream_origins.control_keepers(
+            self.hub.local_name, self._live_control_instances()
+        )
         if collected and peers:
             self.hub.broadcast(peers, _encode_starts(collected, now))
 
+    def _live_control_instances(self) -> list[str]:
+        return [
+            name
+            for name in self.gossip.peers_in_region()
+            if self.gossip.is_control_instance(name)
+        ]
+
     def _entries_by_zone(self) -> dict[str, list[str]]:
         """Returns the other live entry instances of the region, by zone."""
         members = self.gossip.swim.members
@@ -165,43 +233,60 @@
         """
         now = context_lib.monotonic()
         self._observe_targets(now)
-        finding = await self._find_record(call, now)
-        if finding is not None:
-            return finding
+        key = b""
+        if call.resumes:
+            key = stream_origins.origin_key(call.workspace, call.resumes)
+            origin = self.table.find(key, now)
+            if origin is not None:
+                return stream_origins.Finding(origin, "own")
+        window_s = call.route.timeout_s + EXPIRY_MARGIN_S
+        knowledge = VersionKnowledge(
+            self._has_watched(window_s, now),
+            set(self._possible_origins(call, now)),
+        )
+        is_certain = knowledge.is_complete and len(knowledge.origins) <= 1
+        if not is_certain and (key or not knowledge.is_complete):
+            services = [share.service for share in call.route.split]
+            origin = await self._ask_peers(
+                messages.StreamOriginRequest(key, services, window_s),
+                knowledge,
+            )
+            if origin is not None:
+                return stream_origins.Finding(origin, "peer")
+        return self._only_version(call, knowledge)
+
+    def _only_version(
+        self, call: forwarding.Call, knowledge: VersionKnowledge
+    ) -> stream_origins.Finding:
+        """Returns the only origin that a stream without a record can have."""
         possible = [
             origin
-            for origin in self._possible_origins(call, now)
+            for origin in knowledge.origins
             if origin.service == call.service
         ]
-        if len(possible) > 1:
+        if not knowledge.is_complete or len(possible) > 1:
             return stream_origins.Finding(None, "unknown")
         only = stream_origins.StreamOrigin(call.service, "")
         return stream_origins.Finding(
             possible[0] if possible else only, "only version"
         )
 
-    async def _find_record(
-        self, call: forwarding.Call, now: float
-    ) -> stream_origins.Finding | None:
-        if not call.resumes:
-            return None
-        key = stream_origins.origin_key(call.workspace, call.resumes)
-        origin = self.table.find(key, now)
-        if origin is not None:
-            return stream_origins.Finding(origin, "own")
-        if not self._is_ambiguous(call, now):
-            return None
-        origin = await self._ask_peers(key)
-        return (
-            None if origin is None else stream_origins.Finding(origin, "peer")
-        )
+    def _has_watched(self, window_s: float, now: float) -> bool:
+        """Returns whether all versions that served in a time are known."""
+        return self.watches_from <= now - window_s
 
     async def _ask_peers(
-        self, key: bytes
+        self,
+        request: messages.StreamOriginRequest,
+        knowledge: VersionKnowledge,
     ) -> stream_origins.StreamOrigin | None:
-        """Returns the first origin that a peer knows, or None."""
-        peers = itertools.chain(*self._entries_by_zone().values())
-        request = messages.StreamOriginRequest(key)
+        """Returns the first origin that a peer knows, or None.
+
+        Args:
+            request: The question.
+            knowledge: Gets what the peers know of versions.
+        """
+        peers = self.gossip.peers_in_region()
         replies = asyncio.as_completed(
             [
                 asyncio.ensure_future(
@@ -212,7 +297,10 @@
         )
         for next_reply in replies:
             reply = await next_reply
-            if reply is not None and reply.is_known:
+            if reply is None:
+                continue
+            knowledge.add(reply)
+            if reply.is_known:
                 return stream_origins.StreamOrigin(
                     reply.service, reply.software_version
                 )
@@ -237,12 +325,40 @@
     def _on_request(
         self, peer: str, message: messages.StreamOriginRequest
     ) -> messages.StreamOriginReply:
-        origin = self.table.find(message.key, context_lib.monotonic())
-        if origin is None:
-            return messages.StreamOriginReply(False, "", "")
-        return messages.StreamOriginReply(
-            True, origin.service, origin.software_version
-        )
+        now = context_lib.monotonic()
+        self._observe_targets(now)
+        origin = self.table.find(message.key, now)
+        if origin is not None:
+            return messages.StreamOriginReply(
+                True, origin.service, origin.software_version
+            )
+        earliest = now - message.window_s
+        seen = [
+            messages.ServiceVersions(
+                service, self.serving.since(service, earliest)
+            )
+            for service in message.services
+        ]
+        has_watched = self._has_watched(message.window_s, now)
+        return messages.StreamOriginReply(False, "", "", has_watched, seen)
+
+    @mode.Service.task
+    async def _keep_history(self) -> None:
+        while self.history is not None and not self.should_stop:
+            now = context_lib.monotonic()
+            self._observe_targets(now)
+            versions = self._recent_versions(now)
+            if versions != self.history.written:
+                await asyncio.to_thread(self.history.write, versions)
+            await self.sleep(HISTORY_PERIOD_S)
+
+    def _recent_versions(self, now: float) -> dict[str, list[str]]:
+        earliest = now - RECENT_VERSIONS_S
+        return {
+            service: versions
+            for service in sorted(self.serving.last_seen)
+            if (versions := self.serving.since(service, earliest))
+        }
 
 
 def _encode_starts(
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -469,6 +469,11 @@
   entries @0 :List(SendEntry);
 }
 
+struct ServiceVersions {
+  service @0 :Text;
+  versions @1 :List(Text);
+}
+
 struct Sighting {
   fingerprint @0 :Text;
   target @1 :Text;
@@ -510,10 +515,14 @@
   isKnown @0 :Bool;
   service @1 :Text;
   softwareVersion @2 :Text;
+  hasWatched @3 :Bool;
+  seen @4 :List(ServiceVersions);
 }
 
 struct StreamOriginRequest {
   key @0 :Data;
+  services @1 :List(Text);
+  windowS @2 :Float64;
 }
 
 struct StreamStart {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -413,10 +413,26 @@
     """Asks what began a stream.
 
     Attributes:
-        key: Key of the stream.
+        key: Key of the stream; empty if it is not known.
+        services: Services that may have begun it.
+        window_s: Time for which such a stream may be taken up, in seconds.
     """
 
     key: bytes
+    services: list[str] = []
+    window_s: float = 0.0
+
+
+class ServiceVersions(msgspec.Struct, rename="camel", frozen=True):
+    """Software versions of a service.
+
+    Attributes:
+        service: The service.
+        versions: Versions that served within a time; empty for unknown.
+    """
+
+    service: str
+    versions: list[str]
 
 
 class StreamOriginReply(msgspec.Struct, rename="camel", frozen=True):
@@ -426,11 +442,16 @@
         is_known: Whether the sender knows it.
         service: Service of the target that began it.
         software_version: Software version of that target.
+        has_watched: Whether the sender knows all versions that served within
+            the time of the request.
+        seen: These versions, by service.
     """
 
     is_known: bool
     service: str
     software_version: str
+    has_watched: bool = False
+    seen: list[ServiceVersions] = []
 
 
 class StatusRequest(msgspec.Struct, rename="camel", frozen=True):
--- a/tests/fake_ports.py
+++ b/tests/fake_ports.py
@@ -103,16 +103,21 @@
 
 
 def make_origins(context):
-    """Returns the origins of an instance without peers."""
+    """Returns the origins of an instance without peers.
+
+    Like its context, it has been running for some time.
+    """
     settings = context.settings.instance
     member = membership_messages.Member(
         settings.name, settings.region, settings.zone, "127.0.0.1:1", 1
     )
-    return origins_lib.StreamOrigins(
+    origins = origins_lib.StreamOrigins(
         context,
         replicas.MemoryHub(settings.name, replicas.MemoryNetwork()),
         replicas.StaticGossip([member], settings.name, context.rng),
     )
+    origins.watches_from = float("-inf")
+    return origins
 
 
 def make_signals(context):
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -11,6 +11,7 @@
 from chivelb_core.forwarding import stream_origins as origins_lib
 from chivelb_node import context as context_lib
 from chivelb_node.links import stream_origins
+from chivelb_node.storage import version_history
 from chivelb_node.wire import authentication
 from chivelb_node.wire import codec
 from chivelb_node.wire import messages
@@ -360,3 +361,63 @@
         return finding.origin, finding.source
 
     assert asyncio.run(run()) == (V1, "only version")
+
+
+def control_instance(folder, *, start="join", versions=()):
+    """Returns the origins of a control instance that starts with a disk."""
+    context = builders.make_context(
+        **{
+            f"t-{version}": {"service": "lm", "software_version": version}
+            for version in versions
+        }
+    )
+    context.settings.control.start = start
+    members = replicas.make_members(1, 0)
+    context.settings.instance.name = members[0].name
+    return stream_origins.StreamOrigins(
+        context,
+        replicas.MemoryHub(members[0].name, replicas.MemoryNetwork()),
+        replicas.StaticGossip(members, members[0].name, context.rng),
+        history=version_history.VersionHistory(str(folder)),
+    )
+
+
+def ask(instance):
+    request = messages.StreamOriginRequest(b"k" * 8, ["lm"], 14.0)
+    reply = instance._on_request("front-0", request)
+    return reply.has_watched, reply.seen[0].versions
+
+
+# Guards against a control instance that forgets, when it is started again, a
+# version that served before.
+def test_versions_outlive_a_control_instance(tmp_path):
+    async def run():
+        instance = control_instance(tmp_path, start="found", versions=["v1"])
+        await instance.start()
+        while instance.history.written is None:
+            await asyncio.sleep(0.01)
+        await instance.stop()
+
+    asyncio.run(run())
+    later = control_instance(tmp_path, versions=["v2"])
+    assert ask(later) == (True, ["v1", "v2"])
+
+
+def test_a_control_instance_without_its_disk_claims_nothing(tmp_path):
+    instance = control_instance(tmp_path, versions=["v1"])
+    assert ask(instance) == (False, ["v1"])
+    (tmp_path / version_history.FILE_NAME).write_bytes(b"[torn")
+    assert ask(control_instance(tmp_path)) == (False, [])
+
+
+def test_at_the_first_start_of_a_system_nothing_has_served(tmp_path):
+    instance = control_instance(tmp_path, start="found", versions=["v1"])
+    assert ask(instance) == (True, ["v1"])
+
+
+def test_a_disk_that_is_full_ends_no_service(tmp_path):
+    file = tmp_path / "file"
+    file.write_bytes(b"")
+    history = version_history.VersionHistory(str(file / "folder"))
+    history.write({"lm": ["v1"]})
+    assert history.written is None
