Let a sound target be silent for a second or so

Cause, by the documented behaviour: with a user timeout of 1.5 s, keep-alive closed a connection at the first check after one unanswered probe, and unacknowledged bytes after 1.5 s, so that a silence of 0.5 s at the wrong moment ended a run.

The user timeout is 4 s, the first probe after 1 s. tests/test_http_pool.py plays that arithmetic over all phases of a silence of 0.5, 1.0 and 1.5 s; all three were red. A target that stays silent is still given up within 5 s (before: 3 s).

--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -19,9 +19,11 @@
 from chivelb_node.links import sockets
 
 # A connection is closed if sent bytes stay unacknowledged for this long, so
-# that an unreachable target is detected without a TCP reset.
-USER_TIMEOUT_MS = 1_500
-KEEPALIVE_IDLE_S = 2
+# that an unreachable target is detected without a TCP reset. It also decides
+# when keep-alive gives up, whatever the number of probes, and is longer than
+# the wait for the first probe, a silence of a sound target, and one interval.
+USER_TIMEOUT_MS = 4_000
+KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MAX_IDLE_S = 4.0
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -267,3 +267,43 @@
         assert target.connections == 1
 
     run_scenario(target, scenario)
+
+
+def _gives_up(silence_s, phase_s):
+    """Returns whether keep-alive closes a connection to a silent target.
+
+    As documented for Linux: with a user timeout, it closes at the first check
+    after an unanswered probe that finds nothing received for that long.
+
+    Args:
+        silence_s: Duration of the silence, in seconds.
+        phase_s: Time between the last byte and the begin of the silence.
+    """
+    limit_s = http_connection.USER_TIMEOUT_MS / 1_000
+    received_at = 0.0
+    unanswered = False
+    check_at = float(http_connection.KEEPALIVE_IDLE_S)
+    while check_at < phase_s + silence_s + limit_s:
+        if unanswered and check_at - received_at >= limit_s:
+            return True
+        unanswered = phase_s <= check_at < phase_s + silence_s
+        if unanswered:
+            check_at += http_connection.KEEPALIVE_INTERVAL_S
+        else:
+            received_at = check_at
+            check_at += http_connection.KEEPALIVE_IDLE_S
+    return False
+
+
+# Guards against runs and streams that are given up because a sound target was
+# silent for a second or so.
+@pytest.mark.parametrize("silence_s", [0.5, 1.0, 1.5])
+def test_a_short_silence_of_a_target_ends_no_connection(silence_s):
+    phases = [phase / 20 for phase in range(100)]
+    assert not [p for p in phases if _gives_up(silence_s, p)]
+    assert http_connection.USER_TIMEOUT_MS / 1_000 > 2 * silence_s
+
+
+def test_a_target_that_stays_silent_is_given_up_within_five_seconds():
+    assert all(_gives_up(60.0, phase / 20) for phase in range(20))
+    assert http_connection.USER_TIMEOUT_MS <= 5_000
