Drop a peer that sends no whole request; bound what is kept of reached targets

Found when reading the paths through peers again: a peer that opens a channel and is silent kept a stopping instance waiting until its grace was over. Both cases of the test were red without the limit of 5 s.

--- a/packages/chivelb-core/chivelb_core/forwarding/reach.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/reach.py
@@ -7,6 +7,8 @@
 FAILURE_TTL_S = 3.0
 # A target that was reached so lately is tried again by itself.
 REACHED_TTL_S = 1.0
+# Above this number, targets that were not reached lately are removed.
+MAX_REACHED = 20_000
 
 
 class ReachTable:
@@ -35,6 +37,12 @@
         """Records that a target was reached."""
         self.failures.pop(service, None)
         self.reached_at[identity] = now
+        if len(self.reached_at) > MAX_REACHED:
+            self.reached_at = {
+                name: at
+                for name, at in self.reached_at.items()
+                if now - at < REACHED_TTL_S
+            }
 
     def was_reached(self, identity: str, now: float) -> bool:
         """Returns whether a target was reached lately."""
--- a/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
@@ -16,6 +16,8 @@
 
 # Attempts made for peers at a time; each holds a connection to a target.
 MAX_IN_PROGRESS = 256
+# A peer sends its whole request at once.
+REQUEST_TIMEOUT_S = 5.0
 NO_PATH = "no path to the target"
 _log = logs.get_logger("relays")
 
@@ -57,11 +59,12 @@
         self.context.in_progress += 1
         self.in_progress += 1
         try:
-            request = await channel.receive()
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                request = await channel.receive()
             if isinstance(request, relay_messages.RelayRequest):
                 await self._serve_request(channel, request)
-        except OSError:
-            # The peer has gone; there is nobody to answer.
+        except (OSError, TimeoutError):
+            # The peer has gone or is silent; there is nobody to answer.
             pass
         finally:
             channel.close()
@@ -81,9 +84,10 @@
             self._log_end(channel, request, refusal.reason)
             await channel.send(refusal)
             return
-        attempt = await relay_channel.receive_attempt(
-            channel, request, route, record
-        )
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            attempt = await relay_channel.receive_attempt(
+                channel, request, route, record
+            )
         if attempt is None:
             return
         relay = asyncio.create_task(self._make_attempt(channel, attempt))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -13,6 +13,7 @@
 from chivelb_node.forwarding import target_paths
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.wire import authentication
+from chivelb_node.wire import relay_messages
 import fake_ports
 import pytest
 
@@ -334,3 +335,43 @@
             return await body_of(await cut.send())
 
     assert asyncio.run(run()) == b"ok"
+
+
+# Guards against an instance that can't stop because a peer has opened a channel
+# and is silent, or sends half a request.
+@pytest.mark.parametrize("body_bytes", [None, 10])
+def test_a_peer_that_sends_no_whole_request_is_dropped(body_bytes, monkeypatch):
+    monkeypatch.setattr(relay_server, "REQUEST_TIMEOUT_S", 0.05)
+
+    async def run():
+        peer = Instance("peer", fake_ports.FakeReply(b"never"))
+        async with instances(peer) as cut:
+            channel = await cut.hub.open_channel("peer")
+            if body_bytes is not None:
+                await channel.send(make_request(body_bytes))
+            ended = await channel.receive()
+            return ended, peer.context.in_progress, peer.targets.sent
+
+    assert asyncio.run(run()) == (None, 0, [])
+
+
+def make_request(body_bytes):
+    return relay_messages.RelayRequest(
+        request_id="r-1",
+        route="quote",
+        workspace="w",
+        priority=0,
+        has_prompt=False,
+        identity="a",
+        incarnation=1,
+        remaining_s=5.0,
+        weight_version=0,
+        salt="",
+        fetch_addresses=[],
+        save_addresses=[],
+        resume_after="",
+        method="POST",
+        request_target=b"/x/",
+        headers=[],
+        body_bytes=body_bytes,
+    )
