Finalize what a test leaves at its own end

Cause: under xdist, hypothesis is imported and sources are parsed in the middle of tests. A collection inside ast.parse ran StreamWriter.__del__ of writers that an earlier test had left; it raised 'Event loop is closed', and pytest formatted the traceback, for which Python 3.11 calls ast.parse itself.

With unraisable warnings as errors 63 tests showed that some test before them leaves a writer open; those writers are not mended yet.

--- a/tests/simulated_runners.py
+++ b/tests/simulated_runners.py
@@ -52,10 +52,19 @@
     try:
         return loop.run_until_complete(make_coroutine())
     finally:
+        loop.run_until_complete(_cancel_tasks())
         asyncio.set_event_loop(None)
         loop.close()
 
 
+async def _cancel_tasks():
+    """Ends all other tasks; pending ones would be destroyed in later tests."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 @dataclasses.dataclass(slots=True)
 class SimulatedRunner:
     """A runner.
