Ask the owner of a target for its load before a call is placed

Change: from 12 entries on each target has an owner in its zone (rendezvous, the next while it is silent); entries tell it of their requests and ask the owners of the three best targets before placing. Live members are now kept until the membership changes instead of sorted at each call.

--- a/packages/chivelb-core/chivelb_core/forwarding/assignment.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/assignment.py
@@ -1,6 +1,7 @@
 """Assignment of sources and reports to instances."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import math
 
@@ -29,6 +30,34 @@
     return choice.rank_by_rendezvous(zone, instances)[:ZONE_REPORTERS]
 
 
+def load_owners(
+    identity: str, zone: str, instances_by_zone: Mapping[str, Sequence[str]]
+) -> list[str]:
+    """Ranks the instances that may own the load of a target.
+
+    The owner is told of all requests to the target, and tells the others. It
+    is in the zone of the target, where most requests to it come from; a zone
+    without instances leaves this to all others.
+
+    Args:
+        identity: Identity of the target.
+        zone: Availability zone of the target.
+        instances_by_zone: Live instances that place calls, by zone.
+
+    Returns:
+        Their names, the owner first. All instances that know the same members
+        compute the same order.
+
+    Example:
+        >>> load_owners("t", "z1", {"z1": ["a"], "z2": ["b", "c"]})
+        ['a']
+    """
+    names = instances_by_zone.get(zone) or [
+        name for names in instances_by_zone.values() for name in names
+    ]
+    return choice.rank_by_rendezvous(identity, names)
+
+
 def assign_evenly(
     keys: Iterable[str], instances: Sequence[str]
 ) -> dict[str, str]:
--- a/packages/chivelb-core/chivelb_core/membership/swim.py
+++ b/packages/chivelb-core/chivelb_core/membership/swim.py
@@ -66,12 +66,16 @@
         local_member: State of this instance.
         members: States of the other instances by name.
         version: Document version that this instance serves.
+        revision: Number of changes of ``members`` so far; what is computed
+            from the members is valid until it changes.
     """
 
     __slots__ = (
         "local_member",
         "members",
         "version",
+        "revision",
+        "_live_members",
         "_rng",
         "_probe_order",
         "_probes",
@@ -98,6 +102,8 @@
         self.local_member = local_member
         self.members: dict[str, MemberState] = {}
         self.version = 0
+        self.revision = 0
+        self._live_members: dict[tuple[str | None, str | None], list[str]] = {}
         self._rng = rng
         self._probe_order: list[str] = []
         self._probes: dict[int, Probe] = {}
@@ -135,13 +141,16 @@
             region: Only members of this region; any region if None.
             zone: Only members of this zone; any zone if None.
         """
-        return sorted(
-            name
-            for name, state in self.members.items()
-            if state.member.status in ("alive", "suspect")
-            and region in (None, state.member.region)
-            and zone in (None, state.member.zone)
-        )
+        names = self._live_members.get((region, zone))
+        if names is None:
+            names = self._live_members[region, zone] = sorted(
+                name
+                for name, state in self.members.items()
+                if state.member.status in ("alive", "suspect")
+                and region in (None, state.member.region)
+                and zone in (None, state.member.zone)
+            )
+        return names.copy()
 
     def delegates(self, region: str) -> list[str]:
         """Returns the delegates of a region, which may include this instance.
@@ -422,6 +431,7 @@
             ):
                 del self.members[name]
                 self._updates.remove(name)
+                self._record_change()
 
     def _merge(self, update: messages.Member, now: float) -> None:
         if update.name == self.local_member.name:
@@ -471,12 +481,29 @@
         state.confirming = False
         self._updates.schedule(member.name)
         self._changes.append(member)
+        self._record_change()
+
+    def _record_change(self) -> None:
+        self.revision += 1
+        self._live_members.clear()
 
     def _pick_updates(self, receiver: str) -> list[messages.Member]:
         return self._updates.pick(receiver, self.local_member)
 
     def check_invariants(self) -> None:
         """Asserts the invariants of the class."""
+        for (region, zone), names in self._live_members.items():
+            live = {
+                name
+                for name, state in self.members.items()
+                if state.member.status in ("alive", "suspect")
+                and region in (None, state.member.region)
+                and zone in (None, state.member.zone)
+            }
+            assert set(names) == live, (
+                f"{self.local_member.name} keeps {names} as live members of "
+                f"{region}, {zone}; they are {sorted(live)}"
+            )
         assert self.local_member.name not in self.members, (
             f"{self.local_member.name} is in its own table of other members"
         )
--- a/packages/chivelb-core/chivelb_core/routing/load.py
+++ b/packages/chivelb-core/chivelb_core/routing/load.py
@@ -55,6 +55,8 @@
         peers: Load caused by peer instances that is not zero, by peer; the
             one reported longest ago comes first.
         peer_sum: Sum of the loads in ``peers``; ``reported_at`` is not used.
+        told: Load that all other instances cause together, as the owner of
+            the target told it; None if it never did.
     """
 
     running: int = 0
@@ -72,6 +74,7 @@
     peer_sum: PeerLoad = dataclasses.field(
         default_factory=lambda: PeerLoad(0.0, 0, 0, 0)
     )
+    told: PeerLoad | None = None
 
     def set_peer(self, peer: str, peer_load: PeerLoad) -> None:
         """Replaces the load caused by a peer."""
@@ -107,6 +110,28 @@
             self.remove_peer(peer)
         return self.peer_sum
 
+    def others(self, now: float) -> PeerLoad:
+        """Returns the load that all other instances are known to cause.
+
+        Peers report to the owner of a target, whose sum replaces what they
+        told this instance itself. Both may be known while owners change, or
+        while instances of the previous release report to all.
+        """
+        known = self.live_peer_sum(now)
+        told = self.told
+        if told is None or now - told.reported_at >= LOAD_MAX_AGE_S:
+            return known
+        if not self.peers:
+            return told
+        amounts = map(max, _amounts(known), _amounts(told))
+        return PeerLoad(told.reported_at, *amounts)
+
+    def told_age_s(self, now: float) -> float:
+        """Returns the age of what the owner told, in seconds."""
+        if self.told is None:
+            return float("inf")
+        return now - self.told.reported_at
+
 
 class LoadView:
     """Load of all targets as estimated by one instance.
@@ -164,6 +189,36 @@
         """Records the load that a peer instance causes at a target."""
         self.load(identity).set_peer(peer, peer_load)
 
+    def apply_told_load(self, identity: str, told: PeerLoad) -> None:
+        """Records the load of all others, as told by the owner of a target."""
+        self.load(identity).told = told
+
+    def load_of_others(
+        self, identity: str, asking: str, now: float
+    ) -> tuple[int, int, int, int]:
+        """Returns the load that all instances but one cause at a target.
+
+        Args:
+            identity: Identity of the target.
+            asking: Name of the peer whose own load is left out.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The load in the field order of ``PeerLoad``, without
+            ``reported_at``.
+        """
+        load = self.load(identity)
+        total = _amounts(load.live_peer_sum(now))
+        own = self.own_load(identity)
+        asking_load = load.peers.get(asking)
+        left_out = (
+            (0, 0, 0, 0) if asking_load is None else _amounts(asking_load)
+        )
+        return tuple(
+            known + mine - theirs
+            for known, mine, theirs in zip(total, own, left_out, strict=True)
+        )
+
     def record_send(
         self, identity: str, now: float, pending_tokens: int, kv_tokens: int
     ) -> None:
@@ -202,7 +257,7 @@
     def running(self, identity: str, now: float) -> int:
         """Returns the estimated number of requests in progress."""
         load = self.load(identity)
-        known = load.own_running + load.live_peer_sum(now).running
+        known = load.own_running + load.others(now).running
         if now - load.measured_at > LOAD_MAX_AGE_S:
             return known
         return max(known, load.running + len(load.sends))
@@ -210,7 +265,7 @@
     def pending(self, identity: str, now: float) -> int:
         """Returns the estimated number of prompt tokens awaiting prefill."""
         load = self.load(identity)
-        known = load.own_pending_tokens + load.live_peer_sum(now).pending_tokens
+        known = load.own_pending_tokens + load.others(now).pending_tokens
         if now - load.measured_at > LOAD_MAX_AGE_S:
             return known
         # A delayed report may include work that is already done, so the result
@@ -222,13 +277,13 @@
     def used_kv_tokens(self, identity: str, now: float) -> int:
         """Returns the KV cache tokens that running requests may occupy."""
         load = self.load(identity)
-        return load.own_kv_tokens + load.live_peer_sum(now).kv_tokens
+        return load.own_kv_tokens + load.others(now).kv_tokens
 
     def suspect_requests(self, identity: str, now: float) -> int:
         """Returns the number of running requests suspected of crashes."""
         load = self.load(identity)
-        peer_sum = load.live_peer_sum(now)
-        return load.own_suspect_requests + peer_sum.suspect_requests
+        others = load.others(now)
+        return load.own_suspect_requests + others.suspect_requests
 
     def own_load(self, identity: str) -> tuple[int, int, int, int]:
         """Returns this instance's load, in the field order of ``PeerLoad``.
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Container
 import dataclasses
 import math
 
@@ -15,10 +16,15 @@
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
 from chivelb_node.forwarding import placement as placement_lib
+from chivelb_node.forwarding import ports
 from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import metrics as metrics_lib
 
 DISPATCH_PERIOD_S = 0.03
+# Questions to owners of targets before a call waits for capacity.
+MAX_QUERY_ROUNDS = 2
+# Period of the questions to owners while calls wait.
+WAITING_QUERY_PERIOD_S = 0.1
 # Share of the time that a call has left which it may wait for the end of a
 # target's rest.
 MAX_REST_SHARE = 0.3
@@ -58,6 +64,8 @@
         placement_policy: Chooses targets.
         is_refused: Returns whether a call that waits must not be sent to a
             target any more, at a monotonic time in seconds.
+        owners: Owners of targets, which are asked for their load if there are
+            many instances; None to go by what peers report.
         waiting_lists: Waiting calls by service.
     """
 
@@ -67,9 +75,12 @@
         placement_policy: placement_lib.PlacementPolicy,
         *,
         is_refused: Callable[[forwarding.Call, float], bool],
+        owners: ports.LoadPort | None = None,
     ) -> None:
         """Creates an empty admission queue."""
         super().__init__()
+        self.owners = owners
+        self._owners_asked_at = float("-inf")
         self.context = context
         self.placement_policy = placement_policy
         self.is_refused = is_refused
@@ -94,10 +105,11 @@
             call.service, waiting.WaitingList()
         )
         if not waiting_list.calls:
-            reservation = self._try_reserve(call, now)
+            reservation = await self._reserve_at_once(call, now)
             if reservation is not None:
                 waiting_list.record_start(now)
                 return reservation
+            now = context_lib.monotonic()
         # The waiting time of a retry starts now, not at the arrival.
         since = now if call.attempts else call.arrived_at
         deadline = call.next_byte_deadline(since)
@@ -125,6 +137,37 @@
         finally:
             waiting_list.leave(waiting_call)
 
+    def _asks_owners(self) -> bool:
+        return self.owners is not None and self.owners.is_active
+
+    async def _reserve_at_once(
+        self, call: forwarding.Call, now: float
+    ) -> Reservation | None:
+        """Reserves capacity for a call without waiting for any to be free."""
+        if not self._asks_owners():
+            return self._try_reserve(call, now)
+        for _ in range(MAX_QUERY_ROUNDS):
+            names = self.placement_policy.shortlist(call, now)
+            has_news = await self.owners.refresh(names)
+            now = context_lib.monotonic()
+            reservation = self._try_reserve(call, now, among=names)
+            if reservation is not None or not has_news:
+                break
+        return reservation or self._try_reserve(call, now)
+
+    async def _ask_for_waiting_calls(self) -> None:
+        """Asks for the load of targets that may have capacity by now."""
+        now = context_lib.monotonic()
+        if now - self._owners_asked_at < WAITING_QUERY_PERIOD_S:
+            return
+        self._owners_asked_at = now
+        for waiting_list in self.waiting_lists.values():
+            first = next(waiting_list.in_order(now), None)
+            if first is not None:
+                await self.owners.refresh(
+                    self.placement_policy.shortlist(first.call, now)
+                )
+
     def _wait_for_targets(self, call: forwarding.Call, now: float) -> float:
         """Returns until when a call without a target may wait for one.
 
@@ -219,10 +262,15 @@
             self.dispatch(entry.record.service)
 
     def _try_reserve(
-        self, call: forwarding.Call, now: float, *, waiting_calls: int = 0
+        self,
+        call: forwarding.Call,
+        now: float,
+        *,
+        waiting_calls: int = 0,
+        among: Container[str] | None = None,
     ) -> Reservation | None:
         placement = self.placement_policy.place(
-            call, now, waiting_calls=waiting_calls
+            call, now, waiting_calls=waiting_calls, among=among
         )
         if placement is None:
             return None
@@ -326,6 +374,8 @@
         while not self.should_stop:
             await self.wait(self._has_waiting_calls)
             await self.sleep(DISPATCH_PERIOD_S)
+            if self._asks_owners():
+                await self._ask_for_waiting_calls()
             self.update_queues()
             if not any(w.calls for w in self.waiting_lists.values()):
                 self._has_waiting_calls.clear()
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Container
+import heapq
 
 from chivelb_core import document
 from chivelb_core import forwarding
@@ -23,6 +24,8 @@
 # placed there: by then a part is cached, or was never computed.
 EXPECTED_PART_TTL_S = 2.0
 STORE_MAX_FILL_RATIO = 0.97
+# Targets whose owners are asked for their load before a call is placed.
+SHORTLIST_SIZE = 3
 
 
 class PlacementPolicy:
@@ -104,8 +107,60 @@
         in_force = [r for r in records if self.context.weights_due_at(r) > now]
         return in_force or records
 
+    def shortlist(self, call: forwarding.Call, now: float) -> list[str]:
+        """Returns the targets to ask for their load before a call is placed.
+
+        These are the best by the load that is known. If none is known to have
+        capacity, they are some of those whose load was told longest ago.
+
+        Args:
+            call: The call.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Identities of ``SHORTLIST_SIZE`` targets at most.
+        """
+        service = self.context.document.services.get(call.service)
+        if service is None:
+            return []
+        limits = self.context.request_limits
+        free, granted, _ = limits.partition(self.eligible(call, now), now)
+        records = granted + free
+        load = self.context.load
+        if service.engine is None or call.prompt is None:
+            best = heapq.nsmallest(
+                SHORTLIST_SIZE, records, key=self._plain_rank(now)
+            )
+            return [record.identity for record in best]
+        priced = self._price_runners(call, records, service.engine, now)
+        best = heapq.nsmallest(SHORTLIST_SIZE, priced, key=_cost_of)
+        if best:
+            return [placement.record.identity for _, placement in best]
+        oldest = heapq.nlargest(
+            SHORTLIST_SIZE,
+            records,
+            key=lambda record: (
+                load.load(record.identity).told_age_s(now),
+                self.context.rng.random(),
+            ),
+        )
+        return [record.identity for record in oldest]
+
+    def _plain_rank(
+        self, now: float
+    ) -> Callable[[targets.TargetRecord], tuple[float, float]]:
+        """Returns the sort key of plain targets, the least loaded first."""
+        load = self.context.load
+        rng = self.context.rng
+        return lambda record: (load.running(record.identity, now), rng.random())
+
     def place(
-        self, call: forwarding.Call, now: float, *, waiting_calls: int = 0
+        self,
+        call: forwarding.Call,
+        now: float,
+        *,
+        waiting_calls: int = 0,
+        among: Container[str] | None = None,
     ) -> choice_lib.Placement | None:
         """Returns the best placement, or None if no target has capacity.
 
@@ -113,12 +168,16 @@
             call: The call.
             now: Monotonic time in seconds.
             waiting_calls: Number of calls that wait for the same targets.
+            among: Identities of the targets to choose from; all if None.
         """
         service = self.context.document.services.get(call.service)
         if service is None:
             return None
         limits = self.context.request_limits
-        free, granted, limited = limits.partition(self.eligible(call, now), now)
+        records = self.eligible(call, now)
+        if among is not None:
+            records = [r for r in records if r.identity in among]
+        free, granted, limited = limits.partition(records, now)
         # A grant is used by the next call, since it was wanted by one before.
         for records in (granted, free):
             placement = self._place_on_any(call, records, service, now)
@@ -191,21 +250,30 @@
         engine: document.EngineConfig,
         now: float,
     ) -> choice_lib.Placement | None:
+        priced = self._price_runners(call, records, engine, now)
+        return min(priced, key=_cost_of, default=(0.0, None))[1]
+
+    def _price_runners(
+        self,
+        call: forwarding.Call,
+        records: list[targets.TargetRecord],
+        engine: document.EngineConfig,
+        now: float,
+    ) -> list[tuple[float, choice_lib.Placement]]:
+        """Returns placements on sampled runners with capacity, each with cost.
+
+        The cost is in seconds.
+        """
         candidates = self._sample_candidates(call, records, engine, now)
         if not candidates:
-            return None
+            return []
         links = self._links_to_holders(call, candidates, engine, now)
         rankings: fetch_plan_lib.Rankings = {}
-        best = None
-        best_cost = 0.0
-        for candidate in candidates:
-            placement = self._plan_placement(
-                call, candidate, engine, links, rankings, now
-            )
-            cost = self._cost(placement, engine)
-            if best is None or cost < best_cost:
-                best, best_cost = placement, cost
-        return best
+        placements = [
+            self._plan_placement(call, candidate, engine, links, rankings, now)
+            for candidate in candidates
+        ]
+        return [(self._cost(p, engine), p) for p in placements]
 
     def _cost(
         self, placement: choice_lib.Placement, engine: document.EngineConfig
@@ -463,3 +531,7 @@
         stored_tokens = self.directory.source(address).total_tokens
         capacity = self._store_tokens[address] * STORE_MAX_FILL_RATIO
         return int(capacity) - stored_tokens
+
+
+def _cost_of(priced: tuple[float, choice_lib.Placement]) -> float:
+    return priced[0]
--- a/packages/chivelb-node/chivelb_node/forwarding/ports.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/ports.py
@@ -1,6 +1,7 @@
 """Interfaces of forwarding to its callers and targets."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 import dataclasses
 import enum
 from typing import Protocol
@@ -128,6 +129,21 @@
         """
 
 
+class LoadPort(Protocol):
+    """Interface to the owners of targets, which know their load."""
+
+    @property
+    def is_active(self) -> bool:
+        """Whether owners are asked before a call is placed."""
+
+    async def refresh(self, identities: Iterable[str]) -> bool:
+        """Asks for load that is not known well enough.
+
+        Returns:
+            Whether an owner was asked and replied in time.
+        """
+
+
 class OriginPort(Protocol):
     """Knows the service and software version that began a stream."""
 
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -1,6 +1,7 @@
 """Runs the SWIM membership protocol over UDP."""
 
 import asyncio
+from collections.abc import Iterator
 import random
 import time
 
@@ -156,6 +157,16 @@
                 zones.setdefault(member.zone, []).append(name)
         return list(zones.values())
 
+    def region_member_zones(self) -> Iterator[tuple[str, str]]:
+        """Yields name and zone of the live instances of this region.
+
+        This instance is included.
+        """
+        local_member = self.swim.local_member
+        yield local_member.name, local_member.zone
+        for name in self.peers_in_region():
+            yield name, self.swim.members[name].member.zone
+
     def region_members(self) -> list[str]:
         """Returns the live instances of this region, including this one."""
         return sorted([*self.peers_in_region(), self.swim.local_member.name])
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -5,6 +5,9 @@
 targets. The other zones are told by two instances of each zone, for all of it:
 if every instance told them, each would receive most of its messages from
 instances whose load it only needs as a sum. A small zone has no such instances.
+
+Where calls are placed by asking the owners of targets, and there are many
+instances, the owners are told instead: see ``load_owners``.
 """
 
 import asyncio
@@ -22,6 +25,7 @@
 from chivelb_node import timeouts
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.links import load_owners
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import messages
 from chivelb_node.wire import packing
@@ -81,6 +85,11 @@
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     urgent: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    def forget(self) -> None:
+        """Forgets what was reported, once the group is no longer told."""
+        self.sent.clear()
+        self.changed_targets.clear()
+
 
 class LoadReporting(mode.Service):
     """Sends peers the load that this instance causes.
@@ -92,6 +101,8 @@
         places_calls: Whether an instance places calls at targets.
         same_zone: The peers of this zone.
         other_zones: The peers of the other zones of the region.
+        owners: Owners of targets, which are told instead of all peers if
+            there are many instances; None to tell all peers always.
         reports_zone: Whether this instance reports the load of its whole zone
             to the other zones.
         zone_targets: Targets with a load in the last such report.
@@ -104,6 +115,7 @@
         gossip: gossip_lib.Gossip,
         *,
         places_calls: Callable[[str], bool] = lambda name: True,
+        owners: load_owners.LoadOwners | None = None,
     ) -> None:
         """Creates the service.
 
@@ -113,12 +125,14 @@
             gossip: Membership.
             places_calls: Returns whether an instance places calls at targets;
                 load is not reported to others.
+            owners: Owners of targets, if calls are placed by asking them.
         """
         super().__init__()
         self.context = context
         self.hub = hub
         self.gossip = gossip
         self.places_calls = places_calls
+        self.owners = owners
         self.same_zone = PeerGroup(
             True, load_reports.ReportPacer(SAME_ZONE_DELAY_S)
         )
@@ -175,7 +189,14 @@
                 ),
             )
 
+    def _tells_all(self) -> bool:
+        """Returns whether all peers are told, and not owners of targets."""
+        return self.owners is None or not self.owners.is_active
+
     def _on_load_change(self, identity: str) -> None:
+        if not self._tells_all():
+            self.owners.record_change(identity)
+            return
         for group in (self.same_zone, self.other_zones):
             group.changed_targets.add(identity)
             group.changed.set()
@@ -201,12 +222,16 @@
     @mode.Service.task
     async def _report_to_same_zone(self) -> None:
         while not self.should_stop:
-            await self._report_next(self.same_zone)
+            if self._tells_all():
+                await self._report_next(self.same_zone)
+            else:
+                self.same_zone.forget()
+                await self.sleep(REPORTER_CHECK_PERIOD_S)
 
     @mode.Service.task
     async def _report_to_other_zones(self) -> None:
         while not self.should_stop:
-            if self._reports_to_others():
+            if self._tells_all() and self._reports_to_others():
                 await self._report_next(self.other_zones)
             else:
                 await self.sleep(REPORTER_CHECK_PERIOD_S)
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -80,6 +80,7 @@
     relayRefusal @74 :RelayRefusal;
     relayFailure @75 :RelayFailure;
     targetFull @76 :TargetFull;
+    loadQuery @77 :LoadQuery;
   }
 }
 
@@ -293,6 +294,10 @@
   after @1 :Text;
 }
 
+struct LoadQuery {
+  identities @0 :List(Text);
+}
+
 struct LoadReport {
   payload @0 :Data;
   zone @1 :Text;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -256,6 +256,19 @@
     entries: list[SendEntry]
 
 
+class LoadQuery(msgspec.Struct, rename="camel", frozen=True):
+    """Asks the owner of targets what load others cause there.
+
+    The reply is a ``LoadUpdate`` with the load of all instances but the one
+    that asks.
+
+    Attributes:
+        identities: Identities of the targets.
+    """
+
+    identities: list[str]
+
+
 class LoadReport(msgspec.Struct, rename="camel", frozen=True):
     """Notification of the load that the sender, or its zone, causes at targets.
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -87,6 +87,7 @@
     relay_messages.RelayRefusal,
     relay_messages.RelayFailure,
     messages.TargetFull,
+    messages.LoadQuery,
 )
 
 
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -54,6 +54,7 @@
         cut: Senders and receivers between which nothing arrives.
         received: Bytes received, by instance and type of message.
         requests: Sender, receiver and request of all requests, in order.
+        message_count: Number of messages sent, other than requests.
     """
 
     def __init__(self):
@@ -63,9 +64,11 @@
         self.cut = set()
         self.received = collections.defaultdict(collections.Counter)
         self.requests = []
+        self.message_count = 0
 
     def deliver(self, sender, receiver, body, size):
         link = (sender, receiver)
+        self.message_count += 1
         if receiver in self.silent or link in self.lost | self.cut:
             return
         self.received[receiver][type(body)] += size
@@ -98,6 +101,12 @@
     def region_members(self):
         return sorted([*self.peers_in_region(), self.swim.local_member.name])
 
+    def region_member_zones(self):
+        local_member = self.swim.local_member
+        yield local_member.name, local_member.zone
+        for name in self.peers_in_region():
+            yield name, self.swim.members[name].member.zone
+
     def zone_members(self, zone):
         names = self.swim.live_members(REGION, zone)
         if zone == self.swim.local_member.zone:
