Wake up once for each period of a service

Cause: mode's sleep and wait make a task and a timer each and take three turns of the event loop, each with a poll of the sockets.

Services of links and forwarding now sleep and wait by asyncio itself; a stop cancels their tasks as before. In a large zone sources are polled as often as there is something to send on.

--- a/packages/chivelb-core/chivelb_core/routing/load_reports.py
+++ b/packages/chivelb-core/chivelb_core/routing/load_reports.py
@@ -52,6 +52,11 @@
         self.sent_at = now
         self.sent_bytes = sent_bytes
 
+    def interval_s(self, peer_count: int, *, urgent: bool = False) -> float:
+        """Returns the interval between reports by their number, in seconds."""
+        rate = URGENT_MESSAGES_PER_S if urgent else self.messages_per_s
+        return peer_count / rate
+
     def delay_s(self, now: float, *, peer_count: int, urgent: bool) -> float:
         """Returns the time until a change may be reported, in seconds.
 
@@ -63,11 +68,11 @@
             peer_count: Number of peers that a report is sent to.
             urgent: Whether the change takes up much of a target.
         """
-        rate = URGENT_MESSAGES_PER_S if urgent else self.messages_per_s
         delay_by_size_s = min(
             MAX_DELAY_BY_SIZE_S, self.sent_bytes / BYTES_PER_S
         )
-        due_at = self.sent_at + max(peer_count / rate, delay_by_size_s)
+        interval_s = self.interval_s(peer_count, urgent=urgent)
+        due_at = self.sent_at + max(interval_s, delay_by_size_s)
         return max(self.min_interval_s, due_at - now)
 
 
--- a/packages/chivelb-node/chivelb_node/edge/dispatch.py
+++ b/packages/chivelb-node/chivelb_node/edge/dispatch.py
@@ -395,7 +395,7 @@
     @mode.Service.task
     async def _expire(self) -> None:
         while not self.should_stop:
-            await self.sleep(EXPIRE_INTERVAL_S)
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
             now = context_lib.monotonic()
             for service, queue in self.context.queues.items():
                 self.start_waiting_calls(service)
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -372,8 +372,8 @@
     @mode.Service.task
     async def _dispatch_periodically(self) -> None:
         while not self.should_stop:
-            await self.wait(self._has_waiting_calls)
-            await self.sleep(DISPATCH_PERIOD_S)
+            await self._has_waiting_calls.wait()
+            await asyncio.sleep(DISPATCH_PERIOD_S)
             if self._asks_owners():
                 await self._ask_for_waiting_calls()
             self.update_queues()
--- a/packages/chivelb-node/chivelb_node/links/announcement_forwarding.py
+++ b/packages/chivelb-node/chivelb_node/links/announcement_forwarding.py
@@ -5,6 +5,8 @@
 only changes, waits for the peers to confirm them and repairs missed ones.
 """
 
+import asyncio
+
 from chivelb_core import targets
 import mode
 
@@ -95,7 +97,7 @@
     @mode.Service.task
     async def _send_batches(self) -> None:
         while not self.should_stop:
-            await self.sleep(BATCH_PERIOD_S)
+            await asyncio.sleep(BATCH_PERIOD_S)
             records = list(self._unsent_records.values())
             self._unsent_records.clear()
             peers = self.gossip.peers_in_region()
@@ -106,7 +108,7 @@
     @mode.Service.task
     async def _remove_expired(self) -> None:
         while not self.should_stop:
-            await self.sleep(EXPIRY_CHECK_PERIOD_S)
+            await asyncio.sleep(EXPIRY_CHECK_PERIOD_S)
             now = context_lib.monotonic()
             for identity in self.context.targets.remove_expired(now):
                 self.loads.remove_target(identity)
--- a/packages/chivelb-node/chivelb_node/links/cache.py
+++ b/packages/chivelb-node/chivelb_node/links/cache.py
@@ -447,5 +447,5 @@
             # A caller that lost its connection may resume the stream at
             # another instance; the runner continues while a client reads
             # the stream.
-            await self.sleep(runners.CANCEL_GRACE_S)
+            await asyncio.sleep(runners.CANCEL_GRACE_S)
         await runners.cancel_attempt(self.session, attempt)
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -228,7 +228,7 @@
     @mode.Service.task
     async def _tick(self) -> None:
         while not self.should_stop and self._transport is not None:
-            await self.sleep(TICK_S)
+            await asyncio.sleep(TICK_S)
             self.swim.version = max(self.context.version, 0)
             self.swim.tick(context_lib.monotonic())
             self._flush()
--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -518,7 +518,7 @@
     @mode.Service.task
     async def _check_links_and_keys(self) -> None:
         while not self.should_stop and self.ring is not None:
-            await self.sleep(CHECK_PERIOD_S)
+            await asyncio.sleep(CHECK_PERIOD_S)
             try:
                 self.ring.refresh()
             except (OSError, authentication.AuthenticationError) as error:
--- a/packages/chivelb-node/chivelb_node/links/limit_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/limit_sharing.py
@@ -213,7 +213,7 @@
     @mode.Service.task
     async def _clean_up(self) -> None:
         while not self.should_stop:
-            await self.sleep(CLEAN_UP_PERIOD_S)
+            await asyncio.sleep(CLEAN_UP_PERIOD_S)
             self.clean_up()
 
     def clean_up(self) -> None:
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -226,7 +226,7 @@
                 await self._report_next(self.same_zone)
             else:
                 self.same_zone.forget()
-                await self.sleep(REPORTER_CHECK_PERIOD_S)
+                await asyncio.sleep(REPORTER_CHECK_PERIOD_S)
 
     @mode.Service.task
     async def _report_to_other_zones(self) -> None:
@@ -234,7 +234,7 @@
             if self._tells_all() and self._reports_to_others():
                 await self._report_next(self.other_zones)
             else:
-                await self.sleep(REPORTER_CHECK_PERIOD_S)
+                await asyncio.sleep(REPORTER_CHECK_PERIOD_S)
 
     def _reports_to_others(self) -> bool:
         """Returns whether this instance sends reports to the other zones."""
@@ -284,7 +284,7 @@
         if delay_s > group.pacer.min_interval_s:
             await timeouts.wait_for_event(group.urgent, delay_s)
             delay_s = self._delay_s(group, peers, urgent=True)
-        await self.sleep(delay_s)
+        await asyncio.sleep(delay_s)
         group.changed.clear()
         group.urgent.clear()
         now = context_lib.monotonic()
--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -30,6 +30,8 @@
 
 ASSIGN_PERIOD_S = 0.25
 POLL_DELAY_S = 0.15
+# Share of the interval between messages to the zone, for large zones.
+POLL_DELAY_SHARE = 0.3
 POLL_TIMEOUT_S = 0.9
 RETRY_DELAY_S = 0.5
 MIN_LISTING_INTERVAL_S = 3.0
@@ -159,10 +161,10 @@
         Calls that arrive during the start wait for it: prompts placed before
         would be computed again although they are cached.
         """
-        await self.wait(self.context.readiness)
+        await self.context.readiness.wait()
         deadline = context_lib.monotonic() + FIRST_POLLS_S
         while context_lib.monotonic() < deadline and not self._all_responded():
-            await self.sleep(FIRST_POLLS_CHECK_PERIOD_S)
+            await asyncio.sleep(FIRST_POLLS_CHECK_PERIOD_S)
         self.context.sources_known.set()
 
     def _all_responded(self) -> bool:
@@ -174,7 +176,7 @@
     @mode.Service.task
     async def _assign_periodically(self) -> None:
         tags: dict[str, str] = {}
-        await self.wait(self.context.readiness)
+        await self.context.readiness.wait()
         while not self.should_stop:
             current = self.sources()
             for address in list(tags):
@@ -186,7 +188,7 @@
                     del tags[address]
             tags.update(current)
             self._assign(list(current))
-            await self.sleep(ASSIGN_PERIOD_S)
+            await asyncio.sleep(ASSIGN_PERIOD_S)
 
     def _assign(self, addresses: list[str]) -> None:
         """Follows the sources assigned to this instance, and no others."""
@@ -253,7 +255,16 @@
             if not complete and now - listed_at > MIN_LISTING_INTERVAL_S:
                 listed_at = now
                 await self._fetch_listing(address)
-            await asyncio.sleep(POLL_DELAY_S)
+            await asyncio.sleep(self._poll_delay_s())
+
+    def _poll_delay_s(self) -> float:
+        """Returns the pause between two polls of a source, in seconds.
+
+        In a large zone, what a poll returns waits for its turn to be sent
+        anyway, so that several polls would go into one message.
+        """
+        interval_s = self._pacer.interval_s(len(self.zone_entries()) - 1)
+        return max(POLL_DELAY_S, POLL_DELAY_SHARE * interval_s)
 
     def _report_unreachable(self, address: str) -> None:
         """Marks a source as unreachable, here and at the peers of the zone.
@@ -298,13 +309,13 @@
     @mode.Service.task
     async def _send_batches(self) -> None:
         while not self.should_stop:
-            await self.wait(self._has_outgoing)
+            await self._has_outgoing.wait()
             delay_s = self._pacer.delay_s(
                 context_lib.monotonic(),
                 peer_count=len(self.zone_entries()) - 1,
                 urgent=False,
             )
-            await self.sleep(delay_s)
+            await asyncio.sleep(delay_s)
             self._flush_updates()
 
     def _flush_updates(self) -> None:
--- a/packages/chivelb-node/chivelb_node/links/store_owner.py
+++ b/packages/chivelb-node/chivelb_node/links/store_owner.py
@@ -3,6 +3,7 @@
 Each table is owned by one instance of the store's zone.
 """
 
+import asyncio
 import dataclasses
 
 import aiohttp
@@ -93,7 +94,7 @@
     @mode.Service.task
     async def _renew_ownerships(self) -> None:
         while not self.should_stop:
-            await self.sleep(RENEWAL_PERIOD_S)
+            await asyncio.sleep(RENEWAL_PERIOD_S)
             now = context_lib.monotonic()
             for entry in list(self.context.targets.entries.values()):
                 record = entry.record
--- a/packages/chivelb-node/chivelb_node/links/stream_origins.py
+++ b/packages/chivelb-node/chivelb_node/links/stream_origins.py
@@ -186,8 +186,8 @@
     @mode.Service.task
     async def _share_origins(self) -> None:
         while not self.should_stop:
-            await self.wait(self._has_origins_to_share)
-            await self.sleep(SHARE_DELAY_S)
+            await self._has_origins_to_share.wait()
+            await asyncio.sleep(SHARE_DELAY_S)
             self.send_collected()
 
     def send_collected(self) -> None:
@@ -350,7 +350,7 @@
             versions = self._recent_versions(now)
             if versions != self.history.written:
                 await asyncio.to_thread(self.history.write, versions)
-            await self.sleep(HISTORY_PERIOD_S)
+            await asyncio.sleep(HISTORY_PERIOD_S)
 
     def _recent_versions(self, now: float) -> dict[str, list[str]]:
         earliest = now - RECENT_VERSIONS_S
--- a/packages/chivelb-node/chivelb_node/links/suspect_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/suspect_sharing.py
@@ -99,8 +99,8 @@
     @mode.Service.task
     async def _share_crashes(self) -> None:
         while not self.should_stop:
-            await self.wait(self._has_crashes)
-            await self.sleep(SHARE_DELAY_S)
+            await self._has_crashes.wait()
+            await asyncio.sleep(SHARE_DELAY_S)
             self.send_crashes()
 
     def send_crashes(self) -> None:
@@ -119,8 +119,8 @@
     @mode.Service.task
     async def _share_clearing(self) -> None:
         while not self.should_stop:
-            await self.wait(self._has_clearing)
-            await self.sleep(
+            await self._has_clearing.wait()
+            await asyncio.sleep(
                 self.context.rng.uniform(0.0, MAX_CLEARING_DELAY_S)
             )
             self.send_clearing()
@@ -167,7 +167,7 @@
     async def _repair(self) -> None:
         while not self.should_stop:
             await self.repair_once()
-            await self.sleep(self.repair_period_s())
+            await asyncio.sleep(self.repair_period_s())
 
     def repair_period_s(self) -> float:
         """Returns the time until the next exchange, in seconds."""
--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -193,7 +193,7 @@
             peers = self._repair_peers()
             if peers:
                 await self._repair_from(self.context.rng.choice(peers))
-            await self.sleep(REPAIR_PERIOD_S)
+            await asyncio.sleep(REPAIR_PERIOD_S)
 
     async def _repair_from(self, peer: str) -> None:
         reply = await self.hub.request(
--- a/tests/simulated_runners.py
+++ b/tests/simulated_runners.py
@@ -26,25 +26,34 @@
 STEP_S = 0.01
 
 
-class _JumpingSelector(selectors.SelectSelector):
+class JumpingSelector(selectors.SelectSelector):
     """A selector that waits by advancing a virtual clock.
 
     Attributes:
         now: Virtual time in seconds.
+        wakeups: Number of calls, each of which is one turn of the event loop.
     """
 
     def __init__(self):
         super().__init__()
         self.now = 0.0
+        self.wakeups = 0
 
     def select(self, timeout=None):
         self.now += timeout or 0.0
+        self.wakeups += 1
         return super().select(0)
 
 
-def run_in_virtual_time(make_coroutine, monkeypatch):
-    """Runs a coroutine to its end; no real time passes in its waits."""
-    selector = _JumpingSelector()
+def run_in_virtual_time(make_coroutine, monkeypatch, *, selector=None):
+    """Runs a coroutine to its end; no real time passes in its waits.
+
+    Args:
+        make_coroutine: Makes the coroutine.
+        monkeypatch: The fixture.
+        selector: Counts the wake-ups; a new one if None.
+    """
+    selector = selector or JumpingSelector()
     loop = asyncio.SelectorEventLoop(selector)
     loop.time = lambda: selector.now
     monkeypatch.setattr(context_lib, "monotonic", loop.time)
