Ask a few peers for the first document

It now asks all control instances and up to twelve others, by chance (test_a_starting_instance_asks_few_of_many_peers, red before: 199 asked).

--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -37,6 +37,8 @@
 # Period of the checks for the first document after the start.
 APPLIED_CHECK_PERIOD_S = 0.02
 FIRST_PULL_TIMEOUT_S = 1.0
+# Peers asked for their version at the start, besides the control instances.
+MAX_OTHERS_ASKED = 12
 FIRST_CHANGE_ID = "first-document"
 _log = logs.get_logger("replica")
 _delta_decoder = msgspec.msgpack.Decoder(list[state_lib.DocumentDelta])
@@ -100,8 +102,8 @@
             pull.cancel()
 
     async def _pull_highest(self) -> None:
-        """Asks every known peer for its version, and pulls the highest one."""
-        peers = list(self.hub.addresses)
+        """Asks some peers for their versions, and pulls the highest one."""
+        peers = self._peers_to_ask()
         question = messages.Pull(NO_VERSION_IS_NEWER)
         replies = await asyncio.gather(
             *(
@@ -119,6 +121,19 @@
             names = [name for name in peers if versions.get(name) == highest]
             await self._pull_from_first(self._control_instances_first(names))
 
+    def _peers_to_ask(self) -> list[str]:
+        """Returns all control instances and some of the other peers.
+
+        If all peers were asked, instances that start together would open links
+        between any two of them before they serve.
+        """
+        control, others = [], []
+        for name in self.hub.addresses:
+            is_control = self.gossip.is_control_instance(name)
+            (control if is_control else others).append(name)
+        count = min(MAX_OTHERS_ASKED, len(others))
+        return control + self.context.rng.sample(others, count)
+
     def _control_instances_first(self, names: list[str]) -> list[str]:
         """Returns instances in random order, those without callers first."""
         return sorted(
@@ -336,6 +351,8 @@
 
     def _peers_ahead(self) -> list[str]:
         swim = self.gossip.swim
+        if swim.highest_version() <= max(self.context.version, 0):
+            return []
         peers = (
             distribution.Peer(
                 name,
--- a/tests/test_document_distribution.py
+++ b/tests/test_document_distribution.py
@@ -191,6 +191,28 @@
     assert network.received["front-0"].total() / size <= MAX_COPIES
 
 
+# Guards against links between any two of hundreds of instances that start
+# together, which they open before they serve.
+def test_a_starting_instance_asks_few_of_many_peers():
+    members = replicas_lib.make_members(control_count=5, entry_count=195)
+    replicas, network = replicas_lib.make_replicas(members)
+    starting = replicas["front-0"]
+    starting.context.version = -1
+    starting.context.readiness.clear()
+    starting.hub.addresses = {name: ("", "") for name in replicas}
+    del starting.hub.addresses["front-0"]
+
+    async def run():
+        await run_services(
+            {"front-0": starting}, starting.context.readiness.is_set
+        )
+
+    asyncio.run(run())
+    asked = {peer for _, peer, _ in network.requests}
+    assert asked >= {f"core-{number}" for number in range(5)}
+    assert len(asked) <= 20
+
+
 # Guards against a restarted instance that serves by an old document because
 # the first instance to reply was behind.
 def test_a_starting_instance_takes_the_highest_version_that_it_can_reach():
