Use a connection no more once a response on it could come again

Report of other operators: a faulty runner wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that ran.

What held already: refusals are reset before their body is read, so that a copy finds no connection; a copy with the id of an earlier request is skipped. What failed: an error without a request id (500) that came again was taken for the response to the next request, and a connection with a foreign response was used again.

--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -91,6 +91,8 @@
         responses_read: Number of responses read from it.
         in_use: Whether a request is in progress.
         unusable: Whether it must not be reused.
+        had_foreign_response: Whether a response came that belongs to none of
+            the requests, or to an earlier one.
     """
 
     def __init__(self, address: str, loop: asyncio.AbstractEventLoop) -> None:
@@ -102,6 +104,7 @@
         self.responses_read = 0
         self.in_use = False
         self.unusable = False
+        self.had_foreign_response = False
         self._responses: list[tuple[Head, streams.StreamReader]] = []
         self._body: streams.StreamReader | None = None
         # Body that the parser fills, and bytes received without progress.
@@ -333,6 +336,7 @@
                 self._has_response = True
                 self._unanswered.clear()
                 return head
+            self.had_foreign_response = True
             while await self.read():
                 pass
 
@@ -351,6 +355,7 @@
         return (
             self.is_open
             and not self.unusable
+            and not self.had_foreign_response
             and not head.should_close
             and not self._responses
             and self._body is not None
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -24,9 +24,17 @@
         connection: The connection.
         head: Head of the response; None until it was received.
         is_complete: Whether the whole body was read.
+        may_come_again: Whether a copy of the response would be taken for the
+            response to the next request, so that there must be none.
     """
 
-    __slots__ = ("pool", "connection", "head", "is_complete")
+    __slots__ = (
+        "pool",
+        "connection",
+        "head",
+        "is_complete",
+        "may_come_again",
+    )
 
     def __init__(
         self, pool: "HttpPool", connection: http_connection.Connection
@@ -36,6 +44,7 @@
         self.connection = connection
         self.head: http_connection.Head | None = None
         self.is_complete = False
+        self.may_come_again = False
 
     async def start(
         self, is_response_to_request: Callable[[http_connection.Head], bool]
@@ -136,7 +145,7 @@
             # The target must not get a request later that was given up.
             connection.reset()
             return
-        if not connection.is_reusable(head):
+        if exchange.may_come_again or not connection.is_reusable(head):
             connection.abort()
             return
         connection.responses_read += 1
