Log the age of the load by which a call was placed

load_age_ms in 'call placed' is the age of what the owner of the target told; null if it was not asked.

--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -341,11 +341,14 @@
         now: float,
     ) -> None:
         # ``filled``, ``ahead`` and ``running`` describe the target before this
-        # call. ``fill``, ``held``, ``fetch`` and ``read`` are tokens of the
-        # call: counted against the KV cache, held by the target, fetched from
-        # other sources, and left to prefill. ``document`` is the number of the
-        # document version in force.
+        # call; ``load_age_ms`` is the age of what its owner told of its load,
+        # null if it was not asked. ``fill``, ``held``, ``fetch`` and ``read``
+        # are tokens of the call: counted against the KV cache, held by the
+        # target, fetched from other sources, and left to prefill.
+        # ``document`` is the number of the document version in force.
         plan = placement.fetch_plan
+        load = self.context.load.load(placement.record.identity)
+        age_s = load.told_age_s(now)
         _log.info(
             "call placed",
             request_id=call.request_id,
@@ -358,6 +361,7 @@
             running=placement.candidate.running,
             filled=placement.candidate.used_kv_tokens,
             ahead=placement.candidate.pending_tokens,
+            load_age_ms=None if math.isinf(age_s) else round(age_s * 1000),
             expected_ms=round(placement.time_to_first_token_s * 1000),
             fill=call.mean_kv_tokens,
             held=0 if plan is None else plan.held_tokens,
