Send whole membership tables only to those who may learn from them

Cause: an instance asks for all members for 8 s from its start, and each peer that it pings replies with its whole table, 17 datagrams with 200 members.

A joining instance now tells how many members it knows; a peer that knows no more and whose members have not changed for a second sends none.

--- a/packages/chivelb-core/chivelb_core/membership/messages.py
+++ b/packages/chivelb-core/chivelb_core/membership/messages.py
@@ -37,12 +37,15 @@
         updates: Piggybacked states of members.
         joining: Whether the sender has just started and asks for all members
             that the receiver knows.
+        known: Number of members that a joining sender knows already; 0 from
+            instances of the previous release.
     """
 
     sequence: int
     version: int
     updates: list[Member]
     joining: bool = False
+    known: int = 0
 
 
 class PingRequest(msgspec.Struct, rename="camel", frozen=True):
--- a/packages/chivelb-core/chivelb_core/membership/swim.py
+++ b/packages/chivelb-core/chivelb_core/membership/swim.py
@@ -26,6 +26,8 @@
 PAUSE_THRESHOLD_S = 3.0
 # Time after the start in which an instance asks for all members.
 JOINING_S = 8.0
+# An instance whose members have not changed for this time knows all of them.
+SETTLED_S = 1.0
 # Sequence of datagrams that belong to no probe; those of probes are higher.
 NO_SEQUENCE = 0
 
@@ -75,6 +77,7 @@
         "members",
         "version",
         "revision",
+        "_changed_at",
         "_live_members",
         "_rng",
         "_probe_order",
@@ -103,6 +106,7 @@
         self.members: dict[str, MemberState] = {}
         self.version = 0
         self.revision = 0
+        self._changed_at = now
         self._live_members: dict[tuple[str | None, str | None], list[str]] = {}
         self._rng = rng
         self._probe_order: list[str] = []
@@ -244,7 +248,7 @@
             case messages.Ping():
                 self.record_version(sender, message.version)
                 self._reply(sender, message.sequence, self.local_member.name)
-                if message.joining:
+                if message.joining and self._may_add_to(message.known, now):
                     self._send_all_members(sender)
                 if known is not None and known.member.status == "dead":
                     # Its ack will carry the refutation.
@@ -297,6 +301,7 @@
                 self.version,
                 self._pick_updates(name),
                 joining=now < self._joining_until,
+                known=len(self.members),
             ),
         )
 
@@ -312,6 +317,16 @@
             messages.Ack(sequence, about, version, self._pick_updates(peer)),
         )
 
+    def _may_add_to(self, known_count: int, now: float) -> bool:
+        """Returns whether a joining instance may learn of members here.
+
+        Args:
+            known_count: Number of members that it knows.
+            now: Monotonic time in seconds.
+        """
+        is_settled = now - self._changed_at >= SETTLED_S
+        return known_count < len(self.members) or not is_settled
+
     def _send_all_members(self, peer: str) -> None:
         """Sends all known members, in acks that answer no ping."""
         members = [state.member for state in self.members.values()]
@@ -431,7 +446,7 @@
             ):
                 del self.members[name]
                 self._updates.remove(name)
-                self._record_change()
+                self._record_change(now)
 
     def _merge(self, update: messages.Member, now: float) -> None:
         if update.name == self.local_member.name:
@@ -481,10 +496,11 @@
         state.confirming = False
         self._updates.schedule(member.name)
         self._changes.append(member)
-        self._record_change()
+        self._record_change(now)
 
-    def _record_change(self) -> None:
+    def _record_change(self, now: float) -> None:
         self.revision += 1
+        self._changed_at = now
         self._live_members.clear()
 
     def _pick_updates(self, receiver: str) -> list[messages.Member]:
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -366,6 +366,7 @@
   version @1 :Int64;
   updates @2 :List(Member);
   joining @3 :Bool;
+  known @4 :Int64;
 }
 
 struct PingRequest {
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,6 +4,8 @@
 start at once, with processors that are too busy to answer in time.
 """
 
+from chivelb_core.membership import messages
+from chivelb_core.membership import swim as swim_lib
 from chivelb_core.testing import swim_group
 import pytest
 
@@ -158,3 +160,26 @@
     group.run(6.0)
     for name in names:
         assert group.observed_statuses(name) == {"alive"}
+
+
+# Load pattern: all of 200 instances come back at once, and each asks for all
+# members. Guards against whole tables that bring nothing new, while callers
+# wait for the instances to serve.
+def test_instances_that_start_together_send_few_whole_tables():
+    count = 200
+    sim = swim_group.SwimSimulation(
+        {"r": [f"i{number}" for number in range(count)]}, seed=1, seed_count=3
+    )
+    tables = []
+
+    def record(sender, message):
+        if isinstance(message, messages.Ack) and message.sequence == 0:
+            tables.append(sender)
+
+    sim.on_send = record
+    sim.run(5.0)
+    known = [len(swim.members) for swim in sim.running_members.values()]
+    assert min(known) == count - 1
+    sim.run(4.0)
+    datagrams_of_a_table = count / swim_lib.MAX_UPDATES_PER_DATAGRAM
+    assert len(tables) / count <= 3 * datagrams_of_a_table
