--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -18,12 +18,12 @@
 from chivelb_core.kv_cache import parts as parts_lib
 
 from chivelb_node import context as context_lib
+from chivelb_node.forwarding import source_links
 
 FAILURE_COOLDOWN_S = 1.0
 # Parts of a prompt are expected at a runner for this long after the prompt was
 # placed there: by then a part is cached, or was never computed.
 EXPECTED_PART_TTL_S = 2.0
-STORE_MAX_FILL_RATIO = 0.97
 # Targets whose owners are asked for their load before a call is placed.
 SHORTLIST_SIZE = 3
 
@@ -34,6 +34,7 @@
     Attributes:
         context: Shared state of the instance.
         directory: Prompt parts by the source that holds their KV cache.
+        sources: Network links to sources and stores.
         count_zone_instances: Returns the number of entry instances of this
             zone, including this one.
         count_instances: Returns the number of entry instances of the region.
@@ -53,9 +54,7 @@
         self.count_zone_instances = count_zone_instances
         self.count_instances = count_instances
         self._preferred_by_service: dict[str, tuple[tuple, frozenset[str]]] = {}
-        self._stores_version = -1
-        self._store_links: list[fetch_plan_lib.Link] = []
-        self._store_tokens: dict[str, int] = {}
+        self.sources = source_links.SourceLinks(context, directory)
 
     def eligible(
         self, call: forwarding.Call, now: float
@@ -433,72 +432,11 @@
         }
         if not addresses:
             return {}
-        links = self._runner_links(call.service, engine, addresses, now)
-        for link in self.stores(now):
+        links = self.sources.runner_links(call.service, engine, addresses, now)
+        for link in self.sources.stores(now):
             links[link.address] = link
         return links
 
-    def _runner_links(
-        self,
-        service: str,
-        engine: document.EngineConfig,
-        addresses: Container[str],
-        now: float,
-    ) -> dict[str, fetch_plan_lib.Link]:
-        """Returns the links to runners at some addresses."""
-        return {
-            entry.record.address: fetch_plan_lib.Link(
-                entry.record.address,
-                entry.record.zone,
-                engine.link_bytes_per_s,
-                0.0,  # setup_s
-                False,  # is_store
-            )
-            for entry in self.context.targets.entries.values()
-            if entry.record.address in addresses
-            and entry.record.service == service
-            and not entry.is_leaving
-            and self._has_recent_message(entry.record.address, now)
-        }
-
-    def stores(self, now: float) -> list[fetch_plan_lib.Link]:
-        """Returns the links to stores that sent a message recently."""
-        return [
-            link
-            for link in self._configured_stores()
-            if self._has_recent_message(link.address, now)
-        ]
-
-    def _configured_stores(self) -> list[fetch_plan_lib.Link]:
-        """Returns the links to the stores of the document in force."""
-        if self._stores_version != self.context.version:
-            stores = [
-                service.store
-                for service in self.context.document.services.values()
-                if service.store is not None
-            ]
-            self._store_links = [
-                fetch_plan_lib.Link(
-                    store.address,
-                    store.zone,
-                    store.link_bytes_per_s,
-                    store.setup_s,
-                    True,  # is_store
-                )
-                for store in stores
-            ]
-            self._store_tokens = {
-                store.address: store.kv_tokens for store in stores
-            }
-            self._stores_version = self.context.version
-        return self._store_links
-
-    def _has_recent_message(self, address: str, now: float) -> bool:
-        source = self.directory.sources.get(address)
-        if source is None:
-            return False
-        return now - source.last_message_at < fetch_plan_lib.SOURCE_TIMEOUT_S
-
     def record_placed(
         self, call: forwarding.Call, placement: choice_lib.Placement, now: float
     ) -> list[str]:
@@ -521,17 +459,11 @@
             call.prompt,
             placement.salt,
             directory=self.directory,
-            stores=self.stores(now),
-            free_tokens=self._store_free_tokens,
+            stores=self.sources.stores(now),
+            free_tokens=self.sources.store_free_tokens,
             zone=placement.record.zone,
         )
 
-    def _store_free_tokens(self, address: str) -> int:
-        # Total of the tokens of all parts that the store holds.
-        stored_tokens = self.directory.source(address).total_tokens
-        capacity = self._store_tokens[address] * STORE_MAX_FILL_RATIO
-        return int(capacity) - stored_tokens
-
 
 def _cost_of(priced: tuple[float, choice_lib.Placement]) -> float:
     return priced[0]
