--- a/packages/chivelb-core/chivelb_core/membership/swim.py
+++ b/packages/chivelb-core/chivelb_core/membership/swim.py
@@ -6,6 +6,7 @@
 with the number of instances of the whole site.
 """
 
+from collections.abc import Iterator
 import dataclasses
 import random
 
@@ -147,14 +148,20 @@
         """
         names = self._live_members.get((region, zone))
         if names is None:
-            names = self._live_members[region, zone] = sorted(
-                name
-                for name, state in self.members.items()
-                if state.member.status in ("alive", "suspect")
+            names = sorted(self._find_live_members(region, zone))
+            self._live_members[region, zone] = names
+        return names.copy()
+
+    def _find_live_members(
+        self, region: str | None, zone: str | None
+    ) -> Iterator[str]:
+        for name, state in self.members.items():
+            if (
+                state.member.status in ("alive", "suspect")
                 and region in (None, state.member.region)
                 and zone in (None, state.member.zone)
-            )
-        return names.copy()
+            ):
+                yield name
 
     def delegates(self, region: str) -> list[str]:
         """Returns the delegates of a region, which may include this instance.
@@ -509,16 +516,10 @@
     def check_invariants(self) -> None:
         """Asserts the invariants of the class."""
         for (region, zone), names in self._live_members.items():
-            live = {
-                name
-                for name, state in self.members.items()
-                if state.member.status in ("alive", "suspect")
-                and region in (None, state.member.region)
-                and zone in (None, state.member.zone)
-            }
-            assert set(names) == live, (
+            live = sorted(self._find_live_members(region, zone))
+            assert names == live, (
                 f"{self.local_member.name} keeps {names} as live members of "
-                f"{region}, {zone}; they are {sorted(live)}"
+                f"{region}, {zone}; they are {live}"
             )
         assert self.local_member.name not in self.members, (
             f"{self.local_member.name} is in its own table of other members"
