Ask owners for waiting calls of each software version

Found by reading: only the targets of the first waiting call were asked for their load. A call that is bound to a software version without capacity would have kept all behind it waiting, since waiting calls start only where the load is known. The first call of each version now has its targets asked (test_owners_are_asked_for_calls_of_each_software_version, red before).

--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Container
+from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import math
 
@@ -168,12 +170,11 @@
         if now - self._owners_asked_at < WAITING_QUERY_PERIOD_S:
             return
         self._owners_asked_at = now
+        names = set()
         for waiting_list in self.waiting_lists.values():
-            first = next(waiting_list.in_order(now), None)
-            if first is not None:
-                await self.owners.refresh(
-                    self.placement_policy.shortlist(first.call, now)
-                )
+            for call in _first_of_each_version(waiting_list.in_order(now)):
+                names.update(self.placement_policy.shortlist(call, now))
+        await self.owners.refresh(names)
 
     def _wait_for_targets(self, call: forwarding.Call, now: float) -> float:
         """Returns until when a call without a target may wait for one.
@@ -408,3 +409,19 @@
             self.update_queues()
             if not any(w.calls for w in self.waiting_lists.values()):
                 self._has_waiting_calls.clear()
+
+
+def _first_of_each_version(
+    waiting_calls: Iterable[waiting.WaitingCall],
+) -> Iterator[forwarding.Call]:
+    """Yields the first call that may go to targets of each software version.
+
+    A call that is bound to a version waits for other targets than those
+    behind it.
+    """
+    seen = set()
+    for waiting_call in waiting_calls:
+        version = waiting_call.call.software_version
+        if version not in seen:
+            seen.add(version)
+            yield waiting_call.call
--- a/tests/test_many_entries.py
+++ b/tests/test_many_entries.py
@@ -5,10 +5,16 @@
 that it counts, unless it asks before it chooses.
 """
 
+import asyncio
 import functools
 
+import builders
 from chivelb_core import routing
 from chivelb_core.forwarding import assignment
+from chivelb_core.forwarding import waiting
+from chivelb_core.kv_cache import parts as parts_lib
+from chivelb_node.forwarding import admission
+from chivelb_node.forwarding import placement
 from chivelb_node.links import load_owners
 from chivelb_node.wire import messages
 import many_entries
@@ -173,3 +179,44 @@
     # at a runner are limited to 16,000 tokens, 0.32 s.
     queued = sorted(sent.queued_s for sent in fleet.sent if sent.at >= SINCE_S)
     assert queued[int(0.95 * len(queued))] <= 1.0
+
+
+class RecordingOwners:
+    """Owners that reply to all questions; implements ``ports.LoadPort``."""
+
+    is_active = True
+
+    def __init__(self):
+        self.asked = set()
+
+    def is_known(self, identity, now):
+        return identity in self.asked
+
+    async def refresh(self, identities):
+        self.asked.update(identities)
+        return True
+
+
+# Guards against calls that starve behind one that is bound to targets of
+# another software version, because only its targets are asked for their load.
+def test_owners_are_asked_for_calls_of_each_software_version():
+    routed = builders.make_routed_document()
+    context = builders.make_context(
+        routed,
+        old={"service": "lm", "software_version": "1", "address": "h:1"},
+        new={"service": "lm", "software_version": "2", "address": "h:2"},
+    )
+    owners = RecordingOwners()
+    queue = admission.AdmissionQueue(
+        context,
+        placement.PlacementPolicy(context, parts_lib.PartDirectory()),
+        is_refused=lambda call, now: False,
+        owners=owners,
+    )
+    waiting_list = queue.waiting_lists["lm"] = waiting.WaitingList()
+    for version in ("1", None):
+        call = builders.make_call(builders.make_route())
+        call.software_version = version
+        waiting_list.join(call, wait_started_at=0.0, item=None)
+    asyncio.run(queue._ask_for_waiting_calls())
+    assert owners.asked == {"old", "new"}
