--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,11 +11,12 @@
 
 import fleet  # noqa: E402
 
-# The dose: one runner of three, 2 in 100 of its answers, for 5 seconds.
+# The dose: one runner of three, 2 in 100 of its answers, for 5 seconds, twice.
 SPOILED_EVERY = 50
 TROUBLE_S = 5.0
+PAUSE_S = 3.0
+TIMES = 2
 CALLERS = 6
-CALLS_S = 12.0
 # What a refusal begins with; the connection carries nothing behind it.
 SURPLUS = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1"
 
@@ -36,10 +37,9 @@
         return True
 
 
-async def keep_calling(deployment, until, answers):
+async def keep_calling(deployment, stopped, answers):
     """Sends one request after the other, each on a new connection."""
-    loop = asyncio.get_running_loop()
-    while loop.time() < until:
+    while not stopped.is_set():
         machine = random.choice(deployment.fronts)
         answers.append(await fleet.send(deployment, machine, "/pdf/a"))
         await asyncio.sleep(0.01)
@@ -62,15 +62,18 @@
     assert await deployment.wait_ready()
     await asyncio.sleep(4.0)
     answers = []
-    until = asyncio.get_running_loop().time() + CALLS_S
+    stopped = asyncio.Event()
     callers = [
-        asyncio.create_task(keep_calling(deployment, until, answers))
+        asyncio.create_task(keep_calling(deployment, stopped, answers))
         for _ in range(CALLERS)
     ]
-    await asyncio.sleep(3.0)
-    runners[0].is_faulty = trouble
-    await asyncio.sleep(TROUBLE_S)
-    runners[0].is_faulty = False
+    await asyncio.sleep(PAUSE_S)
+    for _ in range(TIMES):
+        runners[0].is_faulty = trouble
+        await asyncio.sleep(TROUBLE_S)
+        runners[0].is_faulty = False
+        await asyncio.sleep(PAUSE_S)
+    stopped.set()
     await asyncio.gather(*callers)
     await asyncio.sleep(1.0)
     counts = collections.Counter(
