Log bytes that belong to no request, and heads of two responses in one

Behaviour is unchanged: test_http_pool, test_repeated_refusals, test_endless_bytes and test_cut_streams pass.

--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import re
 
 from aiohttp import base_protocol
 from aiohttp import http
@@ -17,6 +18,7 @@
 
 from chivelb_node.links import parser_errors
 from chivelb_node.links import sockets
+from chivelb_node.telemetry import logs
 
 # A connection is closed if sent bytes stay unacknowledged for this long, so
 # that an unreachable target is detected without a TCP reset. It also decides
@@ -40,6 +42,8 @@
 READ_BUFFER_BYTES = 262_144
 
 HEAD_END = b"\r\n\r\n"
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+_log = logs.get_logger("target-connections")
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 
@@ -157,6 +161,7 @@
         if data and not self._expects_bytes():
             # Bytes that belong to no request. A body that was received
             # completely can still be read.
+            self._log_surplus("response in progress" if self.in_use else "idle")
             self.abort()
             return
         body_bytes = self._incoming_body_bytes()
@@ -174,6 +179,8 @@
             self._unanswered.append(data)
         finals = [item for item in messages if item[0].code >= 200]
         for message, payload in finals:
+            if _has_second_status_line(message):
+                self._log_status_line(message.code)
             self._responses.append((_parse_head(message), payload))
             self._incoming_body = payload
         if finals or self._incoming_body_bytes() > body_bytes:
@@ -189,6 +196,31 @@
         ):
             self._head_waiter.set_result(None)
 
+    def _log_surplus(self, state: str) -> None:
+        """Logs bytes that belong to no request.
+
+        Args:
+            state: What the connection was doing.
+        """
+        _log.warning(
+            "bytes without a request",
+            target=self.address,
+            state=state,
+            responses_read=self.responses_read,
+        )
+
+    def _log_status_line(self, status: int) -> None:
+        """Logs a response head that another response was cut off in."""
+        received = b"".join(self._unanswered)
+        _log.warning(
+            "status line within a response head",
+            target=self.address,
+            status=status,
+            responses_read=self.responses_read,
+            # Otherwise the first one was received before the request was sent.
+            since_request=len(STATUS_LINE.findall(received)) > 1,
+        )
+
     def _complete_responses(
         self, data: bytes
     ) -> list[tuple[Head, streams.StreamReader]]:
@@ -337,6 +369,7 @@
                 self._unanswered.clear()
                 return head
             self.had_foreign_response = True
+            self._log_surplus("response to another request")
             while await self.read():
                 pass
 
@@ -369,6 +402,18 @@
         payload.set_exception(error)
 
 
+def _has_second_status_line(message) -> bool:
+    """Returns whether a status line occurs behind the first one of a head.
+
+    A response that was cut off in its head and the next one are read as one
+    head, which has the status of the first one.
+    """
+    texts = [message.reason.encode("utf-8", "surrogateescape")]
+    for header in message.raw_headers:
+        texts += header
+    return any(STATUS_LINE.search(text) for text in texts)
+
+
 def _parse_head(message) -> Head:
     idle_timeout_s = MAX_IDLE_S
     for name, value in message.raw_headers:
