A connection is used again only if all its bytes are accounted for

Cause: one parser lived as long as the connection. Bytes behind a complete response that were no whole response stayed in it, seen by nobody: is_reusable looked at responses and bodies. The next response was read as the rest of them. Cut inside the reason phrase, 'HTTP/1.1 200 O' and 'HTTP/1.1 500 ...' are a 200 with the id, the seal and the body of the 500.

Now each request has a parser of its own, and a connection is used again only if its parser, given a response that is known, reads exactly that (so it holds no byte), if one response head came, and if the kernel holds no unread byte when the next request is written. The question has one owner, is_reusable and is_clean, for requests, polls and orders alike. It works for each framing, as the parser itself is asked; counting bytes would need the framing of chunks a second time.

--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -1,8 +1,9 @@
 """A connection to a target, whose responses are parsed by aiohttp.
 
 Bodies are streamed without decoding; requests are written as given. A
-connection is reused only after a complete response, and only if no byte has
-arrived since, so that surplus bytes are never read as part of another response.
+connection is reused only if all bytes received belong to the complete response
+to its request, and each request has a parser of its own, so that bytes are
+never read as part of the response to another request.
 """
 
 import asyncio
@@ -42,6 +43,9 @@
 READ_BUFFER_BYTES = 262_144
 
 HEAD_END = b"\r\n\r\n"
+# Read as it is by a parser that holds no part of another response.
+BOUNDARY_RESPONSE = b"HTTP/1.1 299 boundary\r\nContent-Length: 0\r\n\r\n"
+BOUNDARY_HEAD = (299, "boundary", ((b"Content-Length", b"0"),))
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 _log = logs.get_logger("target-connections")
 
@@ -95,8 +99,6 @@
         responses_read: Number of responses read from it.
         in_use: Whether a request is in progress.
         unusable: Whether it must not be reused.
-        had_foreign_response: Whether a response came that belongs to none of
-            the requests, or to an earlier one.
     """
 
     def __init__(self, address: str, loop: asyncio.AbstractEventLoop) -> None:
@@ -108,13 +110,15 @@
         self.responses_read = 0
         self.in_use = False
         self.unusable = False
-        self.had_foreign_response = False
         self._responses: list[tuple[Head, streams.StreamReader]] = []
         self._body: streams.StreamReader | None = None
         # Body that the parser fills, and bytes received without progress.
         self._incoming_body: streams.StreamReader | None = None
         self._overhead_bytes = 0
-        # Whether the response to the request was found, and bytes before that.
+        # Number of response heads since the request, with interim ones behind
+        # the first; whether the response to the request was found, and bytes
+        # before that.
+        self._heads_received = 0
         self._has_response = False
         self._bytes_before_response = 0
         self._unanswered: list[bytes] = []
@@ -177,13 +181,15 @@
             return
         if not self._has_response:
             self._unanswered.append(data)
-        finals = [item for item in messages if item[0].code >= 200]
-        for message, payload in finals:
+        heads_received = self._heads_received
+        for message, payload in messages:
             if _has_second_status_line(message):
                 self._log_status_line(message.code)
-            self._responses.append((_parse_head(message), payload))
-            self._incoming_body = payload
-        if finals or self._incoming_body_bytes() > body_bytes:
+            self._add_response(message, payload)
+        if (
+            self._heads_received > heads_received
+            or self._incoming_body_bytes() > body_bytes
+        ):
             self._overhead_bytes = 0
         else:
             self._count_overhead(len(data))
@@ -196,6 +202,15 @@
         ):
             self._head_waiter.set_result(None)
 
+    def _add_response(self, message, payload: streams.StreamReader) -> None:
+        """Adds a response; interim responses are only counted."""
+        is_final = message.code >= 200
+        if is_final or self._heads_received:
+            self._heads_received += 1
+        if is_final:
+            self._responses.append((_parse_head(message), payload))
+            self._incoming_body = payload
+
     def _log_surplus(self, state: str) -> None:
         """Logs bytes that belong to no request.
 
@@ -333,15 +348,17 @@
             sockets.reset(self.transport)
 
     def write(self, data: bytes) -> None:
-        """Writes a complete request."""
+        """Writes a complete request, whose response has a parser of its own."""
+        self._responses.clear()
+        self._body = None
+        self._incoming_body = None
+        self._heads_received = 0
         self._has_response = False
         self._bytes_before_response = 0
         self._overhead_bytes = 0
         self._unanswered.clear()
-        reads_bodies = not data.startswith(b"HEAD ")
-        if reads_bodies != self._reads_bodies:
-            self._reads_bodies = reads_bodies
-            self._parser = self._new_parser()
+        self._reads_bodies = not data.startswith(b"HEAD ")
+        self._parser = self._new_parser()
         self.transport.write(data)
 
     async def read_head(
@@ -368,7 +385,6 @@
                 self._has_response = True
                 self._unanswered.clear()
                 return head
-            self.had_foreign_response = True
             self._log_surplus("response to another request")
             while await self.read():
                 pass
@@ -384,17 +400,48 @@
         return data
 
     def is_reusable(self, head: Head) -> bool:
-        """Returns whether the connection may be used for another request."""
-        return (
-            self.is_open
-            and not self.unusable
-            and not self.had_foreign_response
-            and not head.should_close
-            and not self._responses
-            and self._body is not None
-            and self._body.is_eof()
-            and self.transport.get_write_buffer_size() == 0
-        )
+        """Returns whether the connection may be used for another request.
+
+        All bytes received must belong to the response to its last request.
+        """
+        if (
+            not self.is_open
+            or self.unusable
+            or head.should_close
+            or self._body is None
+            or not self._body.is_eof()
+            or self.transport.get_write_buffer_size() > 0
+        ):
+            return False
+        if self._heads_received == 1 and self._is_at_boundary():
+            return True
+        self._log_surplus("behind the response")
+        return False
+
+    def _is_at_boundary(self) -> bool:
+        """Returns whether the parser holds no byte behind the last response.
+
+        A part of another response would change how a whole one is read.
+        """
+        try:
+            messages, _, _ = self._parser.feed_data(BOUNDARY_RESPONSE)
+        except http_exceptions.HttpProcessingError:
+            return False
+        heads = [(m.code, m.reason, m.raw_headers) for m, _ in messages]
+        return heads == [BOUNDARY_HEAD]
+
+    def is_clean(self) -> bool:
+        """Returns whether it is open and nothing has come while it was idle.
+
+        The kernel is asked for bytes that the event loop has not read yet.
+        """
+        if self.unusable or not self.is_open:
+            return False
+        if not sockets.has_unread_bytes(self.transport):
+            return True
+        if not sockets.is_closed_by_peer(self.transport):
+            self._log_surplus("idle")
+        return False
 
 
 def _fail_body(payload: streams.StreamReader, error: Exception) -> None:
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -113,9 +113,8 @@
         now = asyncio.get_running_loop().time()
         while connections:
             connection = connections.pop()
-            if connection.unusable or not connection.is_open:
-                continue
-            if now - connection.idle_since < connection.idle_timeout_s:
+            is_recent = now - connection.idle_since < connection.idle_timeout_s
+            if is_recent and connection.is_clean():
                 return connection
             connection.abort()
         return None
--- a/packages/chivelb-node/chivelb_node/links/sockets.py
+++ b/packages/chivelb-node/chivelb_node/links/sockets.py
@@ -69,3 +69,14 @@
     poll = select.poll()
     poll.register(transport.get_extra_info("socket"), select.POLLRDHUP)
     return any(events & _CLOSED_EVENTS for _, events in poll.poll(0))
+
+
+def has_unread_bytes(transport: asyncio.Transport) -> bool:
+    """Returns whether there are bytes, or a close, that are not read yet.
+
+    Args:
+        transport: Transport of an open connection.
+    """
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket"), select.POLLIN)
+    return bool(poll.poll(0))
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -135,6 +135,40 @@
     run_scenario(target, scenario)
 
 
+# Guards against bytes that the kernel holds when the next request is written:
+# they would be read as the beginning of its response.
+def test_a_connection_with_unread_bytes_is_not_used_again():
+    target = scripted.ScriptedTarget(
+        [scripted.answer(b"mine"), 0.02, b"HTTP/1.1 200 OK\r\n"],
+        [scripted.answer(b"next")],
+    )
+
+    async def scenario(pool):
+        assert await fetch(pool, target) == (200, b"mine")
+        (connection,) = pool.idle[target.address]
+        connection.transport.pause_reading()
+        await asyncio.sleep(0.1)
+        assert await fetch(pool, target) == (200, b"next")
+        assert target.connections == 2
+
+    run_scenario(target, scenario)
+
+
+# Guards against an interim response that no request asked for.
+def test_a_connection_with_an_interim_response_behind_is_not_used_again():
+    target = scripted.ScriptedTarget(
+        [scripted.answer(b"mine") + b"HTTP/1.1 103 Early Hints\r\n\r\n"],
+        [scripted.answer(b"next")],
+    )
+
+    async def scenario(pool):
+        assert await fetch(pool, target) == (200, b"mine")
+        assert await fetch(pool, target) == (200, b"next")
+        assert target.connections == 2
+
+    run_scenario(target, scenario)
+
+
 def test_a_response_to_another_request_is_skipped():
     target = scripted.ScriptedTarget(
         [
