A response head with a second status line in it is broken off

Callers got a success where the target had answered a failure (MIXED), also where the second answer to an earlier request began only after the next request was written: 'an extra response may arrive late, at the point where the next response is expected'. No check of an idle connection can see it.

Cause: a head that is cut off in its reason phrase or in a header's value and the whole head behind it are one valid head for the parser, with the status of the first and, mostly, the id and the seal of the second one.

A whole response begins with its status line, so that the second status line is in the reason phrase, a name or a value of such a head.

Ruled out: the form of the seal, which is the target's own and opaque here; a limit in time between the request and its response.

A target whose sound heads hold a status line in a header could not be served; the protocol has no such header.

--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -185,6 +185,10 @@
         for message, payload in messages:
             if _has_second_status_line(message):
                 self._log_status_line(message.code)
+                self._end(
+                    IncompleteResponseError("response cut off in its head")
+                )
+                return
             self._add_response(message, payload)
         if (
             self._heads_received > heads_received
@@ -266,7 +270,9 @@
         return [
             (_parse_head(message), payload)
             for message, payload in found
-            if message.code >= 200 and payload.is_eof()
+            if message.code >= 200
+            and payload.is_eof()
+            and not _has_second_status_line(message)
         ]
 
     def _expects_bytes(self) -> bool:
