--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -106,3 +106,20 @@
     target = scripted.ScriptedTarget([answer("r-1")], [answer("r-2")])
     assert run_requests(target) == [(200, b"r-1"), (200, b"r-2")]
     assert target.connections == 1
+
+
+# Guards against "not run" for a request that runs: a refusal without an id was
+# taken for its response, though it may belong to anything on the connection.
+@pytest.mark.parametrize("surplus", [REFUSAL, ERROR], ids=["503", "500"])
+def test_a_response_without_an_id_on_a_used_connection_is_not_taken(surplus):
+    target = scripted.ScriptedTarget(
+        [answer("r-1")], [surplus, 0.02, answer("r-2")]
+    )
+    assert run_requests(target) == [(200, b"r-1"), (200, b"r-2")]
+
+
+# Guards against a refusal that is lost: on a connection without an earlier
+# request it can be for none but this one.
+def test_a_response_without_an_id_on_a_new_connection_is_taken():
+    target = scripted.ScriptedTarget([REFUSAL])
+    assert run_requests(target) == [calls.OutcomeKind.NOT_RUN]
