--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -82,12 +82,20 @@
 
     async def _accept(self, reader, writer):
         self.connections += 1
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            while self.scripts:
-                self.requests.append(await self._read(reader))
-                await self._send_script(writer, self.scripts.pop(0))
-            await reader.read()
-        writer.close()
+        try:
+            await self._answer_all(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            # Also if the test ends first: a writer that is left open is
+            # finalized in the middle of another test.
+            writer.close()
+
+    async def _answer_all(self, reader, writer):
+        while self.scripts:
+            self.requests.append(await self._read(reader))
+            await self._send_script(writer, self.scripts.pop(0))
+        await reader.read()
 
     async def _read(self, reader):
         head = await reader.readuntil(b"\r\n\r\n")
