--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -251,6 +251,15 @@
                 # The source restarted: poll its events from the start.
                 self.directory.forget(address)
                 continue
+            if page.next < source.next:
+                _log.warning(
+                    "page of an earlier poll",
+                    source=address,
+                    next=page.next,
+                    expected=source.next,
+                )
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
             complete = self._apply_page(address, page, source.next, now)
             if not complete and now - listed_at > MIN_LISTING_INTERVAL_S:
                 listed_at = now
--- a/tests/test_part_events.py
+++ b/tests/test_part_events.py
@@ -113,6 +113,16 @@
     assert source.parts == {"c": 5}
 
 
+# Guards against a number that goes back: the response to an earlier poll, sent
+# once more, is no page behind the one that was read last.
+def test_a_page_of_an_earlier_poll_is_not_applied(capsys):
+    source, _ = follow(page(4, "a"), page(9, "b"), page(4, "a"), page(10, "c"))
+    assert source.next == 10
+    assert source.parts == {"a": 10, "b": 10, "c": 10}
+    output = capsys.readouterr().out
+    assert output.count("page of an earlier poll") == 1
+
+
 def test_updates_of_several_sources_reach_peers_in_one_message():
     sender, receiver = FakeHub(), FakeHub()
     source = FakeSource()
