Events of a stream that are out of order are not passed on

Callers got events twice, with ids that went back (ORDER), from a target that began its answer once more: a stream without a length ends with its connection, so that whatever the target writes behind it, a second head included, was read as more events.

The ids of a response increase. Within one response, an event whose id does not, and the head of another response in place of an event, now end the stream as broken off, behind the events before them; a stream that may be resumed goes on at another target with the last event that was passed on. What is left in the buffer is no begun event of the stream.

Failed before: tests/test_second_streams.py, all 8 cases ([1, 2, 3, 1, 2, 3] == [1, 2, 3]), through an instance over sockets.

--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -124,18 +124,28 @@
         delivery = self.delivery
         incomplete = bytearray()
         runs = events.split_events(reply.chunks(), incomplete)
+        last_id = ""
         try:
             async with contextlib.aclosing(runs):
-                async for run in runs:
+                async for received in runs:
+                    run = events.ordered_prefix(received, last_id)
                     event_id = events.last_event_id(run)
                     if event_id:
                         _check_continues(run, follows, delivery.begun_event_id)
                         follows = ""
-                    on_events()
-                    await self._send_head(reply)
-                    await self.caller.send_body(run)
+                        last_id = event_id
+                    if run:
+                        on_events()
+                        await self._send_head(reply)
+                        await self.caller.send_body(run)
                     delivery.last_event_id = event_id or delivery.last_event_id
                     self._record_run(run, on_answer)
+                    if len(run) < len(received):
+                        # What follows is no part of this stream either.
+                        incomplete.clear()
+                        raise events.StreamError(
+                            f"event out of order behind event {last_id!r}"
+                        )
         finally:
             if events.has_event(incomplete):
                 delivery.unfinished_event = True
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import dataclasses
+import re
 
 import msgspec
 
@@ -13,6 +14,10 @@
 MAX_DELIMITER_OVERLAP_BYTES = len(CRLF_EVENT_DELIMITER) - 1
 MAX_EVENT_BYTES = 262_144
 MAX_OFFSET_DIGITS = 9
+# A numeric id, or the head of another response in place of an event.
+_ID_OR_STATUS = re.compile(
+    rb"^(?:id:[ \t]*(\d+)[ \t]*\r?$|HTTP/\d\.\d \d{3})", re.MULTILINE
+)
 
 
 class StreamError(Exception):
@@ -83,7 +88,7 @@
     return any(line and not line.startswith(b":") for line in data.splitlines())
 
 
-def _end_of_events(data: bytearray, start: int) -> int:
+def _end_of_events(data: bytes | bytearray, start: int) -> int:
     """Returns the offset behind the last complete event; 0 for none.
 
     Args:
@@ -155,6 +160,24 @@
     return first_id == last_id
 
 
+def ordered_prefix(run: bytes, last_id: str) -> bytes:
+    """Returns the events of a run up to the first one that is out of order.
+
+    The ids of a response increase. An event whose id does not, and the head of
+    another response, are no part of it.
+
+    Args:
+        run: Run of complete events.
+        last_id: Id of the last event of the response before, or empty.
+    """
+    previous = int(last_id) if last_id.isdecimal() else -1
+    for match in _ID_OR_STATUS.finditer(run):
+        if match[1] is None or int(match[1]) <= previous:
+            return run[: _end_of_events(run[: match.start()], 0)]
+        previous = int(match[1])
+    return run
+
+
 async def check_events(
     runs: AsyncIterator[bytes], attempt_id: str, offset: int
 ) -> AsyncIterator[Batch]:
