An answer is chunked only if its last transfer coding is

What callers saw: a target sends a whole head of an event stream with `Transfer-Encoding: identity` (or `gzip`, or any name but `chunked`) and closes before the first event.

Cause: the framing of an answer was read off the presence of the header `Transfer-Encoding`. Such an answer was recorded as chunked ("framing=chunked" in "call ended"), but the parser reads it until the connection closes, as HTTP/1.1 says of a last coding other than `chunked`. So the close was not seen as the stream's end, and the rule that a close ends a stream only behind an event (`ResponseRelay._check_end`) did not apply. The presumption of a crash when the close comes in an event was lost too.

Three tests narrow the rule: a stream of no chunks, ended by its last chunk, may be empty, whatever the case of the name.

Ruled out: an answer with both headers, which the parser refuses.

--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -276,3 +276,37 @@
 
     assert asyncio.run(run()) == E1
     assert not target.scripts
+
+
+# Guards against a stream that is taken for whole because a header names an
+# encoding for its transfer: the close that ends it, before any event, was not
+# seen as one.
+@pytest.mark.parametrize(
+    "coding",
+    [b"identity", b"gzip", b"chunked, gzip", b"x-chunked"],
+)
+@pytest.mark.parametrize(
+    "path", [wire_calls.RESUMABLE_PATH, wire_calls.STREAM_PATH]
+)
+def test_a_transfer_coding_without_chunks_is_ended_by_a_close(path, coding):
+    answer = cut_answers.make_answer(
+        "close", headers=[ECHO, STREAM, b"Transfer-Encoding: " + coding]
+    )
+    script = [answer.head, SHORT_DELAY_S, scripted.CLOSE]
+    request = wire_calls.make_request(path, extra="Connection: close\r\n")
+    received = wire_calls.run_call(request, script, script)
+    assert not is_success(received)
+
+
+# Narrows the rule: a stream whose last chunk came may be empty, however the
+# name of its coding is written.
+@pytest.mark.parametrize("coding", [b"chunked", b"Chunked", b" chunked "])
+def test_a_stream_of_no_chunks_may_be_empty(coding):
+    answer = cut_answers.make_answer(
+        "close", headers=[ECHO, STREAM, b"Transfer-Encoding: " + coding]
+    )
+    request = wire_calls.make_request(
+        wire_calls.STREAM_PATH, extra="Connection: close\r\n"
+    )
+    received = wire_calls.run_call(request, [answer.head + scripted.END])
+    assert is_success(received)
