Time only request heads that are still awaited

What callers saw: (1) A request that was answered before its body was read (413, 401) got a second answer, a 408, when the rest of the body came behind the first; this needs a `header_timeout_s` below the 2 s for which such a rest is read. (2) A caller whose request head was whole got a 408, without a result code, from a process that had stood still for longer than `header_timeout_s` while the rest of the head arrived. The request was not run.

Cause: the time limit knew only whether a handler runs. Bytes between the end of a handler and the next head started it, and a head that was read in the same step of the event loop, before its handler started, did not stop it: after a pause the loop reads first and then runs the timers that are due.

Why it works: the limit starts, and answers, only while the connection waits for a head: aiohttp's future for the next request exists and is not done. From the whole head to the end of its body it is absent or done.

Ruled out, by trials over sockets: a 408 within a response in progress (a response that has to wait has been handed to the transport as a whole); the rest of a body read as a request (a body in chunks or with a length that holds the text of a request was read as a body); pipelined requests answered out of order. Two tests narrow the rule: a head that stays incomplete gets its 408, also behind an answer.

--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -86,9 +86,19 @@
         if self._serving and self._task_handler is not None:
             self._task_handler.cancel()
 
+    def _awaits_head(self) -> bool:
+        """Returns whether no head is complete and no request in progress.
+
+        The rest of a request body, which may come behind the response, belongs
+        to the request.
+        """
+        # Set while the next request is awaited; done once its head is complete.
+        waiter = self._waiter
+        return waiter is not None and not waiter.done()
+
     def data_received(self, data: bytes) -> None:
         """Parses data; the first bytes of a request head start its timer."""
-        if not self._serving and self._head_timer is None:
+        if self._head_timer is None and self._awaits_head():
             self._head_timer = asyncio.get_running_loop().call_later(
                 self.context.document.limits.header_timeout_s,
                 self._on_head_timeout,
@@ -130,7 +140,8 @@
 
     def _on_head_timeout(self) -> None:
         self._head_timer = None
-        if self._serving or self.transport is None:
+        # After a pause of the process, the rest of the head is read first.
+        if self.transport is None or not self._awaits_head():
             return
         limit_s = self.context.document.limits.header_timeout_s
         _log.warning("request head timed out", after_s=limit_s)
