Use a connection to a target for one request, in chivelbd's client

What callers could see: a runner or a store that answers a request twice, the second time late, gave the copy as the answer to the next request on that connection. A status "barred" of another request is proof that an attempt never ran and never will, so the call is dispatched again while the first attempt runs (MIXED, ORDER). A store that refused to free blocks, or refused its ownership, was taken to have agreed.

Cause: the answers to these requests (status of an attempt, ownership, free, export) do not name their request, and their connections were shared and kept. The requests of plain services, resumes and statuses carry `Connection: close` and rely on a connection of their own, but with aiohttp the header neither keeps a request from an idle connection nor, if the answer doesn't repeat it, ends the connection: in the trial both requests, with the header, came on one connection.

Evidence: before, 4 of 4 cases of `test_a_copy_of_an_answer_is_not_the_next_ answer` failed: `assert True == False` (free), `assert 7 == 0` (the fencing token), the export of other blocks, and `AttemptStatus(state='barred') == AttemptStatus(state='running')`. With the change all 4 pass.

Why it works: the connector closes each connection behind its answer, so that no byte of one exchange is there in the next. It holds for all users of the session. The cost is one connection to a target of the region for each request; it was not measured.

Ruled out: the header alone for stores (tried: 3 of 3 cases still failed).

--- a/packages/chivelb-node/chivelb_node/links/runners.py
+++ b/packages/chivelb-node/chivelb_node/links/runners.py
@@ -24,7 +24,6 @@
 # byte restarts the socket's ``READ_TIMEOUT_S``.
 HEAD_TIMEOUT_S = 10.0
 CANCEL_GRACE_S = 1.0
-KEEPALIVE_TIMEOUT_S = 15.0
 MAX_RESUMES = 3
 MAX_STATUS_BYTES = 65_536
 
@@ -76,10 +75,13 @@
 
 
 def make_session() -> aiohttp.ClientSession:
-    """Returns a client session that reuses idle connections for a while."""
-    connector = aiohttp.TCPConnector(
-        limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_S, force_close=False
-    )
+    """Returns a client session that opens a connection for each request.
+
+    Not all answers name their request: on a reused connection, the copy of an
+    earlier answer can't be told from the answer. The request header
+    ``Connection: close`` alone doesn't prevent a reuse.
+    """
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
     timeout = aiohttp.ClientTimeout(
         total=None,
         sock_connect=CONNECT_TIMEOUT_S,
