An unrequested change of protocol ends its connection

A request waited until its deadline for an answer that had come: behind a response of 101, the parser gives back what it does not parse any more, and that was dropped. No request asks for another protocol, so the connection ends with such a response, and the outcome is unknown at once.

Failed before: test_an_unrequested_change_of_protocol_is_an_error (TimeoutError).

--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -169,7 +169,7 @@
             return
         body_bytes = self._incoming_body_bytes()
         try:
-            messages, _, _ = self._parser.feed_data(data)
+            messages, has_upgraded, _ = self._parser.feed_data(data)
         except http_exceptions.HttpProcessingError as error:
             self._responses.extend(self._complete_responses(data))
             self._end(
@@ -178,6 +178,9 @@
                 )
             )
             return
+        if has_upgraded:
+            self._end(IncompleteResponseError("unrequested upgrade"))
+            return
         if not self._has_response:
             self._unanswered.append(data)
         heads_received = self._heads_received
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -169,6 +169,23 @@
     run_scenario(target, scenario)
 
 
+# Guards against an answer that is lost behind a change of protocol that no
+# request asked for: its request waited until its deadline.
+def test_an_unrequested_change_of_protocol_is_an_error():
+    target = scripted.ScriptedTarget(
+        [
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+            b"Connection: upgrade\r\n\r\n" + scripted.answer(b"mine")
+        ]
+    )
+
+    async def scenario(pool):
+        with pytest.raises(http_connection.IncompleteResponseError):
+            await fetch(pool, target)
+
+    run_scenario(target, scenario)
+
+
 def test_a_response_to_another_request_is_skipped():
     target = scripted.ScriptedTarget(
         [
