--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -17,126 +17,20 @@
 from chivelb_node.wire import messages
 import hypothesis
 from hypothesis import strategies as st
+import origin_groups
 import pytest
 import replicas
 
-V1 = origins_lib.StreamOrigin("lm", "v1")
-V2 = origins_lib.StreamOrigin("lm", "v2")
 FRAME_HEAD_BYTES = 4
-MIXED = ("v1", "v2")
-
-
-class Group:
-    """The origins of several instances, linked in memory.
-
-    All have been running for some time.
-
-    Attributes:
-        members: All instances.
-        network: Links between the instances.
-        instances: Origins by name of the entry instance.
-        control: Origins by name of the control instance.
-    """
-
-    def __init__(self, entry_count=9, versions=MIXED):
-        self.members = replicas.make_members(3, entry_count)
-        self.network = replicas.MemoryNetwork()
-        self.instances = {}
-        self.control = {}
-        for member in self.members:
-            instances = self.control if member.anchor else self.instances
-            instance = self.make_instance(member, self.members, versions)
-            instance.watches_from = float("-inf")
-            instances[member.name] = instance
-
-    def kill_entries(self, versions=MIXED):
-        """Kills all entry instances and starts them again."""
-        for member in self.members:
-            if not member.anchor:
-                self.instances[member.name] = self.make_instance(
-                    member, self.members, versions
-                )
-
-    def serve(self, *versions):
-        """Lets targets of these versions serve, as control instances see it."""
-        for instance in self.control.values():
-            entries = instance.context.targets.entries
-            for entry in entries.values():
-                entry.is_leaving = True
-            now = context_lib.monotonic()
-            for version in versions:
-                record = builders.make_record(
-                    f"later-{version}",
-                    service="lm",
-                    software_version=version,
-                    address="127.0.0.1:9019",
-                    lease_s=0.0,
-                )
-                instance.context.targets.announce(record, now)
-            instance._observed_at = float("-inf")
-
-    def make_instance(self, member, members, versions):
-        context = builders.make_context(
-            **{
-                f"{member.name}-{version}": {
-                    "service": "lm",
-                    "software_version": version,
-                    "address": f"127.0.0.1:{9000 + number}",
-                }
-                for number, version in enumerate(versions)
-            }
-        )
-        settings = context.settings.instance
-        settings.name = member.name
-        settings.region = replicas.REGION
-        settings.zone = member.zone
-        return stream_origins.StreamOrigins(
-            context,
-            replicas.MemoryHub(member.name, self.network),
-            replicas.StaticGossip(members, member.name, context.rng),
-        )
-
-    def names(self):
-        return list(self.instances)
-
-    def sent_bytes(self):
-        return sum(
-            sizes[messages.StreamStarts]
-            for sizes in self.network.received.values()
-        )
-
-    async def begin(self, name, *request_ids, origin=V1):
-        """Begins streams at an instance and lets it share them."""
-        for request_id in request_ids:
-            self.instances[name].record(make_call(request_id), origin)
-        self.instances[name].send_collected()
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
-
-    async def find(self, name, resumes, **options):
-        call = make_call(
-            "r-next", last_event_id="1", resumes=resumes, **options
-        )
-        return await self.instances[name].find(call)
-
-
-def make_call(request_id, **options):
-    now = context_lib.monotonic()
-    route = builders.make_routed_document().routes["quote"]
-    return builders.make_call(
-        route,
-        request_id=request_id,
-        arrived_at=now,
-        deadline=now + 5.0,
-        **options,
-    )
+V1 = origin_groups.V1
+V2 = origin_groups.V2
 
 
 # Guards against a stream taken up at an instance that did not place it, and
 # that does not know its version.
 def test_every_instance_finds_the_origin_of_a_stream_of_another_one():
     async def run():
-        group = Group()
+        group = origin_groups.Group()
         await group.begin("front-0", "r-1")
         await group.begin("front-0", "r-2", origin=V2)
         for name in group.names():
@@ -150,7 +44,7 @@
 @pytest.mark.parametrize("lost", ["front-0", "front-4", "front-8"])
 def test_an_origin_outlives_its_instance_and_any_other_one(lost):
     async def run():
-        group = Group()
+        group = origin_groups.Group()
         await group.begin("front-0", "r-1")
         group.network.silent.update({"front-0", lost})
         for name in group.names():
@@ -163,7 +57,7 @@
 # Guards against a cut between zones: the callers of a zone stay with it.
 def test_the_zone_of_the_stream_knows_its_origin_alone():
     async def run():
-        group = Group()
+        group = origin_groups.Group()
         await group.begin("front-0", "r-1")
         members = replicas.make_members(3, 9)
         zone = next(m.zone for m in members if m.name == "front-0")
@@ -179,7 +73,7 @@
 
 def test_a_stream_that_no_instance_knows_has_no_origin():
     async def run():
-        finding = await Group().find("front-1", "r-unknown")
+        finding = await origin_groups.Group().find("front-1", "r-unknown")
         assert (finding.origin, finding.source) == (None, "unknown")
 
     asyncio.run(run())
@@ -187,7 +81,7 @@
 
 def test_a_stream_of_another_workspace_is_not_found():
     async def run():
-        group = Group()
+        group = origin_groups.Group()
         await group.begin("front-0", "r-1")
         finding = await group.find("front-0", "r-1", workspace="other")
         assert finding.origin is None
@@ -198,7 +92,7 @@
 # Guards against messages about streams that can have only one origin.
 def test_with_one_version_nothing_is_sent_or_asked():
     async def run():
-        group = Group(versions=("v1",))
+        group = origin_groups.Group(versions=("v1",))
         await group.begin("front-0", "r-1")
         finding = await group.find("front-5", "r-1")
         assert (finding.origin, finding.source) == (V1, "only version")
@@ -212,7 +106,7 @@
 # taken up afterwards.
 def test_earlier_streams_are_shared_when_a_second_version_serves():
     async def run():
-        group = Group(versions=("v1",))
+        group = origin_groups.Group(versions=("v1",))
         await group.begin("front-0", "r-1")
         now = context_lib.monotonic()
         for instance in group.instances.values():
@@ -236,7 +130,7 @@
 # its streams may still be taken up.
 def test_a_version_whose_targets_are_leaving_is_still_possible():
     async def run():
-        group = Group()
+        group = origin_groups.Group()
         for instance in group.instances.values():
             for identity, entry in instance.context.targets.entries.items():
                 if identity.endswith("v1"):
@@ -254,7 +148,7 @@
     seconds = 5
 
     async def run():
-        group = Group(entry_count=127)
+        group = origin_groups.Group(entry_count=127)
         hub = group.instances["front-0"].hub
         sent = []
         hub.broadcast = lambda peers, body: sent.extend([body] * len(peers))
@@ -314,7 +208,7 @@
 # instances, although their version still serves.
 def test_origins_outlive_all_entry_instances():
     async def run():
-        group = Group()
+        group = origin_groups.Group()
         await group.begin("front-0", "r-1")
         await group.begin("front-4", "r-2", origin=V2)
         group.kill_entries()
@@ -329,7 +223,7 @@
 # serves now: an instance that has just started knows the present ones only.
 def test_a_new_instance_does_not_guess_from_the_versions_that_serve_now():
     async def run():
-        group = Group(versions=("v1",))
+        group = origin_groups.Group(versions=("v1",))
         await group.begin("front-0", "r-1")
         group.kill_entries(versions=("v2",))
         group.serve("v2")
@@ -342,7 +236,7 @@
 # be old.
 def test_without_anyone_who_has_watched_a_stream_is_refused():
     async def run():
-        group = Group(versions=("v1",))
+        group = origin_groups.Group(versions=("v1",))
         group.kill_entries(versions=("v1",))
         group.network.silent.update(group.control)
         finding = await group.find("front-3", "r-1")
@@ -354,7 +248,7 @@
 # Guards against streams that are refused although there was one version only.
 def test_a_new_instance_learns_that_there_was_one_version():
     async def run():
-        group = Group(versions=("v1",))
+        group = origin_groups.Group(versions=("v1",))
         group.kill_entries(versions=("v1",))
         group.network.silent.update(["core-0", "front-1"])
         finding = await group.find("front-3", "r-1")
