A stream without a record goes on only where its version is proved

Cause: without a record, a stream was taken to have begun at the only version that this instance had seen, and nobody was asked. That it "has watched" for long enough was concluded from the time since its start alone. It holds for no instance that missed announcements: one that stood still, lost its links, or had no streams while a version left (entries look at the versions of targets only while they have streams).

Why this works: an instance without a record asks the control instances, to which targets announce themselves, after the stream was taken up. A majority that has watched for as long as the stream may be old has to answer; one of them out of step is outvoted. With more than one version, or no majority, all others are asked for a record, again within a second and the call's deadline; then the stream is refused, not run. The majority is of the known control instances, not of those that seem to live, since a cut instance cannot tell a cut from an end.

The test "with one version nothing is sent or asked" was wrong in its second half: an instance cannot know by itself that there is one version only. Its successor is as strict: nothing is sent, nothing is asked where the stream began, and elsewhere each control instance is asked once and no other one.

Ruled out: a bound on the age of the last contact, and a detector of pauses alone. Streams that begin, break and are taken up within the bound would still be joined, and a cut shows only after it.

New log line: "origin of a stream not proved" tells the versions and who has watched, so that a refusal for want of a majority differs from one for want of a record.

--- a/packages/chivelb-node/chivelb_node/links/stream_origins.py
+++ b/packages/chivelb-node/chivelb_node/links/stream_origins.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Iterator
-import dataclasses
+import math
 
 from chivelb_core import forwarding
 from chivelb_core.forwarding import stream_origins
@@ -16,6 +16,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.links import version_knowledge
 from chivelb_node.storage import version_history
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import messages
@@ -23,6 +24,10 @@
 # Origins are collected for this long and then sent in one message.
 SHARE_DELAY_S = 0.1
 REQUEST_TIMEOUT_S = 0.25
+# Links that were cut, or broke while an instance stood still, open again within
+# this time; no question is repeated later.
+ASK_FOR_S = 1.0
+ASK_PAUSE_S = 0.1
 # Versions of targets are looked at again after this time.
 OBSERVATION_PERIOD_S = 0.25
 # Streams of a version that ended longer ago are not taken up any more.
@@ -34,28 +39,6 @@
 _log = logs.get_logger("stream-origins")
 
 
-@dataclasses.dataclass(slots=True)
-class VersionKnowledge:
-    """What several instances know of the versions that served within a time.
-
-    Attributes:
-        is_complete: Whether one of them has watched for all of that time.
-        origins: Services and versions that served.
-    """
-
-    is_complete: bool
-    origins: set[stream_origins.StreamOrigin]
-
-    def add(self, reply: messages.StreamOriginReply) -> None:
-        """Adds what another instance knows."""
-        self.is_complete = self.is_complete or reply.has_watched
-        self.origins.update(
-            stream_origins.StreamOrigin(each.service, version)
-            for each in reply.seen
-            for version in each.versions
-        )
-
-
 class StreamOrigins(mode.Service):
     """Records, shares and finds the origins of streams.
 
@@ -228,8 +211,8 @@
     async def find(self, call: forwarding.Call) -> stream_origins.Finding:
         """Returns what began the stream that the caller of a call takes up.
 
-        Without a record of it, a stream can still have only one origin if all
-        targets of the call's service have one software version.
+        Without a record of it, a stream can still have only one origin if it
+        is proved that all targets of its service had one software version.
         """
         now = context_lib.monotonic()
         self._observe_targets(now)
@@ -239,24 +222,38 @@
             origin = self.table.find(key, now)
             if origin is not None:
                 return stream_origins.Finding(origin, "own")
-        window_s = call.route.timeout_s + EXPIRY_MARGIN_S
-        knowledge = VersionKnowledge(
-            self._has_watched(window_s, now),
-            set(self._possible_origins(call, now)),
+        request = messages.StreamOriginRequest(
+            key,
+            [share.service for share in call.route.split],
+            call.route.timeout_s + EXPIRY_MARGIN_S,
         )
-        is_certain = knowledge.is_complete and len(knowledge.origins) <= 1
-        if not is_certain and (key or not knowledge.is_complete):
-            services = [share.service for share in call.route.split]
-            origin = await self._ask_peers(
-                messages.StreamOriginRequest(key, services, window_s),
-                knowledge,
-            )
-            if origin is not None:
-                return stream_origins.Finding(origin, "peer")
+        knowledge = self._own_knowledge(call, request.window_s, now)
+        try:
+            async with asyncio.timeout(max(0.0, call.deadline - now)):
+                origin = await self._ask(request, knowledge)
+        except TimeoutError:
+            _log_refusal(call, knowledge)
+            return stream_origins.Finding(None, "unknown")
+        if origin is not None:
+            return stream_origins.Finding(origin, "peer")
         return self._only_version(call, knowledge)
 
+    def _own_knowledge(
+        self, call: forwarding.Call, window_s: float, now: float
+    ) -> version_knowledge.VersionKnowledge:
+        needed = version_knowledge.needed_witnesses(
+            self.gossip.swim, self.context.settings.control.voters, now
+        )
+        if needed == 0 and not self._has_watched(window_s, now):
+            # It is alone and has not watched for as long.
+            needed = math.inf
+        origins = set(self._possible_origins(call, now))
+        return version_knowledge.VersionKnowledge(origins, needed)
+
     def _only_version(
-        self, call: forwarding.Call, knowledge: VersionKnowledge
+        self,
+        call: forwarding.Call,
+        knowledge: version_knowledge.VersionKnowledge,
     ) -> stream_origins.Finding:
         """Returns the only origin that a stream without a record can have."""
         possible = [
@@ -265,6 +262,7 @@
             if origin.service == call.service
         ]
         if not knowledge.is_complete or len(possible) > 1:
+            _log_refusal(call, knowledge)
             return stream_origins.Finding(None, "unknown")
         only = stream_origins.StreamOrigin(call.service, "")
         return stream_origins.Finding(
@@ -275,37 +273,68 @@
         """Returns whether all versions that served in a time are known."""
         return self.watches_from <= now - window_s
 
-    async def _ask_peers(
+    async def _ask(
         self,
         request: messages.StreamOriginRequest,
-        knowledge: VersionKnowledge,
+        knowledge: version_knowledge.VersionKnowledge,
     ) -> stream_origins.StreamOrigin | None:
-        """Returns the first origin that a peer knows, or None.
+        """Asks others until they know an origin, or it is clear without one.
 
         Args:
             request: The question.
-            knowledge: Gets what the peers know of versions.
+            knowledge: Gets what the others know of versions.
+
+        Returns:
+            The origin; None if nobody told it.
         """
-        peers = self.gossip.peers_in_region()
-        replies = asyncio.as_completed(
-            [
-                asyncio.ensure_future(
-                    self.hub.request(peer, request, REQUEST_TIMEOUT_S)
-                )
-                for peer in peers
-            ]
+        give_up_at = context_lib.monotonic() + ASK_FOR_S
+        asks_all = len(knowledge.origins) > 1
+        if asks_all and not request.key:
+            return None
+        while not knowledge.is_certain:
+            origin = await self._ask_once(request, knowledge, asks_all=asks_all)
+            if origin is not None or (asks_all and knowledge.is_complete):
+                return origin
+            if asks_all:
+                await asyncio.sleep(ASK_PAUSE_S)
+            if context_lib.monotonic() >= give_up_at:
+                return None
+            asks_all = True
+        return None
+
+    async def _ask_once(
+        self,
+        request: messages.StreamOriginRequest,
+        knowledge: version_knowledge.VersionKnowledge,
+        *,
+        asks_all: bool,
+    ) -> stream_origins.StreamOrigin | None:
+        """Returns the first origin that another instance knows, or None."""
+        witnesses = version_knowledge.witnesses(
+            self.gossip.swim, context_lib.monotonic()
         )
-        for next_reply in replies:
-            reply = await next_reply
+        peers = dict.fromkeys(witnesses)
+        if asks_all and request.key:
+            peers |= dict.fromkeys(self.gossip.peers_in_region())
+        replies = [self._ask_peer(peer, request) for peer in peers]
+        for next_reply in asyncio.as_completed(replies):
+            peer, reply = await next_reply
             if reply is None:
                 continue
-            knowledge.add(reply)
             if reply.is_known:
                 return stream_origins.StreamOrigin(
                     reply.service, reply.software_version
                 )
+            knowledge.add(peer, reply, is_witness=peer in witnesses)
+            if knowledge.is_certain:
+                return None
         return None
 
+    async def _ask_peer(
+        self, peer: str, request: messages.StreamOriginRequest
+    ) -> tuple[str, messages.StreamOriginReply | None]:
+        return peer, await self.hub.request(peer, request, REQUEST_TIMEOUT_S)
+
     # Messages from peers.
 
     def _on_stream_starts(
@@ -361,6 +390,19 @@
         }
 
 
+def _log_refusal(
+    call: forwarding.Call, knowledge: version_knowledge.VersionKnowledge
+) -> None:
+    _log.info(
+        "origin of a stream not proved",
+        request_id=call.request_id,
+        resumes=call.resumes,
+        versions=sorted(each.software_version for each in knowledge.origins),
+        watched_by=sorted(knowledge.watched_by),
+        is_complete=knowledge.is_complete,
+    )
+
+
 def _encode_starts(
     recorded: list[stream_origins.RecordedOrigin], now: float
 ) -> messages.StreamStarts:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -89,15 +89,21 @@
     asyncio.run(run())
 
 
-# Guards against messages about streams that can have only one origin.
-def test_with_one_version_nothing_is_sent_or_asked():
+# Guards against messages about streams that can have only one origin: none
+# where it is known, and one question to each control instance elsewhere, since
+# an instance can't tell by itself that it missed no other version.
+def test_with_one_version_nothing_is_sent_and_control_is_asked_once():
     async def run():
         group = origin_groups.Group(versions=("v1",))
         await group.begin("front-0", "r-1")
+        finding = await group.find("front-0", "r-1")
+        assert (finding.origin, finding.source) == (V1, "own")
+        assert group.network.requests == []
         finding = await group.find("front-5", "r-1")
         assert (finding.origin, finding.source) == (V1, "only version")
         assert group.sent_bytes() == 0
-        assert group.network.requests == []
+        asked = [(request[0], request[1]) for request in group.network.requests]
+        assert sorted(asked) == [("front-5", name) for name in group.control]
 
     asyncio.run(run())
 
