Versions are watched while they are written to a slow disk

What callers would see: a stream joined with another version, or refused, where a control instance missed a version while its disk was slow.

Cause: one loop looked at the versions of the targets and waited for the disk between two looks. A version that served only during a slow write left no trace, and its control instance still claimed to know all versions.

Evidence: test_a_control_instance_watches_while_its_disk_is_slow, before: AssertionError: assert ['v1'] == ['v1', 'v2'] Why this works: a second loop looks at the targets and waits for nothing. The first one still looks before it writes, so that no empty history is written.

--- a/packages/chivelb-node/chivelb_node/links/stream_origins.py
+++ b/packages/chivelb-node/chivelb_node/links/stream_origins.py
@@ -36,6 +36,7 @@
 # attempt, which its caller counts from another moment.
 EXPIRY_MARGIN_S = 2.0
 HISTORY_PERIOD_S = 0.5
+WATCH_PERIOD_S = 0.5
 _log = logs.get_logger("stream-origins")
 
 
@@ -371,6 +372,12 @@
         has_watched = self._has_watched(message.window_s, now)
         return messages.StreamOriginReply(False, "", "", has_watched, seen)
 
+    @mode.Service.task
+    async def _watch(self) -> None:
+        while self.history is not None and not self.should_stop:
+            self._observe_targets(context_lib.monotonic())
+            await asyncio.sleep(WATCH_PERIOD_S)
+
     @mode.Service.task
     async def _keep_history(self) -> None:
         while self.history is not None and not self.should_stop:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import threading
 
 import builders
 from chivelb_core.forwarding import stream_origins as origins_lib
@@ -303,6 +304,31 @@
     assert ask(later) == (True, ["v1", "v2"])
 
 
+# Guards against a slow disk taken for a pause: versions are watched while they
+# are written.
+def test_a_control_instance_watches_while_its_disk_is_slow(
+    tmp_path, monkeypatch
+):
+    async def run():
+        instance = control_instance(tmp_path, versions=["v1"])
+        is_done = threading.Event()
+        monkeypatch.setattr(
+            version_history.VersionHistory,
+            "write",
+            lambda self, versions: is_done.wait(5.0),
+        )
+        await instance.start()
+        await asyncio.sleep(stream_origins.OBSERVATION_PERIOD_S)
+        origin_groups.announce(instance, "v2")
+        await asyncio.sleep(4 * stream_origins.OBSERVATION_PERIOD_S)
+        seen = instance.serving.since("lm", 0.0)
+        is_done.set()
+        await instance.stop()
+        return seen
+
+    assert asyncio.run(run()) == ["v1", "v2"]
+
+
 def test_a_control_instance_without_its_disk_claims_nothing(tmp_path):
     instance = control_instance(tmp_path, versions=["v1"])
     assert ask(instance) == (False, ["v1"])
