A control instance that stood still does not claim to have watched

What callers would see: a stream of a version that left while a control instance stood still goes on at another version, where its word decides.

Cause: an instance claims to know all versions that served since it started. After a pause it took the versions of the present for those of the pause: the last one seen before it had left its window, and what others sent meanwhile may be lost with the links.

Evidence: test_a_control_instance_that_stood_still_claims_nothing, before: AssertionError: assert (True, ['v2']) == (False, ['v1', 'v2'])

Why this works: an instance that watches looks at the targets every 0.5 s of the monotonic clock, which goes on while a process is stopped. After a gap of more than 3 s it counts as watching from then on only, and the versions last seen before the gap as having served until its end.

New log line: "versions not watched" (warning) with the length of the gap.

--- a/packages/chivelb-core/chivelb_core/forwarding/stream_origins.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/stream_origins.py
@@ -154,6 +154,19 @@
         version = origin.software_version
         versions[version] = max(versions.get(version, at), at)
 
+    def extend(self, earliest: float, now: float) -> None:
+        """Records that what served since a time may have served until now.
+
+        Args:
+            earliest: Monotonic time from which nothing was observed, in
+                seconds.
+            now: Monotonic time in seconds.
+        """
+        for versions in self.last_seen.values():
+            for version, at in versions.items():
+                if at >= earliest:
+                    versions[version] = now
+
     def since(self, service: str, earliest: float) -> list[str]:
         """Returns the versions that served a service since a time, sorted."""
         versions = self.last_seen.get(service, {})
--- a/packages/chivelb-node/chivelb_node/links/stream_origins.py
+++ b/packages/chivelb-node/chivelb_node/links/stream_origins.py
@@ -37,6 +37,9 @@
 EXPIRY_MARGIN_S = 2.0
 HISTORY_PERIOD_S = 0.5
 WATCH_PERIOD_S = 0.5
+# An instance that has looked at no versions for longer stood still. What others
+# told it meanwhile may be lost with its links.
+MAX_WATCH_GAP_S = 3.0
 _log = logs.get_logger("stream-origins")
 
 
@@ -144,10 +147,20 @@
     def _observe_targets(self, now: float) -> None:
         if now - self._observed_at < OBSERVATION_PERIOD_S:
             return
+        self._check_watch_gap(now)
         self._observed_at = now
         self.serving.observe(self.context.targets.entries.values(), now)
         self._share_of_newly_mixed_services(now)
 
+    def _check_watch_gap(self, now: float) -> None:
+        """Notes that an instance that watches stood still, if it did."""
+        gap_s = now - self._observed_at
+        if self.history is None or not MAX_WATCH_GAP_S < gap_s < math.inf:
+            return
+        self.serving.extend(self._observed_at, now)
+        self.watches_from = now
+        _log.warning("versions not watched", gap_s=round(gap_s, 3))
+
     def _share_of_newly_mixed_services(self, now: float) -> None:
         """Shares earlier streams of services that have a second version now."""
         earliest = now - RECENT_VERSIONS_S
--- a/tests/origin_groups.py
+++ b/tests/origin_groups.py
@@ -139,3 +139,14 @@
     for entry in instance.context.targets.entries.values():
         entry.is_leaving = True
     instance._observed_at = float("-inf")
+
+
+def replace_targets(instance, version):
+    """Lets the targets of another version take the place of all others.
+
+    Unlike with ``announce``, the instance does not look at them at once.
+    """
+    observed_at = instance._observed_at
+    end_targets(instance)
+    announce(instance, version)
+    instance._observed_at = observed_at
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -304,6 +304,24 @@
     assert ask(later) == (True, ["v1", "v2"])
 
 
+# Guards against a control instance that stood still and claims to know the
+# versions that served meanwhile.
+def test_a_control_instance_that_stood_still_claims_nothing(
+    tmp_path, monkeypatch
+):
+    clock = [100.0]
+    monkeypatch.setattr(context_lib, "monotonic", lambda: clock[0])
+    instance = control_instance(tmp_path, start="found", versions=["v1"])
+    assert ask(instance) == (True, ["v1"])
+    clock[0] += 20.0
+    origin_groups.replace_targets(instance, "v2")
+    assert ask(instance) == (False, ["v1", "v2"])
+    for _ in range(15):
+        clock[0] += 1.0
+        instance._observe_targets(clock[0])
+    assert ask(instance) == (True, ["v2"])
+
+
 # Guards against a slow disk taken for a pause: versions are watched while they
 # are written.
 def test_a_control_instance_watches_while_its_disk_is_slow(
