Streams begin at a new version once a majority of the control group knows it

What callers would see: control and entry instances are cut into two sides while targets of a new version reach the smaller side alone. Streams that begin there and are taken up on the larger side go on at the old version (ORDER): a majority that never heard of the new one says that there is one version only.

Cause: an entry instance uses a target as soon as one control instance tells of it. What a majority says later then proves nothing about that target's version.

Evidence: test_no_stream_begins_at_a_version_that_only_a_minority_knows, before: AssertionError: assert (['v1', 'v2'], ['v1', 'v2']) == (['v1'], ['v1', 'v2'])

Streams that have begun, and routes whose streams are not resumed, are not restricted.

Not covered, in favour of service: if no sound target of a confirmed version is left, or none is confirmed yet (a start without a majority), a target of any version is used, as before.

--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -67,6 +67,8 @@
         routes: Index of the routes of the document in force.
         targets: Known targets. An announcement grants a target a lease: until
             it expires the target may receive new requests.
+        confirmed_versions: Services and software versions of targets that a
+            majority of the control instances knows to serve.
         load: Load of each target.
         directory: This instance's shard of the KV cache directory.
         crash_suspects: Crash-suspect prompts and requests, which were running
@@ -103,6 +105,7 @@
         self.keys = KeyTable(self.document_state.document)
         self.routes = document_lib.RouteTable(self.document_state.document)
         self.targets = targets.TargetTable()
+        self.confirmed_versions: set[tuple[str, str]] = set()
         self.load = routing.LoadView()
         self.directory = kv_cache.Directory()
         self.crash_suspects = calls.SuspectTable()
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Container
+from collections.abc import Iterable
 import heapq
 
 from chivelb_core import document
@@ -63,7 +64,8 @@
 
         Runners with weights that should have been replaced by now are left out
         unless none has newer ones. Targets that failed within
-        ``FAILURE_COOLDOWN_S`` are left out unless no other target remains.
+        ``FAILURE_COOLDOWN_S`` are left out unless no other target remains, and
+        so are those of a new version for a call that begins a stream.
         """
         table = self.context.targets
         records = [
@@ -78,8 +80,24 @@
             # All paths lead through peers, which may reach any of them.
             failed = set(table.failed_since(now - FAILURE_COOLDOWN_S))
             healthy = [r for r in records if r.identity not in failed]
+        if call.route.resumable and call.software_version is None:
+            healthy = self._of_confirmed_versions(healthy) or healthy
         return healthy or records
 
+    def _of_confirmed_versions(
+        self, records: Iterable[targets.TargetRecord]
+    ) -> list[targets.TargetRecord]:
+        """Returns the targets whose version a majority knows to serve.
+
+        Instances that keep no record of a stream rely on it.
+        """
+        confirmed = self.context.confirmed_versions
+        return [
+            record
+            for record in records
+            if (record.service, record.software_version) in confirmed
+        ]
+
     def _reached_by_peers(
         self, call: forwarding.Call, now: float
     ) -> list[targets.TargetRecord]:
