A stop's limits hold when a request is sent, and end each one with an answer

Callers saw, in a planned stop of an entry instance in calm: requests that became whole late in the grace period were passed on, and at its end every request still at a target was cut without an answer, unsafe ones among them.

Cause: the only check of a stop was made when a request's head was read, and only against a flag that a timer set. A request whose body came late, or that waited for capacity, was sent at any later time; whatever was in progress at 95 % of the grace period was left to the end of the event loop, which closes its connection.

Change: `stopping.Stop` holds both times of a stop, and is asked where a request is sent: its first send has to be within the time for new requests, or it is refused as not run, whatever it waited for (head, body, capacity). At the end of the stop, an attempt in progress ends as an unknown outcome: 502, or a stream that is aborted. The end lies in the last sixth of the grace period as before, so no answer is ended sooner. Nothing is sent once more after it: a timer fires up to one tick early, so this end is an error of the request, not a failed attempt that a safe request might repeat (found by the tests).

--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -16,6 +16,7 @@
 from chivelb_core.routing import policies
 
 from chivelb_node import settings as settings_lib
+from chivelb_node import stopping
 from chivelb_node.telemetry import metrics as metrics_lib
 
 monotonic = time.monotonic
@@ -81,7 +82,7 @@
         policies: Routing policies by name.
         metrics: Prometheus metrics.
         draining: Whether a shutdown was requested.
-        rejecting_requests: Whether new requests are rejected during shutdown.
+        stop: When requests may begin and must end during a shutdown.
         startup_ends_at: Monotonic time from which the first document and the
             targets are no longer expected to be on their way, in seconds.
         readiness: Set once a document is in force by which it can serve.
@@ -114,7 +115,7 @@
         self.policies = policies.make_policies()
         self.metrics = metrics_lib.Metrics()
         self.draining = False
-        self.rejecting_requests = False
+        self.stop = stopping.Stop(lambda: monotonic())
         self.startup_ends_at = monotonic()
         if settings.decisions.startup_wait:
             self.startup_ends_at += STARTUP_S
@@ -123,6 +124,16 @@
         self.in_progress = 0
         self.stop_requested = asyncio.Event()
 
+    def begin_stop(self, *, serving_s: float, grace_s: float) -> None:
+        """Begins a graceful shutdown: the instance is no longer ready.
+
+        Args:
+            serving_s: Time for which new requests are served, in seconds.
+            grace_s: Time after which the process is killed, in seconds.
+        """
+        self.draining = True
+        self.stop.begin(serving_s=serving_s, grace_s=grace_s)
+
     @property
     def ready(self) -> bool:
         """Whether a document is in force by which it can serve."""
--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -102,8 +102,7 @@
     # means that the instance has none yet.
     if context.version < 1 or not context.ready:
         raise responses.RequestError(codes.NOT_READY)
-    if context.rejecting_requests:
-        raise responses.RequestError(codes.STOPPING)
+    context.stop.check_start()
     match_found = context.routes.match(request_head.host, request_head.path)
     if match_found is None:
         raise responses.RequestError(
@@ -160,7 +159,7 @@
         detail=error_detail.detail,
         document=context.document_state.number,
         ready=context.ready,
-        closed=context.rejecting_requests,
+        closed=not context.stop.may_start(),
         retry_after_s=error_detail.retry_after_s,
     )
 
--- a/packages/chivelb-node/chivelb_node/forwarding/draining.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/draining.py
@@ -8,34 +8,48 @@
 # Time for load balancers to take this instance out of rotation.
 CONTINUE_SERVING_S = 2.5
 POLL_S = 0.05
-# Share of the grace period after which requests in progress are aborted.
-GRACE_SHARE = 0.95
+ANSWER_POLL_S = 0.005
+# Limit on the time for the answers to the requests that the end of a stop ends.
+ANSWER_S = 0.2
 _log = logs.get_logger("draining")
 
 
 async def drain(
     context: context_lib.InstanceContext, *, grace_s: float
 ) -> None:
-    """Drains an instance that already reports itself as not ready.
+    """Drains an instance.
 
-    New requests are served while load balancers may still send them. After
-    that they are rejected with an error which says that the request did not
-    run. Responses in progress continue until the grace period is nearly over.
+    It reports itself as not ready. New requests are served while load balancers
+    may still send them. After that they are rejected with an error which says
+    that the request did not run. Responses in progress continue until the grace
+    period is nearly over.
 
     Args:
         context: Shared state of the instance.
         grace_s: Grace period in seconds, after which the process is killed.
     """
-    loop = asyncio.get_running_loop()
-    deadline = loop.time() + grace_s * GRACE_SHARE
-    await asyncio.sleep(min(CONTINUE_SERVING_S, grace_s / 2))
-    context.rejecting_requests = True
+    context.begin_stop(serving_s=CONTINUE_SERVING_S, grace_s=grace_s)
+    _log.info("stopping", in_progress=context.in_progress)
+    serving_s = context.stop.starts_until - context_lib.monotonic()
+    await asyncio.sleep(serving_s)
     _log.info("rejecting new requests", in_progress=context.in_progress)
     # Load balancers may have sent requests until just now. While the process
     # runs they get an error response instead of a TCP reset.
-    await asyncio.sleep(min(CONTINUE_SERVING_S, grace_s / 2) / 2)
-    while context.in_progress and loop.time() < deadline:
+    await asyncio.sleep(serving_s / 2)
+    await wait_for_requests(context)
+
+
+async def wait_for_requests(context: context_lib.InstanceContext) -> None:
+    """Waits until no request is in progress, or for the end of the stop.
+
+    Requests that are in progress then are answered as unknown.
+    """
+    ends_at = context.stop.ends_at
+    while context.in_progress and context_lib.monotonic() < ends_at:
         await asyncio.sleep(POLL_S)
-    if context.in_progress:
-        # ``cut`` is the number of aborted requests.
-        _log.warning("aborting requests in progress", cut=context.in_progress)
+    if not context.in_progress:
+        return
+    # ``cut`` is the number of requests that did not end in time.
+    _log.warning("aborting requests in progress", cut=context.in_progress)
+    while context.in_progress and context_lib.monotonic() < ends_at + ANSWER_S:
+        await asyncio.sleep(ANSWER_POLL_S)
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -131,7 +131,10 @@
                 raise _prefer_attempt_outcome(last_outcome, error) from None
             try:
                 _check_caller(relay.caller)
-                async with _attempt_deadline(call):
+                async with (
+                    self.context.stop.until_end(),
+                    _attempt_deadline(call),
+                ):
                     await self._run_attempt(call, message, relay, reservation)
                 self.crash_policy.record_success(call)
                 return
@@ -156,19 +159,32 @@
         """Waits for capacity at a target, if the call may be sent to one.
 
         Raises:
-            responses.RequestError: The call may crash the target, or no
-                capacity can be reserved.
+            responses.RequestError: The call may crash the target, no capacity
+                can be reserved, or the instance is stopping.
         """
         self.crash_policy.check(call)
-        reservation = await self.admission_queue.reserve(call)
+        async with self._waiting_limit(call):
+            reservation = await self.admission_queue.reserve(call)
         try:
             # Targets may have crashed while the call waited.
             self.crash_policy.check(call)
+            if not call.attempts:
+                self.context.stop.check_start()
         except responses.RequestError:
             self.admission_queue.release(reservation, call.service)
             raise
         return reservation
 
+    def _waiting_limit(
+        self, call: forwarding.Call
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Returns the limit of a stop on the wait of a call for capacity."""
+        stop = self.context.stop
+        if call.attempts:
+            # The caller waits for a call that was sent while it might be.
+            return stop.until_end(codes.STOPPING)
+        return stop.before_start()
+
     async def _bind_to_origin(self, call: forwarding.Call) -> None:
         """Restricts a call to the targets that can continue its stream.
 
@@ -281,7 +297,7 @@
         delivery: relay_lib.Delivery,
     ) -> bool:
         now = context_lib.monotonic()
-        if now >= call.deadline:
+        if now >= call.deadline or self.context.stop.has_ended():
             return False
         if delivery.head_sent and not (
             call.route.resumable and delivery.last_event_id
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -37,6 +37,7 @@
         ports = [fleet.free_port() for _ in range(5)]
         self.front, self.ready, self.control, self.metrics, self.peer = ports
         self.seed = f"{CONTROL_IP}:{self.control}"
+        self.bounds = {"GraceS": 2}
 
     def settings(self, ip, listen, **fields):
         content = {
@@ -48,7 +49,7 @@
             "InternalPorts": [self.peer, self.peer],
             "Seeds": [self.seed],
             "Bootstrap": True,
-            "Bounds": {"GraceS": 2},
+            "Bounds": self.bounds,
             **fields,
         }
         path = self.directory / f"{ip}.json"
