Stops: at least 0.3 s for the last answers, within a short grace period too

The end of a stop was at 95 % of the grace period, which leaves 0.15 s of 3 s for the last answers and the end of the process; a process was measured to need 0.19 s from its last answer to its exit. The margin is now at least 0.3 s, and at most 15 % of the period, so that the end stays within its last sixth. For the platform's 8 s nothing changes.

--- a/packages/chivelb-node/chivelb_node/stopping.py
+++ b/packages/chivelb-node/chivelb_node/stopping.py
@@ -14,9 +14,13 @@
 
 from chivelb_node.edge import responses
 
-# Share of the grace period after which requests in progress are answered as
-# unknown. The rest is for these answers and for the end of the process.
-GRACE_SHARE = 0.95
+# Time before the end of the grace period at which requests in progress are
+# answered as unknown, as a share of the period; it is for these answers and for
+# the end of the process.
+MARGIN_SHARE = 0.05
+# Lower bound of that time in seconds, within ``MAX_MARGIN_SHARE``.
+MIN_MARGIN_S = 0.3
+MAX_MARGIN_SHARE = 0.15
 # Limit on the time for new requests, as a share of the grace period.
 MAX_SERVING_SHARE = 0.5
 DETAILS = {
@@ -54,7 +58,9 @@
         now = self.clock()
         serving_s = min(serving_s, grace_s * MAX_SERVING_SHARE)
         self.starts_until = now + serving_s
-        self.ends_at = now + grace_s * GRACE_SHARE
+        margin_s = max(grace_s * MARGIN_SHARE, MIN_MARGIN_S)
+        margin_s = min(margin_s, grace_s * MAX_MARGIN_SHARE)
+        self.ends_at = now + grace_s - margin_s
         for timeout, ends_at in self._timeouts.items():
             self._schedule(timeout, ends_at())
 
