chivelbd: requests late in a planned stop are refused; the rest is answered

Callers saw: after the port was closed, requests on connections kept open were taken and sent to targets for as long as any other request was in progress; the process had no end of its own, so that its supervisor killed it and cut all of them without an answer.

Cause: the stop closed the listening socket only. No handler knew of it, and no setting told the grace period.

Change: both interfaces use `stopping.Stop`. A request is refused as not run unless it is sent within `drain_grace_s`, also if it waited for its body or for capacity until then. The new setting `stop_grace_s` (30 s) is the time after which the supervisor kills the process: shortly before, calls in progress get `outcome_unknown`, streams as their last event. Operators with longer answers and a longer grace period should set it.

--- a/packages/chivelb-node/chivelb_node/edge/callers.py
+++ b/packages/chivelb-node/chivelb_node/edge/callers.py
@@ -109,19 +109,21 @@
                 f"{len(request.headers)} headers exceed "
                 f"the limit of {http.max_headers} headers",
             )
-        return await request_bodies.read_body(
-            request,
-            max_bytes=self.context.document.limits.max_body_bytes,
-            timeout_s=http.body_timeout_s,
-        )
+        self.context.stop.check_start()
+        async with self.context.stop.before_start():
+            return await request_bodies.read_body(
+                request,
+                max_bytes=self.context.document.limits.max_body_bytes,
+                timeout_s=http.body_timeout_s,
+            )
 
     async def _plain(self, request: web.Request) -> web.StreamResponse:
         name, workspace = parsing.authenticate(
             self.context, request.headers.get("Authorization", "")
         )
         body = await self._read(request)
-        response = await self.plain_calls.run(request, name, workspace, body)
-        return response
+        async with self.context.stop.until_end():
+            return await self.plain_calls.run(request, name, workspace, body)
 
     async def _model(
         self, request: web.Request, *, chat: bool
@@ -163,7 +165,10 @@
     ) -> web.Response:
         code = codes.DONE
         try:
-            async with contextlib.aclosing(answer) as batches:
+            async with (
+                self.context.stop.until_end(),
+                contextlib.aclosing(answer) as batches,
+            ):
                 data = b"".join([batch.data async for batch in batches])
         except responses.RequestError as error:
             code = error.error_detail.code
@@ -186,7 +191,10 @@
         code = codes.OUTCOME_UNKNOWN
         response = None
         try:
-            async with contextlib.aclosing(answer) as batches:
+            async with (
+                self.context.stop.until_end(),
+                contextlib.aclosing(answer) as batches,
+            ):
                 async for batch in batches:
                     if response is None:
                         response = await self._start_stream(request, call)
--- a/packages/chivelb-node/chivelb_node/edge/model_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/model_calls.py
@@ -108,7 +108,7 @@
         self.context.retry_budget.record_request()
         await self.cache.look_up_holdings(call)
         while True:
-            grant = await self.dispatcher.admit(call)
+            grant = await self._admit(call, progress)
             progress.attempts += 1
             try:
                 async for batch in self._attempt(call, grant, progress):
@@ -121,6 +121,18 @@
             if not self._should_retry(call, outcome, progress):
                 raise responses.RequestError(outcome.code, outcome.detail)
 
+    async def _admit(
+        self, call: parsing.ModelCall, progress: Progress
+    ) -> dispatch.Grant:
+        """Waits until an attempt may be made, within the limits of a stop."""
+        stop = self.context.stop
+        if progress.attempts:
+            async with stop.until_end():
+                return await self.dispatcher.admit(call)
+        stop.check_start()
+        async with stop.before_start():
+            return await self.dispatcher.admit(call)
+
     async def _attempt(
         self,
         call: parsing.ModelCall,
--- a/packages/chivelb-node/chivelb_node/edge/plain_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/plain_calls.py
@@ -92,7 +92,8 @@
             The response of the service.
 
         Raises:
-            responses.RequestError: The service gave no response.
+            responses.RequestError: The service gave no response, or the
+                instance is stopping.
         """
         name = request.match_info["service"]
         service = parsing.find_service(self.context, workspace, name, "plain")
@@ -176,6 +177,7 @@
         self.context.retry_budget.record_request()
         tried: set[str] = set()
         attempts = 0
+        self.context.stop.check_start()
         while True:
             record = self._choose_target(call.service, tried)
             attempts += 1
--- a/packages/chivelb-node/chivelb_node/edge/server.py
+++ b/packages/chivelb-node/chivelb_node/edge/server.py
@@ -7,9 +7,9 @@
 
 from chivelb_node import context as context_lib
 from chivelb_node import settings as settings_lib
+from chivelb_node.forwarding import draining
 from chivelb_node.telemetry import logs
 
-DRAIN_POLL_S = 0.05
 # Maximum size of the request line and of each header field, for ``chivelbd``.
 MAX_LINE_BYTES = 8_190
 KEEPALIVE_S = 75.0
@@ -96,18 +96,22 @@
         _log.info("listening", port=self.port)
 
     async def drain(self) -> None:
-        """Shuts down gracefully without aborting requests in progress.
+        """Shuts down gracefully; all requests in progress are answered.
 
-        The readiness check fails first. New requests are still served during
-        the grace period, while the load balancer may send them. Then the
-        socket is closed and the requests in progress are awaited.
+        The readiness check fails first. New requests are still served while
+        the load balancer may send them. Then the socket is closed, requests on
+        open connections are rejected, and those in progress are awaited until
+        the process would be killed.
         """
-        self.context.draining = True
+        http = self.context.settings.http
+        self.context.begin_stop(
+            serving_s=http.drain_grace_s, grace_s=http.stop_grace_s
+        )
         _log.info("draining", in_progress=self.context.in_progress)
-        await asyncio.sleep(self.context.settings.http.drain_grace_s)
+        starts_until = self.context.stop.starts_until
+        await asyncio.sleep(starts_until - context_lib.monotonic())
         await self._site.stop()
-        while self.context.in_progress:
-            await asyncio.sleep(DRAIN_POLL_S)
+        await draining.wait_for_requests(self.context)
         _log.info("drained")
 
     async def on_stop(self) -> None:
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -39,13 +39,18 @@
         listen: ``host:port``.
         drain_grace_s: Seconds for which new requests are still accepted
             after a shutdown was requested, so that the load balancer can
-            notice that the instance is not ready.
+            notice that the instance is not ready; at most half of
+            ``stop_grace_s``.
+        stop_grace_s: Seconds from the request to shut down until the
+            supervisor kills the process. Requests still in progress shortly
+            before are answered with an unknown outcome.
         body_timeout_s: Maximum time to receive a request body, in seconds.
         max_headers: Maximum number of header lines in a request.
     """
 
     listen: str = "127.0.0.1:8080"
     drain_grace_s: float = 1.0
+    stop_grace_s: float = 30.0
     body_timeout_s: float = 10.0
     max_headers: int = 64
 
--- a/tests/sites.py
+++ b/tests/sites.py
@@ -21,7 +21,9 @@
 PROMPT = "measure the oak worktop " * 60
 
 
-def make_fleet(folder, *, per_zone=1, voters=3, zones=None, **options):
+def make_fleet(
+    folder, *, per_zone=1, voters=3, zones=None, http=None, **options
+):
     document = samples.sample_document(
         workspaces=WORKSPACES, versions=("v1", "v2"), **options
     )
@@ -31,7 +33,7 @@
         zones or ZONES,
         per_zone,
         voters=voters,
-        options={"http": {"body_timeout_s": 1.0}},
+        options={"http": {"body_timeout_s": 1.0, **(http or {})}},
     )
     return fleet
 
--- a/tests/test_site_calls.py
+++ b/tests/test_site_calls.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import contextlib
 import json
 import signal
+import subprocess
 
 from chivelb_cli import fleet as fleet_lib
 import msgspec
@@ -402,8 +404,20 @@
     run(fleet, scenario)
 
 
-def run_during_stop(tmp_path, tokens, scenario):
-    """Runs a scenario after SIGTERM to an instance with a call in progress."""
+# Time from SIGTERM until a process would be killed.
+STOP_GRACE_S = 3.0
+
+
+def run_during_stop(tmp_path, tokens, scenario, *, before=None, **options):
+    """Runs a scenario after SIGTERM to an instance with a call in progress.
+
+    Args:
+        tmp_path: Directory of the site.
+        tokens: Length of the answer of the call in progress.
+        scenario: Run after SIGTERM.
+        before: Run before SIGTERM, with the session and the fleet.
+        options: Options of the fleet.
+    """
 
     async def with_call_in_progress(session, fleet):
         sites.start_runner(fleet, "runner-1", "z1")
@@ -413,11 +427,15 @@
             sites.complete(session, url, prompt="stop", tokens=tokens)
         )
         await asyncio.sleep(0.3)
+        if before is not None:
+            await before(session, fleet)
         process = fleet.process("z1-1")
         process.send_signal(signal.SIGTERM)
         await scenario(session, fleet, process, call)
 
-    sites.run_scenario(tmp_path, with_call_in_progress, voters=1, zones=["z1"])
+    sites.run_scenario(
+        tmp_path, with_call_in_progress, voters=1, zones=["z1"], **options
+    )
 
 
 def test_a_planned_stop_aborts_no_request(tmp_path):
@@ -434,6 +452,85 @@
     run_during_stop(tmp_path, 60, scenario)
 
 
+# Guards against a request on a connection kept open that is sent to a target
+# after the time for new requests, when the process may end before its answer.
+@pytest.mark.parametrize("model", [True, False])
+def test_a_request_late_in_a_planned_stop_is_refused_as_not_run(
+    tmp_path, model
+):
+    async def send(session, url):
+        if model:
+            return await sites.complete(session, url, tokens=1)
+        async with session.post(
+            f"{url}/s/{sites.PORTAL}/quotes", headers=sites.headers()
+        ) as response:
+            reply = msgspec.json.decode(await response.read())
+            return response.status, reply, response.headers
+
+    async def open_connection(session, fleet):
+        sites.start_portal(fleet, "portal-1", "z1")
+        await fleet.wait_targets(session, 2)
+        url = fleet.instances["z1-1"].url
+        status, _, _ = await send(session, url)
+        assert status == 200
+
+    async def scenario(session, fleet, process, call):
+        # The port is closed by now: this uses the connection kept open.
+        await asyncio.sleep(0.8)
+        url = fleet.instances["z1-1"].url
+        status, reply, headers = await send(session, url)
+        assert status == 503
+        assert reply["error"]["type"] == "stopping"
+        assert reply["error"]["ran"] == "not run"
+        assert headers["Connection"] == "close"
+        status, reply, _ = await call
+        assert status == 200
+        assert await asyncio.to_thread(process.wait, 20) == 0
+
+    run_during_stop(tmp_path, 150, scenario, before=open_connection)
+
+
+# Guards against requests that are cut without an answer when the supervisor
+# kills the process at the end of the grace period.
+@pytest.mark.parametrize("stream", [True, False])
+def test_a_call_at_a_target_at_the_end_of_a_stop_may_have_run(tmp_path, stream):
+    calls = []
+
+    async def send(session, url):
+        async with session.post(
+            f"{url}/v1/completions",
+            json=sites.body_of(prompt="more", tokens=4000, stream=stream),
+            headers=sites.headers(),
+        ) as response:
+            return response.status, await response.read()
+
+    async def begin_call(session, fleet):
+        url = fleet.instances["z1-1"].url
+        calls.append(asyncio.create_task(send(session, url)))
+        await asyncio.sleep(0.3)
+
+    async def scenario(session, fleet, process, call):
+        # The supervisor kills the process at the end of the grace period.
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            await asyncio.to_thread(process.wait, STOP_GRACE_S)
+        process.kill()
+        status, body = await calls[0]
+        assert status == (200 if stream else 502)
+        assert b'"type":"outcome_unknown"' in body
+        assert b"[DONE]" not in body
+        status, reply, _ = await call
+        assert status == 502
+        assert reply["error"]["ran"] == "unknown"
+
+    run_during_stop(
+        tmp_path,
+        4000,
+        scenario,
+        before=begin_call,
+        http={"stop_grace_s": STOP_GRACE_S},
+    )
+
+
 def test_a_second_signal_logs_the_number_of_aborted_calls(tmp_path):
     async def scenario(session, fleet, process, call):
         await asyncio.sleep(0.6)
