A stop waits for answers that callers have not taken from the process yet

A caller that reads slowly could lose the end of an answer in a planned stop: an instance without requests in progress ends early, and up to 64 KiB of a finished answer still waited in its transport. A request was counted as done once its last byte was in that buffer.

Evidence, in virtual time with real sockets, on the code before: assert not stopping.done() AssertionError: assert not True

Change: a stop also waits, within the grace period, until the transports of all callers' connections are empty. For `chivelbd` the same wait applies; it has no test of its own. Not reproduced with a real process: loopback takes over 2 MB before anything waits there, and callers of larger answers held the process by themselves.

--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -1,6 +1,8 @@
 """State and helpers shared by the services of one instance."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
 import random
 import time
 
@@ -89,6 +91,8 @@
         sources_known: Set once it is known which parts of prompts are cached
             where, or enough time was given to learn it.
         in_progress: Number of requests in progress.
+        list_transports: Returns the transports of callers' connections; None
+            stands for one that is closed.
         stop_requested: Event that requests a graceful shutdown.
     """
 
@@ -122,6 +126,9 @@
         self.readiness = asyncio.Event()
         self.sources_known = asyncio.Event()
         self.in_progress = 0
+        self.list_transports: Callable[
+            [], Iterable[asyncio.Transport | None]
+        ] = list
         self.stop_requested = asyncio.Event()
 
     def begin_stop(self, *, serving_s: float, grace_s: float) -> None:
@@ -134,6 +141,13 @@
         self.draining = True
         self.stop.begin(serving_s=serving_s, grace_s=grace_s)
 
+    def has_unfinished_answers(self) -> bool:
+        """Returns whether answers are due, or wait in the process unsent."""
+        return self.in_progress > 0 or any(
+            transport is not None and transport.get_write_buffer_size() > 0
+            for transport in self.list_transports()
+        )
+
     @property
     def ready(self) -> bool:
         """Whether a document is in force by which it can serve."""
--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -223,4 +223,5 @@
             connection.mark_request_done()
 
     server = web.Server(serve, handler_cancellation=True, loop=loop)
+    context.list_transports = lambda: [c.transport for c in server.connections]
     return lambda: CallerConnection(server, context=context, loop=loop)
--- a/packages/chivelb-node/chivelb_node/edge/server.py
+++ b/packages/chivelb-node/chivelb_node/edge/server.py
@@ -85,6 +85,10 @@
             keepalive_timeout=KEEPALIVE_S,
         )
         await self._runner.setup()
+        self.context.list_transports = lambda: [
+            connection.transport
+            for connection in self._runner.server.connections
+        ]
         host, port = settings_lib.split_address(
             self.context.settings.http.listen
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/draining.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/draining.py
@@ -40,16 +40,24 @@
 
 
 async def wait_for_requests(context: context_lib.InstanceContext) -> None:
-    """Waits until no request is in progress, or for the end of the stop.
+    """Waits until all answers are sent, or for the end of the stop.
 
     Requests that are in progress then are answered as unknown.
     """
-    ends_at = context.stop.ends_at
-    while context.in_progress and context_lib.monotonic() < ends_at:
-        await asyncio.sleep(POLL_S)
-    if not context.in_progress:
+    if await _wait_until_sent(context, context.stop.ends_at, POLL_S):
         return
     # ``cut`` is the number of requests that did not end in time.
     _log.warning("aborting requests in progress", cut=context.in_progress)
-    while context.in_progress and context_lib.monotonic() < ends_at + ANSWER_S:
-        await asyncio.sleep(ANSWER_POLL_S)
+    ends_at = context.stop.ends_at + ANSWER_S
+    await _wait_until_sent(context, ends_at, ANSWER_POLL_S)
+
+
+async def _wait_until_sent(
+    context: context_lib.InstanceContext, until: float, period_s: float
+) -> bool:
+    """Waits until all answers are sent; returns whether they are in time."""
+    while context.has_unfinished_answers():
+        if context_lib.monotonic() >= until:
+            return False
+        await asyncio.sleep(period_s)
+    return True
--- a/tests/test_stop_limits.py
+++ b/tests/test_stop_limits.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import random
+import socket
 
+from aiohttp import web
 import builders
 from chivelb_core import codes
 from chivelb_node import context as context_lib
+from chivelb_node.edge import connections
 from chivelb_node.forwarding import draining
 import fake_ports
 import pytest
@@ -15,6 +18,9 @@
 # The platform counts from here on how long a target was at work.
 LAST_SIXTH_S = GRACE_S * 5 / 6
 LONG_S = 100.0
+# An answer that fits into the buffer of a transport, not into that of a socket.
+ANSWER_BYTES = 60_000
+SOCKET_BYTES = 4_096
 
 
 class RecordingTargets(fake_ports.FakeTargets):
@@ -180,3 +186,40 @@
         assert harness.running() == 0
 
     run_stop(monkeypatch, scenario)
+
+
+# Guards against the loss of the end of an answer that waits in the process for
+# a caller that reads slowly, when the process ends.
+def test_a_stop_waits_for_answers_that_are_not_sent_yet(monkeypatch):
+    async def scenario(_):
+        harness = make_harness()
+        context = harness.context
+        stopping = asyncio.create_task(draining.drain(context, grace_s=GRACE_S))
+        transports = []
+
+        async def answer(request):
+            transports.append(request.transport)
+            return web.Response(body=bytes(ANSWER_BYTES))
+
+        factory = connections.make_protocol_factory(context, answer)
+        near, far = socket.socketpair()
+        for end in (near, far):
+            end.setblocking(False)
+            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                end.setsockopt(socket.SOL_SOCKET, option, SOCKET_BYTES)
+        loop = asyncio.get_running_loop()
+        await loop.connect_accepted_socket(factory, near)
+        await loop.sock_sendall(far, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        while not (transports and transports[0].get_write_buffer_size()):
+            await asyncio.sleep(0.01)
+        # Longer than a stop takes without requests in progress.
+        await asyncio.sleep(GRACE_S * 0.6)
+        assert not stopping.done()
+        received = b""
+        while len(received) < ANSWER_BYTES:
+            received += await loop.sock_recv(far, ANSWER_BYTES)
+        await stopping
+        assert context_lib.monotonic() < LAST_SIXTH_S
+        far.close()
+
+    run_stop(monkeypatch, scenario)
