--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -1,6 +1,8 @@
 """State and helpers shared by the services of one instance."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
 import random
 import time
 
@@ -16,6 +18,7 @@
 from chivelb_core.routing import policies
 
 from chivelb_node import settings as settings_lib
+from chivelb_node import stopping
 from chivelb_node.telemetry import metrics as metrics_lib
 
 monotonic = time.monotonic
@@ -83,13 +86,15 @@
         policies: Routing policies by name.
         metrics: Prometheus metrics.
         draining: Whether a shutdown was requested.
-        rejecting_requests: Whether new requests are rejected during shutdown.
+        stop: When requests may begin and must end during a shutdown.
         startup_ends_at: Monotonic time from which the first document and the
             targets are no longer expected to be on their way, in seconds.
         readiness: Set once a document is in force by which it can serve.
         sources_known: Set once it is known which parts of prompts are cached
             where, or enough time was given to learn it.
         in_progress: Number of requests in progress.
+        list_transports: Returns the transports of callers' connections; None
+            stands for one that is closed.
         stop_requested: Event that requests a graceful shutdown.
     """
 
@@ -117,15 +122,35 @@
         self.policies = policies.make_policies()
         self.metrics = metrics_lib.Metrics()
         self.draining = False
-        self.rejecting_requests = False
+        self.stop = stopping.Stop(lambda: monotonic())
         self.startup_ends_at = monotonic()
         if settings.decisions.startup_wait:
             self.startup_ends_at += STARTUP_S
         self.readiness = asyncio.Event()
         self.sources_known = asyncio.Event()
         self.in_progress = 0
+        self.list_transports: Callable[
+            [], Iterable[asyncio.Transport | None]
+        ] = list
         self.stop_requested = asyncio.Event()
 
+    def begin_stop(self, *, serving_s: float, grace_s: float) -> None:
+        """Begins a graceful shutdown: the instance is no longer ready.
+
+        Args:
+            serving_s: Time for which new requests are served, in seconds.
+            grace_s: Time after which the process is killed, in seconds.
+        """
+        self.draining = True
+        self.stop.begin(serving_s=serving_s, grace_s=grace_s)
+
+    def has_unfinished_answers(self) -> bool:
+        """Returns whether answers are due, or wait in the process unsent."""
+        return self.in_progress > 0 or any(
+            transport is not None and transport.get_write_buffer_size() > 0
+            for transport in self.list_transports()
+        )
+
     @property
     def ready(self) -> bool:
         """Whether a document is in force by which it can serve."""
