--- a/packages/chivelb-node/chivelb_node/forwarding/ports.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/ports.py
@@ -46,7 +46,6 @@
             none.
         resume_after: Id of the last event that the caller received; if
             empty, the caller's own ``Last-Event-ID`` is sent.
-        new_connection: Whether to use a new connection.
     """
 
     record: targets.TargetRecord
@@ -56,7 +55,6 @@
     fetch_addresses: list[str] = dataclasses.field(default_factory=list)
     save_addresses: list[str] = dataclasses.field(default_factory=list)
     resume_after: str = ""
-    new_connection: bool = False
 
 
 @dataclasses.dataclass(slots=True)
