Shared prompts are cached anew when a workspace's isolation changes

A call that waited while its workspace became isolated also went out under the scope of the document of its arrival.

Cause, by trace: runners keep parts under the salt that sharing_scope returns, "VERSION:shared" for every workspace that is not isolated. The salt says neither who made a part nor under which document; call.isolated was set when the request arrived.

Now the shared scope holds a sharing epoch, which the replicated document state records: it changes with each change of the document that makes a workspace isolated, or shared, that was otherwise before. All that share leave the old scope, since nothing tells whose parts are in it; the cost is one read of the shared parts for each such change. An isolated workspace's scope is its own, as before. Whether a call's workspace is isolated is read from the document in force when it is placed.

- The epoch is named by the document version and the operator's number of the change, so that none returns (shared, isolated, shared), nor in a control group that is set up anew.
- Voters and replicas compute it from the changes and from part_versions, which outlive removed workspaces: it doesn't depend on what a process has seen, and the format of deltas stays as it is.
- Within an epoch no workspace is isolated at one version and shares at another.
So instances with documents of different age don't mix either; for that, a change back to shared begins an epoch as well.
- A new workspace that is isolated from the start begins none, nor do changes of keys, routes or weights.
One that was removed and comes back does, because its former state is not recorded.
- States of builds without epochs get that of the last change of any workspace: later than needed, thus right.
Salts of these builds, which have no epoch, are used by no new build: an upgrade reads shared parts once more.
If voters of an upgraded group began at different states, their epochs may differ in name until the next change of isolation; that splits reuse and mixes nothing.
- A restored state begins a new epoch.
A document from a file has no versions; its epoch is a digest of the set of isolated workspaces.

The scope has a digest in place of names. By reading: with "/" in names, part keys of two scopes could be alike, and a line end would have ended the header.

Weighed: - a digest of the set of isolated workspaces: no state, but an earlier set brings back the scope with what was made in it, and each new isolated workspace would cost all others their shared parts; - the version that last changed any workspace: no new state, but each rotation of keys would cost all shared parts; - a counter moved by a command of the controller: the command can come later than the document that it belongs to; - a scope for each workspace and lookups under several: a runner takes one salt; - to free the parts: runners have no such order, events come late.

test_forwarder and test_decisions named the salt literally ("7:shared", "1:shared"); they now take sharing_scope of the call and its document. test_parts passes the document, as the function now requires.

--- a/packages/chivelb-cli/chivelb_cli/bench/scaling_forwarding.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/scaling_forwarding.py
@@ -53,7 +53,6 @@
         route=route,
         service="lm",
         workspace="w",
-        isolated=False,
         priority=rng.randrange(3),
         prompt=forwarding.Prompt("m", (*parts, unique_part), 2_200, 100),
         arrived_at=rng.random(),
--- a/packages/chivelb-core/chivelb_core/document/state.py
+++ b/packages/chivelb-core/chivelb_core/document/state.py
@@ -12,6 +12,7 @@
 from chivelb_core import codes
 from chivelb_core.document import changes
 from chivelb_core.document import model as model_lib
+from chivelb_core.document import sharing
 from chivelb_core.document import validation
 
 MAX_RECORDED_RESULTS = 200_000
@@ -75,6 +76,9 @@
             empty in replicas, which are updated by deltas.
         weights: Number of the newest requested weight version of each model;
             independent of the version names in ``Model``.
+        sharing_epoch: Names the last change of which workspaces are isolated;
+            prompts that workspaces share are cached under it. No value
+            returns. Empty before the first document.
     """
 
     document: model_lib.Document = msgspec.field(
@@ -89,6 +93,7 @@
     number: int = 0
     source: bytes = b""
     weights: dict[str, int] = {}
+    sharing_epoch: str = ""
 
     def replace(self, replacement: changes.DocumentReplacement) -> bool:
         """Applies a committed replacement of the whole document.
@@ -105,10 +110,14 @@
         if replacement.number <= self.number:
             return False
         operations = changes.diff_documents(self.document, replacement.document)
-        self.document = replacement.document
         self.number = replacement.number
         self.source = replacement.source
-        self._append_delta(f"replacement-{replacement.number}", "", operations)
+        self._append_delta(
+            replacement.document,
+            f"replacement-{replacement.number}",
+            "",
+            operations,
+        )
         return True
 
     def set_weight_version(self, model: str, version: int) -> bool:
@@ -124,7 +133,7 @@
         if version <= self.weights.get(model, 0):
             return False
         self.weights[model] = version
-        self._append_delta(f"weights-{model}-{version}", "", [])
+        self._append_delta(self.document, f"weights-{model}-{version}", "", [])
         return True
 
     def apply_change(self, change: changes.Change) -> ChangeResult:
@@ -182,14 +191,28 @@
     def _accept(
         self, document: model_lib.Document, change: changes.Change
     ) -> None:
-        self.document = document
-        self._append_delta(change.change_id, change.author, change.operations)
+        self._append_delta(
+            document, change.change_id, change.author, change.operations
+        )
 
     def _append_delta(
-        self, change_id: str, author: str, operations: list[changes.Operation]
+        self,
+        document: model_lib.Document,
+        change_id: str,
+        author: str,
+        operations: list[changes.Operation],
     ) -> None:
         previous_version = self.version
         self.version += 1
+        if sharing.starts_anew(
+            self.sharing_epoch,
+            self.document,
+            document,
+            operations,
+            self.part_versions,
+        ):
+            self.sharing_epoch = sharing.name_epoch(self.version, self.number)
+        self.document = document
         for operation in operations:
             self.part_versions[operation.path] = self.version
         self.history.append(
@@ -250,11 +273,13 @@
         document = self.document
         part_versions = dict(self.part_versions)
         version = self.version
+        sharing_epoch = self.sharing_epoch
         for delta in deltas:
             if delta.version != version + 1:
                 raise ValueError(
                     f"delta {delta.version} does not follow version {version}"
                 )
+            previous_document = document
             document, problems = changes.apply_operations(
                 document, delta.operations, check=False
             )
@@ -263,6 +288,14 @@
                     f"invalid delta {delta.version}: {problems[0]}"
                 )
             version = delta.version
+            if sharing.starts_anew(
+                sharing_epoch,
+                previous_document,
+                document,
+                delta.operations,
+                part_versions,
+            ):
+                sharing_epoch = sharing.name_epoch(version, delta.number)
             for operation in delta.operations:
                 part_versions[operation.path] = version
         return DocumentState(
@@ -274,6 +307,7 @@
             leases=self.leases,
             number=deltas[-1].number if deltas else self.number,
             weights=deltas[-1].weights if deltas else self.weights,
+            sharing_epoch=sharing_epoch,
         )
 
     def to_replica(self) -> "DocumentState":
@@ -291,6 +325,7 @@
             leases=dict(self.leases),
             number=self.number,
             weights=dict(self.weights),
+            sharing_epoch=self.sharing_epoch,
         )
 
     def deltas_since(self, version: int) -> list[DocumentDelta] | None:
@@ -339,4 +374,10 @@
 
 def decode_document_state(data: bytes) -> DocumentState:
     """Decodes a document state encoded by ``encode_document_state``."""
-    return msgspec.msgpack.decode(data, type=DocumentState)
+    document_state = msgspec.msgpack.decode(data, type=DocumentState)
+    if document_state.part_versions and not document_state.sharing_epoch:
+        # Written by a build without sharing epochs.
+        document_state.sharing_epoch = sharing.bound_epoch(
+            document_state.part_versions
+        )
+    return document_state
--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -1,12 +1,18 @@
 """Client request, as seen by the placement and admission logic."""
 
 import dataclasses
+import functools
+import hashlib
+import json
 
 from chivelb_core.document import model as model_lib
+from chivelb_core.document import state as state_lib
 
 # Expected output length without a hint, as a fraction of the maximum: most
 # outputs end before they reach it.
 UNHINTED_OUTPUT_FRACTION = 0.5
+SCOPE_DIGEST_BYTES = 16
+MAX_KEPT_DIGESTS = 4_096
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -63,7 +69,6 @@
         route: Route configuration at the time of arrival.
         service: Service selected by the route's traffic split.
         workspace: Workspace of the client; empty on public routes.
-        isolated: Whether the workspace shares no cached prompts with others.
         priority: Priority in the instance's queue; 0 is the highest.
         prompt: Declared prompt metadata, or None.
         arrived_at: Monotonic time of arrival, in seconds.
@@ -90,7 +95,6 @@
     route: model_lib.Route
     service: str
     workspace: str
-    isolated: bool
     priority: int
     prompt: Prompt | None
     arrived_at: float
@@ -144,19 +148,38 @@
         return 0 if self.prompt is None else self.prompt.mean_kv_tokens
 
 
-def sharing_scope(weight_version: str, call: Call) -> str:
+def sharing_scope(
+    weight_version: str, call: Call, document_state: state_lib.DocumentState
+) -> str:
     """Returns the sharing scope of a call's cached prompts.
 
-    Prompts cached under another weight version, or by an isolated workspace,
-    have a different scope, so lookups never find them.
+    Lookups never find prompts that were cached under another weight version,
+    by an isolated workspace, or before the last change of which workspaces are
+    isolated.
 
     Args:
         weight_version: Version of the target's weights.
         call: The call.
+        document_state: The document in force when the call is sent.
 
     Returns:
-        String with the weight version and, for isolated workspaces, the
-        workspace.
+        Printable ASCII text, whatever the names of the workspaces. The
+        scope of an isolated workspace differs from all others.
     """
-    workspace_scope = f"only:{call.workspace}" if call.isolated else "shared"
-    return f"{weight_version or 'unknown'}:{workspace_scope}"
+    workspaces = document_state.document.workspaces
+    workspace = workspaces.get(call.workspace)
+    # A workspace that was removed since the call arrived shares nothing.
+    if call.workspace and (workspace is None or workspace.isolated):
+        kind, owner = "only", call.workspace
+    else:
+        kind, owner = "shared", document_state.sharing_epoch
+    digest = _scope_digest(kind, owner)
+    return f"{weight_version or 'unknown'}:{kind}:{digest}"
+
+
+@functools.lru_cache(MAX_KEPT_DIGESTS)
+def _scope_digest(*names: str) -> str:
+    """Returns a digest of names of any characters, of fixed length."""
+    return hashlib.blake2b(
+        json.dumps(names).encode(), digest_size=SCOPE_DIGEST_BYTES
+    ).hexdigest()
--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -9,6 +9,7 @@
 from chivelb_core.document import changes as changes_lib
 from chivelb_core.document import distribution
 from chivelb_core.document import model as model_lib
+from chivelb_core.document import sharing
 from chivelb_core.document import state as state_lib
 import mode
 import msgspec
@@ -147,7 +148,11 @@
     def _load_file(self) -> None:
         loaded = self._read_file()
         if loaded is not None:
-            document_state = document.DocumentState(document=loaded, version=1)
+            document_state = document.DocumentState(
+                document=loaded,
+                version=1,
+                sharing_epoch=sharing.digest_epoch(loaded),
+            )
             self.context.apply_document_state(document_state)
 
     def _read_file(self) -> document.Document | None:
--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -130,7 +130,6 @@
         route=route,
         service=_pick_service(route, context.rng),
         workspace=workspace,
-        isolated=workspace_settings is not None and workspace_settings.isolated,
         priority=priority,
         prompt=request_head.prompt,
         arrived_at=request_head.at,
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -320,6 +320,12 @@
         )
         return share - self.context.load.own_load(record.identity)[0]
 
+    def _scope(self, weight_version: str, call: forwarding.Call) -> str:
+        """Returns the sharing scope of a call that is sent now."""
+        return forwarding.sharing_scope(
+            weight_version, call, self.context.document_state
+        )
+
     def _plan_placement(
         self,
         call: forwarding.Call,
@@ -330,7 +336,7 @@
         now: float,
     ) -> choice_lib.Placement:
         record = candidate.record
-        salt = forwarding.sharing_scope(record.weight_version, call)
+        salt = self._scope(record.weight_version, call)
         plan = fetch_plan_lib.plan_fetches(
             call.prompt,
             salt,
@@ -405,9 +411,7 @@
         # compared in addition to the sample.
         part = max(call.prompt.parts[:-1], key=lambda part: part.tokens)
         version = records[0].weight_version
-        key = parts_lib.part_key(
-            forwarding.sharing_scope(version, call), part.part_id
-        )
+        key = parts_lib.part_key(self._scope(version, call), part.part_id)
         return self.directory.tokens_by_source.get(key, {})
 
     def _links_to_holders(
@@ -421,7 +425,7 @@
         if not self.context.settings.decisions.cache_fetches:
             return {}
         versions = {c.record.weight_version for c in candidates}
-        scopes = [forwarding.sharing_scope(v, call) for v in versions]
+        scopes = [self._scope(v, call) for v in versions]
         addresses = {
             address
             for scope in scopes
--- a/packages/chivelb-node/chivelb_node/forwarding/relay_channel.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_channel.py
@@ -110,7 +110,6 @@
         route=route,
         service=record.service,
         workspace=request.workspace,
-        isolated=False,
         priority=request.priority,
         prompt=forwarding.Prompt("", (), 0, 0) if request.has_prompt else None,
         arrived_at=now,
--- a/packages/chivelb-node/chivelb_node/storage/restore.py
+++ b/packages/chivelb-node/chivelb_node/storage/restore.py
@@ -5,6 +5,7 @@
 
 from chivelb_core.consensus import group as group_lib
 from chivelb_core.consensus import snapshots
+from chivelb_core.document import sharing
 from chivelb_core.document import state as state_lib
 import msgspec
 
@@ -43,6 +44,10 @@
         raise ValueError(f"{directory}: already contains a voter; move it away")
     document_state.version = max(document_state.version, above) + VERSION_GAP
     document_state.history = []
+    # The changes made after the save are not known.
+    document_state.sharing_epoch = sharing.name_epoch(
+        document_state.version, document_state.number
+    )
     member_id = f"{name}/{secrets.token_hex(4)}"
     member = group_lib.Member(member_id, name, True)
     files.create(member_id)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -194,7 +194,6 @@
         "route": route,
         "service": route.split[0].service,
         "workspace": "w",
-        "isolated": False,
         "priority": 0,
         "prompt": make_prompt(100, 200),
         "arrived_at": 0.0,
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,6 +1,7 @@
 """Switches of the mechanisms that decide on calls, for comparisons."""
 
 import builders
+from chivelb_core import forwarding
 from chivelb_core.kv_cache import parts as parts_lib
 from chivelb_node import context as context_lib
 from chivelb_node import settings as settings_lib
@@ -31,16 +32,19 @@
     for _ in range(3):
         context.load.record_send("holder", now, 0, 100)
     directory = parts_lib.PartDirectory()
+    call = builders.make_call(prompt=builders.make_prompt(part_tokens, 100))
+    scope = forwarding.sharing_scope("1", call, context.document_state)
     directory.apply_events(
         HOLDER,
         epoch=1,
         since=0,
         until=1,
-        events=[parts_lib.PartUpdate("1:shared/p0", part_tokens)],
+        events=[
+            parts_lib.PartUpdate(parts_lib.part_key(scope, "p0"), part_tokens)
+        ],
         now=now,
     )
     policy = placement_lib.PlacementPolicy(context, directory)
-    call = builders.make_call(prompt=builders.make_prompt(part_tokens, 100))
     return policy.place(call, now)
 
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -9,6 +9,7 @@
 import builders
 from chivelb_core import codes
 from chivelb_core import document
+from chivelb_core import forwarding
 from chivelb_node import context as context_lib
 import fake_ports
 import pytest
@@ -192,7 +193,9 @@
     harness.run_call(make_call())
     assignment = harness.targets.sent[0]
     assert assignment.weight_version == 7
-    assert assignment.salt == "7:shared"
+    assert assignment.salt == forwarding.sharing_scope(
+        "7", make_call(), harness.context.document_state
+    )
     assert len(assignment.fetch_addresses) == 2
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -15,6 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies
 import pytest
+import sharing_fleet
 
 SALT = "1:shared"
 
@@ -245,13 +246,13 @@
 
 
 def test_weight_versions_and_isolated_workspaces_have_separate_scopes():
-    shared = builders.make_call(isolated=False)
-    alone = builders.make_call(isolated=True, workspace="x")
+    (state,) = sharing_fleet.make_states([{"w": False, "x": True, "y": True}])
+    shared = builders.make_call()
     scopes = {
-        forwarding.sharing_scope("1", shared),
-        forwarding.sharing_scope("2", shared),
-        forwarding.sharing_scope("1", alone),
-        forwarding.sharing_scope("1", builders.make_call(isolated=True)),
+        forwarding.sharing_scope("1", shared, state),
+        forwarding.sharing_scope("2", shared, state),
+        forwarding.sharing_scope("1", builders.make_call(workspace="x"), state),
+        forwarding.sharing_scope("1", builders.make_call(workspace="y"), state),
     }
     assert len(scopes) == 4
 
