The sharing scope holds the model

The digest of the scope now covers the model that the prompt names.

Test failed before: test_each_model_of_a_service_has_a_scope_of_its_own: AssertionError: assert 2 == 4.

Not changed: a heartbeat's models beyond the first are ignored, so that the weight version in a scope is that of the runner's first model.

--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -154,16 +154,16 @@
     """Returns the sharing scope of a call's cached prompts.
 
     Lookups never find prompts that were cached under another weight version,
-    by an isolated workspace, or before the last change of which workspaces are
-    isolated.
+    for another model, by an isolated workspace, or before the last change of
+    which workspaces are isolated.
 
     Args:
         weight_version: Version of the target's weights.
-        call: The call.
+        call: The call; it has a prompt.
         document_state: The document in force when the call is sent.
 
     Returns:
-        Printable ASCII text, whatever the names of the workspaces. The
+        Printable ASCII text, whatever the names of workspaces and models. The
         scope of an isolated workspace differs from all others.
     """
     workspaces = document_state.document.workspaces
@@ -173,7 +173,7 @@
         kind, owner = "only", call.workspace
     else:
         kind, owner = "shared", document_state.sharing_epoch
-    digest = _scope_digest(kind, owner)
+    digest = _scope_digest(kind, owner, call.prompt.model)
     return f"{weight_version or 'unknown'}:{kind}:{digest}"
 
 
--- a/tests/test_sharing_scope.py
+++ b/tests/test_sharing_scope.py
@@ -184,6 +184,18 @@
     assert epochs[0] == epochs[2] != epochs[1]
 
 
+# Two models of one service shared the scope of what they had cached.
+def test_each_model_of_a_service_has_a_scope_of_its_own():
+    (state,) = sharing_fleet.make_states([A_ISOLATED])
+    scopes = [
+        sharing_fleet.salt_of(state, workspace, model)
+        for workspace in ("a", "b", "c")
+        for model in ("m", "n")
+    ]
+    assert len(set(scopes)) == 4
+    assert scopes[2:4] == scopes[4:6]
+
+
 # A name of a workspace or model must not end the header that has the scope.
 @given(strategies.text(min_size=1), strategies.text(min_size=1))
 @settings(max_examples=50, deadline=None)
