A heartbeat with a wrong address or number names no target

After one heartbeat of another writer, whose address had no port, no runner got an order for new weights any more (VERSION), and a core process ended about every 5 s. One whose "born" had 128 bits ended the core process that took it.

TargetReplication._digest can't encode more than 64 bits.

Addresses, ids, born, Sequence, Slots, zones, services, versions and models are checked in one place, targets.validate_listed_record, at the adapter and for records and holds that come from peers. What fails names no target; it is logged once a source, with its reason. Bodies that are nested too deeply (RecursionError) are malformed too, in heartbeats, reports and answers to orders, and numbers of reports have ranges: an order with a Sequence beyond 64 bits couldn't be encoded. A wrong address is a NotSentError of the pool. Whatever a query or an order raises for one runner is logged for it alone.

test_an_announcement_of_another_writer_is_refused asserted None; the decoder now raises HeartbeatError with the reason, and the test asserts that for the same bodies.

--- a/packages/chivelb-core/chivelb_core/targets/record.py
+++ b/packages/chivelb-core/chivelb_core/targets/record.py
@@ -1,5 +1,7 @@
 """Announcements of targets, called records."""
 
+from collections.abc import Iterator
+import re
 from typing import Literal
 
 import msgspec
@@ -76,33 +78,81 @@
 
 MIN_LEASE_S = 0.5
 MAX_LEASE_S = 60.0
+# Characters of a name in an announcement.
 MAX_NAME_LENGTH = 128
+# Characters of a name in a listed record, whose service an operator names.
+MAX_LISTED_NAME_LENGTH = 1_024
+# Largest number that messages carry.
+MAX_INTEGER = 2**63 - 1
+# Requests, tokens or bytes.
+MAX_SIZE = 2**40 - 1
+# Tokens or bytes per second.
+MAX_RATE_PER_S = 1e15
+MAX_LOAD_AGE_S = 3_600.0
+MAX_PORT = 65_535
+_ADDRESS = re.compile(r"[0-9A-Za-z._:%\[\]-]{1,253}:([0-9]{1,5})")
+_NUMBER = re.compile(r"[0-9]{1,19}")
+
+
+def is_address(text: str) -> bool:
+    """Returns whether a text has the form ``host:port``."""
+    match = _ADDRESS.fullmatch(text)
+    return match is not None and 0 < int(match[1]) <= MAX_PORT
+
+
+def is_weight_number(text: str) -> bool:
+    """Returns whether a text is a numbered weight version, or empty."""
+    return not text or (
+        _NUMBER.fullmatch(text) is not None and int(text) <= MAX_INTEGER
+    )
 
 
 def validate_record(record: TargetRecord) -> list[str]:
     """Returns the validation errors of an announcement; empty if valid."""
-    problems = []
-    for name in ("identity", "address", "zone", "service"):
-        value = getattr(record, name)
-        if not 0 < len(value) <= MAX_NAME_LENGTH:
-            problems.append(
-                f"{name}: must have 1 to {MAX_NAME_LENGTH} characters"
-            )
-    host, _, port = record.address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        problems.append(f"address: {record.address!r} is not host:port")
+    problems = [*_find_wrong_names(record, MAX_NAME_LENGTH)]
     if not MIN_LEASE_S <= record.lease_s <= MAX_LEASE_S:
         problems.append(f"leaseS: must be from {MIN_LEASE_S} to {MAX_LEASE_S}")
+    return [*problems, *_find_wrong_numbers(record)]
+
+
+def validate_listed_record(record: TargetRecord) -> list[str]:
+    """Returns the validation errors of a listed record; empty if valid.
+
+    A listed record may have no lease. Its weight versions are numbered.
+    """
+    problems = [*_find_wrong_names(record, MAX_LISTED_NAME_LENGTH)]
+    # The identity is sent in a header.
+    if not record.identity.isprintable() or " " in record.identity:
+        problems.append("identity: must have printable characters only")
+    for name in ("model", "software_version"):
+        if len(getattr(record, name)) > MAX_LISTED_NAME_LENGTH:
+            problems.append(
+                f"{name}: must have at most {MAX_LISTED_NAME_LENGTH} characters"
+            )
+    if not is_weight_number(record.weight_version):
+        problems.append(f"weight_version: must be from 0 to {MAX_INTEGER}")
+    if not 0 <= record.lease_s <= MAX_LEASE_S:
+        problems.append(f"leaseS: must be from 0 to {MAX_LEASE_S}")
+    return [*problems, *_find_wrong_numbers(record)]
+
+
+def _find_wrong_names(record: TargetRecord, max_length: int) -> Iterator[str]:
+    for name in ("identity", "address", "zone", "service"):
+        if not 0 < len(getattr(record, name)) <= max_length:
+            yield f"{name}: must have 1 to {max_length} characters"
+    if not is_address(record.address):
+        yield f"address: {record.address[:max_length]!r} is not host:port"
+
+
+def _find_wrong_numbers(record: TargetRecord) -> Iterator[str]:
     for name in ("incarnation", "sequence", "running", "pending_tokens"):
-        if not 0 <= getattr(record, name) < 2**63:
-            problems.append(f"{name}: must be from 0 to 2**63 - 1")
+        if not 0 <= getattr(record, name) <= MAX_INTEGER:
+            yield f"{name}: must be from 0 to {MAX_INTEGER}"
     for name in ("slots", "room_tokens", "bytes_per_token"):
-        if not 0 < getattr(record, name) < 2**40:
-            problems.append(f"{name}: must be above 0 and below 2**40")
+        if not 0 < getattr(record, name) <= MAX_SIZE:
+            yield f"{name}: must be from 1 to {MAX_SIZE}"
     for name in ("prefill_rate", "link_rate"):
-        if not 0 < getattr(record, name) < 1e15:
-            problems.append(f"{name}: must be above 0 and below 1e15")
-    # 3600 itself is rejected, although the message includes it.
-    if not 0 <= record.load_age_s < 3600:
-        problems.append("loadAgeS: must be from 0 to 3600")
-    return problems
+        if not 0 < getattr(record, name) < MAX_RATE_PER_S:
+            yield f"{name}: must be above 0 and below {MAX_RATE_PER_S:g}"
+    if not 0 <= record.load_age_s < MAX_LOAD_AGE_S:
+        yield f"loadAgeS: must be from 0 to below {MAX_LOAD_AGE_S:g}"
--- a/packages/chivelb-node/chivelb_node/control/rollout.py
+++ b/packages/chivelb-node/chivelb_node/control/rollout.py
@@ -152,7 +152,7 @@
             # so that the limit on concurrent loads holds; a resend has the
             # same order id.
             status, state = 0, "unknown"
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
             # Without a valid reply the order is not recorded as sent.
             state = "refused"
         if state == "failed":
--- a/packages/chivelb-node/chivelb_node/control/weights.py
+++ b/packages/chivelb-node/chivelb_node/control/weights.py
@@ -145,7 +145,7 @@
         record: targets.TargetRecord,
         wanted: int,
     ) -> None:
-        report = await self.port.get_report(record, rollout_state.model)
+        report = await self._get_report(record, rollout_state.model)
         if report is None:
             _log.warning(
                 "runner did not report its state", target=record.identity
@@ -157,6 +157,20 @@
             return
         await self._release(rollout_state.model, record, report.version)
 
+    async def _get_report(
+        self, record: targets.TargetRecord, model: str
+    ) -> rollout.RunnerReport | None:
+        # Whatever fails for one runner must not end the service.
+        try:
+            return await self.port.get_report(record, model)
+        except Exception as error:  # noqa: BLE001
+            _log.error(
+                "runner cannot be queried",
+                target=record.identity,
+                error=repr(error),
+            )
+            return None
+
     def _release_announced(
         self,
         rollout_state: rollout.PolledRollout,
@@ -239,9 +253,13 @@
     ) -> None:
         result = "not sent: the controller lease expired"
         if self.lease_holder.may_send_orders():
-            result = await self.port.send_order(
-                record, rollout_state.model, order, self.lease_holder.token
-            )
+            # Whatever fails for one runner must not end the service.
+            try:
+                result = await self.port.send_order(
+                    record, rollout_state.model, order, self.lease_holder.token
+                )
+            except Exception as error:  # noqa: BLE001
+                result = repr(error)
         rollout_state.record_order_reply(order.identity)
         # ``expected`` is the number of orders that the runner must have
         # accepted before; ``requests`` are in progress there by its newest
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from chivelb_core import targets
+
 from chivelb_node.links import http_connection
 
 # A connection to a target of the region takes a few milliseconds. A lost packet
@@ -121,6 +123,8 @@
 
     async def _open(self, address: str) -> http_connection.Connection:
         loop = asyncio.get_running_loop()
+        if not targets.is_address(address):
+            raise NotSentError(f"{address!r} is not host:port")
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -129,7 +133,8 @@
                     host,
                     int(port),
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, UnicodeError) as error:
+            # A host that is no name is a UnicodeError.
             detail = str(error) or type(error).__name__
             raise NotSentError(f"{address}: {detail}") from None
         self.connections_opened += 1
--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -16,12 +16,15 @@
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.telemetry import logs
+from chivelb_node.telemetry import refusals
 from chivelb_node.wire import messages
 
 REPAIR_PERIOD_S = 0.5
 REPAIR_TIMEOUT_S = 1.0
 CONFIRM_TIMEOUT_S = 0.4
 MAX_RECORDS_PER_MESSAGE = 500
+# Longest suspension that a message may ask for.
+MAX_HOLD_S = 60.0
 _log = logs.get_logger("fleet")
 
 
@@ -50,6 +53,7 @@
         self.hub = hub
         self.gossip = gossip
         self.is_synced = False
+        self._refusals = refusals.RefusalLog(_log, "target refused")
         hub.register_handler(messages.TargetUpdates, self._on_target_updates)
         hub.register_handler(messages.TargetDigest, self._on_digest)
         hub.register_handler(messages.TargetHold, self._on_hold)
@@ -137,7 +141,11 @@
         self, peer: str, message: messages.TargetUpdates
     ) -> messages.Confirmation:
         for record in message.records:
-            self._apply_announcement(record)
+            problems = targets.validate_listed_record(record)
+            if problems:
+                self._refusals.record(peer, "; ".join(problems))
+            else:
+                self._apply_announcement(record)
         return messages.Confirmation()
 
     def _on_leaving(self, peer: str, message: messages.TargetLeaving) -> bool:
@@ -156,6 +164,9 @@
     def _on_hold(
         self, peer: str, message: messages.TargetHold
     ) -> messages.Confirmation:
+        if not _is_valid_hold(message):
+            self._refusals.record(peer, "malformed hold")
+            return messages.Confirmation()
         until = context_lib.monotonic() + message.hold_s
         table = self.context.targets
         table.pause(message.identity, message.incarnation, until)
@@ -230,6 +241,12 @@
         return control_instances or sorted(alive)
 
 
+def _is_valid_hold(message: messages.TargetHold) -> bool:
+    return 0 <= message.hold_s <= MAX_HOLD_S and targets.is_weight_number(
+        message.version
+    )
+
+
 def _shared_fields(record: targets.TargetRecord) -> tuple:
     """Returns the fields whose changes peers must learn immediately."""
     return (
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -150,7 +150,8 @@
 )
 def test_an_announcement_of_another_writer_is_refused(data):
     # Heartbeats that are malformed or have an unknown state.
-    assert control_api.decode_heartbeat("i", data) is None
+    with pytest.raises(control_api.HeartbeatError):
+        control_api.decode_heartbeat("i", data)
 
 
 def make_headers(**fields):
