A page of cache events out of range ends no front process

A page of GET /kv-events whose Next or Epoch, or an event's tokens, didn't fit into 64 bits ended each front process that read it: the page was applied and queued, and packing.pack in CacheEventFollower._send_batches couldn't encode it. Tokens below 0 made PartDirectory._clear raise AssertionError.

Numbers of pages and listings are checked where they are read. A listing out of range is not taken. Updates that peers send go through the same ranges; peers of an older build may pass such pages on.

--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -25,6 +25,7 @@
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.links import part_batches
 from chivelb_node.telemetry import logs
+from chivelb_node.telemetry import refusals
 from chivelb_node.wire import messages
 from chivelb_node.wire import packing
 
@@ -42,6 +43,10 @@
 # if another update was sent within this time.
 LIVENESS_PERIOD_S = 0.8
 MAX_BATCH_BYTES = 16_777_216
+# Largest incarnation or sequence number of a source.
+MAX_NUMBER = 2**63 - 1
+# Largest number of tokens that a source may hold of one part.
+MAX_PART_TOKENS = 2**40 - 1
 # Time after the first document within which the sources that respond have
 # usually done so.
 FIRST_POLLS_S = 0.25
@@ -78,10 +83,36 @@
             source either.
         BUSY: The source is alive, but other clients hold all of its poll
             slots.
+        MALFORMED: A value is out of its range. The events of this page can't be
+            applied, so that a listing is needed.
     """
 
     UNREACHABLE = "silent"
     BUSY = "busy"
+    MALFORMED = "malformed"
+
+
+def _are_in_range(
+    epoch: int, until: int, events: list[parts_lib.PartUpdate]
+) -> bool:
+    return (
+        0 <= epoch <= MAX_NUMBER
+        and 0 <= until <= MAX_NUMBER
+        and all(0 <= event.tokens <= MAX_PART_TOKENS for event in events)
+    )
+
+
+def is_valid_page(page: EventPage) -> bool:
+    """Returns whether all numbers of a page fit into messages."""
+    return _are_in_range(page.epoch, page.next, page.events)
+
+
+def is_valid_update(update: messages.PartUpdates) -> bool:
+    """Returns whether all numbers of an update are in their ranges."""
+    # An update that tells of lost events starts one later than its source.
+    return 0 <= update.since <= MAX_NUMBER + 1 and _are_in_range(
+        update.epoch, update.until, update.events
+    )
 
 
 class CacheEventPort(Protocol):
@@ -124,6 +155,7 @@
         self.directory = parts_lib.PartDirectory()
         self.following: dict[str, asyncio.Task] = {}
         self._pending_listings: set[str] = set()
+        self._refusals = refusals.RefusalLog(_log, "cache events refused")
         self._outgoing: list[messages.PartUpdates] = []
         self._has_outgoing = asyncio.Event()
         self._sent_at: dict[str, float] = {}
@@ -243,6 +275,13 @@
                 self._report_unreachable(address)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            if page is PollFailure.MALFORMED:
+                now = context_lib.monotonic()
+                if now - listed_at > MIN_LISTING_INTERVAL_S:
+                    listed_at = now
+                    await self._fetch_listing(address)
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
             if not reachable:
                 _log.info("source reachable again", source=address)
             reachable = True
@@ -397,6 +436,9 @@
     def _on_update(self, peer: str, update: messages.PartUpdates) -> None:
         if update.source in self.following:
             return
+        if not is_valid_update(update):
+            self._refusals.record(peer, "value out of range")
+            return
         complete = self._apply_update(update, context_lib.monotonic())
         if not complete and update.source not in self._pending_listings:
             self._pending_listings.add(update.source)
@@ -408,7 +450,9 @@
             reply = await self.hub.request(
                 peer, messages.PartPull(address), LISTING_TIMEOUT_S
             )
-            if isinstance(reply, messages.PartUpdates):
+            if isinstance(reply, messages.PartUpdates) and is_valid_update(
+                reply
+            ):
                 self._apply_update(reply, context_lib.monotonic())
         finally:
             self._pending_listings.discard(address)
