An idle timeout of many digits is not taken

A Keep-Alive header with a timeout of some hundred digits raised OverflowError, and of more than 4,300 digits ValueError, while the head of a response was parsed. More than 9 digits are no timeout now.

Failed before: test_an_idle_timeout_of_many_digits_is_not_taken ("OverflowError: integer division result too large for a float", "ValueError: Exceeds the limit (4300 digits) for integer string conversion").

--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -30,6 +30,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MAX_IDLE_S = 4.0
+# Digits of a timeout in a Keep-Alive header, in seconds.
+MAX_TIMEOUT_DIGITS = 9
 # Limit for one line of a response head.
 MAX_LINE_BYTES = 32_768
 # Limit for received bytes that are followed by neither the end of a response
@@ -472,6 +474,11 @@
     """Returns half of the timeout in a Keep-Alive header, in seconds."""
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+        number = number.strip()
+        if (
+            name.strip().lower() == b"timeout"
+            and number.isdigit()
+            and len(number) <= MAX_TIMEOUT_DIGITS
+        ):
             return int(number) / 2
     return MAX_IDLE_S
--- a/tests/test_cache_event_checks.py
+++ b/tests/test_cache_event_checks.py
@@ -1,9 +1,10 @@
-"""Cache events with values that fit into no message."""
+"""Cache events and signals with values that fit into no message."""
 
 import asyncio
 
 import builders
 from chivelb_core.kv_cache import parts as parts_lib
+from chivelb_node.links import http_connection
 from chivelb_node.links import http_pool
 from chivelb_node.links import part_events
 from chivelb_node.wire import messages
@@ -127,3 +128,12 @@
     directory = asyncio.run(run())
     assert not directory.tokens_by_source
     directory.check_invariants()
+
+
+# Guards against an idle timeout too large for a number, which ended the
+# reading of a connection.
+@pytest.mark.parametrize("digits", [400, 5_000])
+def test_an_idle_timeout_of_many_digits_is_not_taken(digits):
+    value = b"timeout=" + b"9" * digits
+    idle_s = http_connection._parse_idle_timeout(value)
+    assert idle_s == http_connection.MAX_IDLE_S
