Any name in a document can be the name of a part in a delta

Cause, by trace: the voters take any name (`validate_routes`) and `diff_documents` writes the path "routes/quotes/full"; `apply_operations` refused paths whose name is empty or has a slash, also for deltas that the voters had validated, so `apply_deltas` raised "invalid delta 2: Problem(path='routes/quotes/full', ...)".

Why it works: paths are encoded and decoded in one module. A collection's name has no slash and comes from a fixed list, so that the first slash ends it, and the rest is the name as it is: one path for each part, one part for each path (a property test shows it).

An older build still refuses the delta of such a name, as it always did, and so ends until it is replaced; a whole document it takes. Escaping the name instead ("quotes%2Ffull") was ruled out: an older build would store another name, break references to it and refuse the delta that removes it, and names with a percent sign would be written otherwise than before.

Changes by the product's own interface still must not name a part with a slash or without a name, with the same message: voters of two builds must judge one change alike.

--- a/packages/chivelb-core/chivelb_core/document/changes.py
+++ b/packages/chivelb-core/chivelb_core/document/changes.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from chivelb_core.document import model as model_lib
+from chivelb_core.document import part_paths
 from chivelb_core.document import validation
 
 # Not used by any module; a change of the whole document sets ``Change.whole``.
@@ -20,7 +21,7 @@
     """Puts or deletes one part of the document.
 
     Attributes:
-        path: ``collection/name`` or ``limits``.
+        path: Path of the part, as encoded by ``part_paths``, or ``limits``.
         value: The new part as built-in types; None deletes the part, and
             resets ``limits`` to the defaults.
     """
@@ -87,14 +88,17 @@
     limits = document.limits
     problems = []
     for operation in operations:
-        if operation.path == "limits":
+        if operation.path == part_paths.LIMITS:
             limits = _decode_part(
-                "limits", operation.value or {}, model_lib.Limits, problems
+                part_paths.LIMITS,
+                operation.value or {},
+                model_lib.Limits,
+                problems,
             )
             continue
-        collection, _, name = operation.path.partition("/")
-        if collection not in parts or not name or "/" in name:
-            choices = ["limits", *(f"{key}/NAME" for key in parts)]
+        part = part_paths.decode(operation.path)
+        if part is None or (check and not _is_plain(part.name)):
+            choices = [part_paths.LIMITS, *(f"{key}/NAME" for key in parts)]
             problems.append(
                 validation.Problem(
                     operation.path,
@@ -102,15 +106,15 @@
                 )
             )
         elif operation.value is None:
-            if parts[collection].pop(name, None) is None:
+            if parts[part.collection].pop(part.name, None) is None:
                 problems.append(
                     validation.Problem(operation.path, "is not in the document")
                 )
         else:
-            parts[collection][name] = _decode_part(
+            parts[part.collection][part.name] = _decode_part(
                 operation.path,
                 operation.value,
-                model_lib.COLLECTIONS[collection],
+                model_lib.COLLECTIONS[part.collection],
                 problems,
             )
     if problems:
@@ -121,6 +125,14 @@
     ) if check else []
 
 
+def _is_plain(name: str) -> bool:
+    """Returns whether an operator's change may name a part so.
+
+    Replacements of the whole document have no such rule, nor have deltas.
+    """
+    return bool(name) and "/" not in name
+
+
 def _decode_part(
     path: str, value: Any, part_type: type, problems: list[validation.Problem]
 ) -> Any:
@@ -152,7 +164,9 @@
             value = None
             if name in new_parts:
                 value = msgspec.to_builtins(new_parts[name])
-            operations.append(Operation(f"{collection}/{name}", value))
+            path = part_paths.encode(collection, name)
+            operations.append(Operation(path, value))
     if old.limits != new.limits:
-        operations.append(Operation("limits", msgspec.to_builtins(new.limits)))
+        limits = msgspec.to_builtins(new.limits)
+        operations.append(Operation(part_paths.LIMITS, limits))
     return operations
--- /dev/null
+++ b/tests/test_document_names.py
@@ -0,0 +1,86 @@
+"""Names in a document are data: any text that JSON allows is a name."""
+
+import builders
+from chivelb_core import document
+from chivelb_core.document import changes
+from chivelb_core.document import part_paths
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import pytest
+
+ODD_NAMES = (
+    "",
+    "/",
+    "quotes/full",
+    "a//b/",
+    "..",
+    "a%2Fb",
+    " ",
+    "limits",
+    "routes/limits",
+    "\x00",
+    "a\nb",
+    "\u2028",
+    "\U0001f4c8",
+    "x" * 5_000,
+)
+
+
+def replace(document_state, **collections):
+    """Replaces the document by one that has only the given collections."""
+    replacement = builders.make_replacement(
+        document_state.number + 1, document.Document(**collections)
+    )
+    assert document_state.replace(replacement)
+
+
+# Guards against a name with a slash that is acknowledged and ends the
+# instances that apply its delta.
+@pytest.mark.parametrize("name", ODD_NAMES)
+@pytest.mark.parametrize("collection", ["routes", "services", "workspaces"])
+def test_a_delta_adds_and_removes_a_part_of_any_name(collection, name):
+    part = {
+        "routes": builders.make_route(),
+        "services": document.Service(kind="plain"),
+        "workspaces": document.Workspace(
+            key_hashes=[], cache_secret="00", services=[]
+        ),
+    }[collection]
+    document_state = document.DocumentState()
+    replica = document_state.to_replica()
+    replace(document_state, **{collection: {name: part, "other": part}})
+    replica = replica.apply_deltas(document_state.deltas_since(0))
+    assert replica.document == document_state.document
+    replace(document_state, **{collection: {"other": part}})
+    replica = replica.apply_deltas(document_state.deltas_since(1))
+    assert list(getattr(replica.document, collection)) == ["other"]
+
+
+# Guards against two parts with one path, of which one delta would take the
+# place of the other.
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+@hypothesis.given(
+    strategies.sampled_from(["routes", "services", "models"]),
+    strategies.text() | strategies.sampled_from(ODD_NAMES),
+)
+def test_a_path_names_one_part(collection, name):
+    path = part_paths.encode(collection, name)
+    assert part_paths.decode(path) == (collection, name)
+    assert path == f"{collection}/{name}"
+
+
+@pytest.mark.parametrize("path", ["", "limits", "routes", "nothing/a", "/a"])
+def test_a_path_without_a_known_collection_names_no_part(path):
+    assert part_paths.decode(path) is None
+
+
+# Guards against voters of two builds that judge one change differently.
+@pytest.mark.parametrize("name", ["", "quotes/full"])
+def test_a_change_must_not_name_a_part_with_a_slash_or_without_a_name(name):
+    route = builders.make_route()
+    before = document.Document(routes={name: route})
+    for value in (None, msgspec.to_builtins(route)):
+        operation = changes.Operation(f"routes/{name}", value)
+        _, problems = changes.apply_operations(before, [operation])
+        assert "is not one of" in problems[0].message
