An update that can't be applied ends no instance

Cause, by trace: ValueError of `apply_deltas`, raised in the pull task (`_anti_entropy`), crashes the service and with it the process; raised in a handler it closes the link to the peer. An error of msgspec, for bytes that are no deltas or no state, took the same way.

Why it works: payloads are decoded in one place into a state, or a typed error (`StateError`, `DeltaError`). The replica refuses such an update, logs the first refusal of each version, and pulls the whole document (a pull from version 0, which every build answers so) instead of deltas until a version is in force. A whole document that can't be decoded is asked for again at the period of the pulls, not at once.

--- a/packages/chivelb-core/chivelb_core/document/state.py
+++ b/packages/chivelb-core/chivelb_core/document/state.py
@@ -19,6 +19,14 @@
 MAX_REPLICA_HISTORY_DELTAS = 500
 
 
+class DeltaError(ValueError):
+    """Raised for a delta that can't be applied to a document state."""
+
+
+class StateError(ValueError):
+    """Raised for bytes that are no document state or no list of deltas."""
+
+
 class ChangeResult(msgspec.Struct, frozen=True):
     """The recorded result of a change, returned again to each resend.
 
@@ -244,7 +252,7 @@
             The newer state; this one is not modified.
 
         Raises:
-            ValueError: A delta does not follow the previous version, or its
+            DeltaError: A delta does not follow the previous version, or its
                 operations are invalid.
         """
         document = self.document
@@ -252,14 +260,14 @@
         version = self.version
         for delta in deltas:
             if delta.version != version + 1:
-                raise ValueError(
+                raise DeltaError(
                     f"delta {delta.version} does not follow version {version}"
                 )
             document, problems = changes.apply_operations(
                 document, delta.operations, check=False
             )
             if problems:
-                raise ValueError(
+                raise DeltaError(
                     f"invalid delta {delta.version}: {problems[0]}"
                 )
             version = delta.version
@@ -338,5 +346,30 @@
 
 
 def decode_document_state(data: bytes) -> DocumentState:
-    """Decodes a document state encoded by ``encode_document_state``."""
-    return msgspec.msgpack.decode(data, type=DocumentState)
+    """Decodes a document state encoded by ``encode_document_state``.
+
+    Raises:
+        StateError: The data is no document state.
+    """
+    return _decode(_state_decoder, data)
+
+
+def decode_deltas(data: bytes) -> list[DocumentDelta]:
+    """Decodes a list of deltas.
+
+    Raises:
+        StateError: The data is no list of deltas.
+    """
+    return _decode(_deltas_decoder, data)
+
+
+def _decode(decoder: msgspec.msgpack.Decoder, data: bytes) -> Any:
+    # UnicodeDecodeError, of a text that is no UTF-8, is a ValueError too.
+    try:
+        return decoder.decode(data)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise StateError(str(error)) from None
+
+
+_state_decoder = msgspec.msgpack.Decoder(DocumentState)
+_deltas_decoder = msgspec.msgpack.Decoder(list[DocumentDelta])
--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -40,8 +40,9 @@
 # Peers asked for their version at the start, besides the control instances.
 MAX_OTHERS_ASKED = 12
 FIRST_CHANGE_ID = "first-document"
+# Characters of an error in a log line.
+MAX_DETAIL_LENGTH = 200
 _log = logs.get_logger("replica")
-_delta_decoder = msgspec.msgpack.Decoder(list[state_lib.DocumentDelta])
 
 
 class ReplicaService(mode.Service):
@@ -68,6 +69,10 @@
         self.voter_client = voter_client_lib.VoterClient(context, hub)
         self._behind_since: float | None = None
         self._newer_version_known = asyncio.Event()
+        # Highest version that could not be applied, and whether its whole
+        # document is to be pulled instead of its deltas.
+        self._refused_version = 0
+        self._pulls_whole = False
         hub.register_handler(
             messages.VersionAnnouncement, self._on_version_announcement
         )
@@ -265,20 +270,58 @@
         self._apply_update(peer, full)
 
     def _apply_update(self, peer: str, body: object) -> None:
-        document_state = None
-        match body:
-            case messages.FullDocument(version, payload):
-                if version > self.context.version:
-                    document_state = state_lib.decode_document_state(payload)
-            case messages.Deltas(payload=payload):
-                deltas = _delta_decoder.decode(payload)
-                document_state = self._apply_deltas(peer, deltas)
+        try:
+            document_state = self._decode_update(peer, body)
+        except (state_lib.DeltaError, state_lib.StateError) as error:
+            self._refuse_update(peer, body, error)
+            return
         if document_state is not None and self.context.apply_document_state(
             document_state
         ):
+            self._pulls_whole = False
             self._log_applied(peer, document_state)
             self._pass_on(peer)
 
+    def _decode_update(
+        self, peer: str, body: object
+    ) -> document.DocumentState | None:
+        """Returns the newer state that a message leads to, or None.
+
+        Raises:
+            state_lib.DeltaError: A delta can't be applied.
+            state_lib.StateError: The payload can't be decoded.
+        """
+        match body:
+            case messages.FullDocument(version, payload):
+                if version > self.context.version:
+                    return state_lib.decode_document_state(payload)
+            case messages.Deltas(payload=payload):
+                deltas = state_lib.decode_deltas(payload)
+                return self._apply_deltas(peer, deltas)
+        return None
+
+    def _refuse_update(
+        self, peer: str, body: object, error: ValueError
+    ) -> None:
+        """Has the whole document pulled instead of an update.
+
+        Logs the first refusal of each version alone, since pulls repeat.
+        """
+        version = self.context.version
+        self._pulls_whole = True
+        if isinstance(body, messages.Deltas):
+            self._note_newer_version(peer, body.base + 1)
+        if self._refused_version > version:
+            return
+        self._refused_version = version + 1
+        _log.error(
+            "document update refused",
+            peer=peer,
+            kind=type(body).__name__,
+            version=version,
+            detail=str(error)[:MAX_DETAIL_LENGTH],
+        )
+
     def _pass_on(self, received_from: str) -> None:
         """Passes on a version that a peer sent."""
         if self.voter_client.voter_service is not None:
@@ -330,8 +373,10 @@
         )
 
     async def _pull_from(self, peer: str) -> None:
+        # A pull from version 0 is answered with the whole document.
+        have = 0 if self._pulls_whole else max(self.context.version, 0)
         reply = await self.hub.request(
-            peer, messages.Pull(max(self.context.version, 0)), PULL_TIMEOUT_S
+            peer, messages.Pull(have), PULL_TIMEOUT_S
         )
         if reply is not None:
             self._apply_update(peer, reply)
--- a/tests/test_document_names.py
+++ b/tests/test_document_names.py
@@ -1,13 +1,18 @@
 """Names in a document are data: any text that JSON allows is a name."""
 
+import asyncio
+
 import builders
 from chivelb_core import document
 from chivelb_core.document import changes
 from chivelb_core.document import part_paths
+from chivelb_core.document import state as state_lib
+from chivelb_node.wire import messages
 import hypothesis
 from hypothesis import strategies
 import msgspec
 import pytest
+import replicas as replicas_lib
 
 ODD_NAMES = (
     "",
@@ -84,3 +89,45 @@
         operation = changes.Operation(f"routes/{name}", value)
         _, problems = changes.apply_operations(before, [operation])
         assert "is not one of" in problems[0].message
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x93\x01", b"\xa1\xff"])
+def test_bytes_that_are_no_state_or_deltas_are_a_typed_error(data):
+    with pytest.raises(state_lib.StateError):
+        state_lib.decode_document_state(data)
+    with pytest.raises(state_lib.StateError):
+        state_lib.decode_deltas(data)
+
+
+UNUSABLE_DELTA = state_lib.DocumentDelta(
+    2, "c", "", [changes.Operation("nothing/of-this", {})]
+)
+
+
+# Guards against a delta that ends the instance which can't apply it.
+@pytest.mark.parametrize(
+    "payload", [builders.encode_deltas([UNUSABLE_DELTA]), b"\xc1"]
+)
+def test_the_whole_document_takes_the_place_of_an_unusable_delta(payload):
+    members = replicas_lib.make_members(control_count=3, entry_count=3)
+    replicas, network = replicas_lib.make_replicas(members)
+    replica = replicas["front-0"]
+    for name in ("core-0", "core-1", "core-2"):
+        context = replicas[name].context
+        document_state = context.document_state.to_replica()
+        replace(document_state, routes={"a/b": builders.make_route()})
+        context.apply_document_state(document_state)
+    bodies = [messages.Deltas(1, payload), messages.FullDocument(2, b"\xc1")]
+
+    async def run():
+        await replica.start()
+        for body in bodies:
+            replica._on_deltas("core-0", body)
+        async with asyncio.timeout(10):
+            while replica.context.version < 2:
+                await asyncio.sleep(0.01)
+        await replica.stop()
+
+    asyncio.run(run())
+    assert list(replica.context.document.routes) == ["a/b"]
+    assert [body.have for _, _, body in network.requests][-1] == 0
