Text that only looks like a number is none

Cause: str.isdigit() holds for "²" and "①", which int() refuses; int() also refuses more than 4,300 digits, which any header may have. The same pair stood before the ports of addresses, the expiry of a console session, ids of events (also a caller's Last-Event-Id), and the time-out of Keep-Alive (there only for the number of digits: bytes.isdigit() is ASCII alone).

Why it works: one function parses ASCII digits, of a bounded number, or returns None, and all these places use it.

An event id of more than 1,000 digits is out of order.

--- a/packages/chivelb-core/chivelb_core/targets/record.py
+++ b/packages/chivelb-core/chivelb_core/targets/record.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from chivelb_core import decimals
+
 
 class TargetRecord(msgspec.Struct, kw_only=True, rename="camel"):
     """Announcement of a target.
@@ -89,7 +91,7 @@
                 f"{name}: must have 1 to {MAX_NAME_LENGTH} characters"
             )
     host, _, port = record.address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+    if not host or not 0 < (decimals.parse(port) or 0) < 65_536:
         problems.append(f"address: {record.address!r} is not host:port")
     if not MIN_LEASE_S <= record.lease_s <= MAX_LEASE_S:
         problems.append(f"leaseS: must be from {MIN_LEASE_S} to {MAX_LEASE_S}")
--- a/packages/chivelb-node/chivelb_node/edge/console.py
+++ b/packages/chivelb-node/chivelb_node/edge/console.py
@@ -12,6 +12,7 @@
 
 from aiohttp import web
 from chivelb_core import codes
+from chivelb_core import decimals
 from chivelb_core import document
 from chivelb_core.document import changes as changes_lib
 from chivelb_core.document import model as model_lib
@@ -94,7 +95,7 @@
         expected = self._compute_signature("session/" + payload)
         if not hmac.compare_digest(signature.encode(), expected.encode()):
             return False
-        return expires_at.isdigit() and int(expires_at) > time.time()
+        return (decimals.parse(expires_at) or 0) > time.time()
 
     def _csrf_token(self, request: web.Request) -> str:
         return self._compute_signature(
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -4,6 +4,7 @@
 import dataclasses
 import re
 
+from chivelb_core import decimals
 import msgspec
 
 DONE_EVENT = b"data: [DONE]"
@@ -125,9 +126,8 @@
         begun_id: Id of an event that an earlier target began, or empty.
     """
     first_id = first_event_id(run)
-    if not (first_id.isdigit() and begun_id.isdigit()):
-        return False
-    return int(first_id) > int(begun_id)
+    first, begun = _parse_id(first_id), _parse_id(begun_id)
+    return first is not None and begun is not None and first > begun
 
 
 def _event_id_at(run: bytes, start: int) -> str:
@@ -155,8 +155,9 @@
         last_id: Id of the last event received.
     """
     first_id = first_event_id(run)
-    if first_id.isdigit() and last_id.isdigit():
-        return int(first_id) <= int(last_id)
+    first, last = _parse_id(first_id), _parse_id(last_id)
+    if first is not None and last is not None:
+        return first <= last
     return first_id == last_id
 
 
@@ -170,14 +171,21 @@
         run: Run of complete events.
         last_id: Id of the last event of the response before, or empty.
     """
-    previous = int(last_id) if last_id.isdecimal() else -1
+    previous = _parse_id(last_id)
+    if previous is None:
+        previous = -1
     for match in _ID_OR_STATUS.finditer(run):
-        if match[1] is None or int(match[1]) <= previous:
+        number = _parse_id(match[1] or b"")
+        if number is None or number <= previous:
             return run[: _end_of_events(run[: match.start()], 0)]
-        previous = int(match[1])
+        previous = number
     return run
 
 
+def _parse_id(text: str | bytes) -> int | None:
+    return decimals.parse(text, decimals.MAX_DIGITS)
+
+
 async def check_events(
     runs: AsyncIterator[bytes], attempt_id: str, offset: int
 ) -> AsyncIterator[Batch]:
--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -15,6 +15,7 @@
 from aiohttp import http
 from aiohttp import http_exceptions
 from aiohttp import streams
+from chivelb_core import decimals
 
 from chivelb_node.links import parser_errors
 from chivelb_node.links import second_responses
@@ -472,6 +473,7 @@
     """Returns half of the timeout in a Keep-Alive header, in seconds."""
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name.strip().lower() == b"timeout" and number.strip().isdigit():
-            return int(number) / 2
+        timeout_s = decimals.parse(number.strip())
+        if name.strip().lower() == b"timeout" and timeout_s is not None:
+            return timeout_s / 2
     return MAX_IDLE_S
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -9,6 +9,7 @@
 import types
 import typing
 
+from chivelb_core import decimals
 from chivelb_core.document import validation
 import expression
 import msgspec
@@ -322,9 +323,10 @@
         ('127.0.0.1', 80)
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65_536:
+    number = decimals.parse(port)
+    if not host or number is None or number >= 65_536:
         raise ValueError(f"{address!r} is not of the form host:port")
-    return host, int(port)
+    return host, number
 
 
 class Seed(msgspec.Struct, frozen=True):
