A document by which nothing can run is refused, and divides by nothing

Callers saw: 500 for each request of a service whose KvCapacity is 0, or of a route whose weights add up to infinity; a plain target whose heartbeat tells of 0 slots ended the choice of a target with a division by zero (review, found besides).

Stores may have no capacity. A plain target without slots has no room, and so has a runner without KV cache by a document that an older build acknowledged; such weights are scaled.

Changes by the product's own interface are judged as before, since voters of two builds must come to the same result; what they can still set is without room.

--- a/packages/chivelb-core/chivelb_core/document/validation.py
+++ b/packages/chivelb-core/chivelb_core/document/validation.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import difflib
+import math
 import re
 
 import msgspec
@@ -78,7 +79,7 @@
 
 
 def validate_routes(document: model_lib.Document) -> list[Problem]:
-    """Validates only the routes, workspaces and limits.
+    """Validates only routes, workspaces, limits and capacities.
 
     Names are not validated: a document that an operator replaces as a whole
     may come from a tool with its own naming rules.
@@ -93,10 +94,44 @@
         *_workspace_problems(document),
         *_route_problems(document),
         *_limit_problems(document),
+        *_capacity_problems(document),
     ]
     return sorted(problems, key=lambda problem: problem.path)
 
 
+def _capacity_problems(document: model_lib.Document) -> Iterator[Problem]:
+    """Yields numbers by which no request could run.
+
+    Changes of parts are not validated so: instances of an older build apply
+    them too, and must come to the same result.
+    """
+    for name, service in document.services.items():
+        engine, store = service.engine, service.store
+        if engine is not None:
+            path = f"services/{name}/engine"
+            yield from _positive(f"{path}/slots", engine.slots)
+            yield from _positive(f"{path}/kv_tokens", engine.kv_tokens)
+            yield from _positive(
+                f"{path}/link_bytes_per_s", engine.link_bytes_per_s
+            )
+        if store is not None:
+            yield from _positive(
+                f"services/{name}/store/link_bytes_per_s",
+                store.link_bytes_per_s,
+            )
+    for name, route in document.routes.items():
+        if not math.isfinite(sum(share.weight for share in route.split)):
+            yield Problem(
+                f"routes/{name}/split",
+                "the weights must add up to a finite number",
+            )
+
+
+def _positive(path: str, value: float) -> Iterator[Problem]:
+    if not 0 < value < math.inf:
+        yield Problem(path, f"{value} must be above 0 and finite")
+
+
 def _name_problems(document: model_lib.Document) -> Iterator[Problem]:
     for collection in model_lib.COLLECTIONS:
         for name in getattr(document, collection):
--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -127,6 +127,8 @@
     engine: model_lib.EngineConfig,
 ) -> bool:
     """Returns whether a runner is estimated to have capacity for a call."""
+    if engine.kv_tokens <= 0:
+        return False
     if candidate.free_share is not None and candidate.running:
         return (
             candidate.free_share > 0
@@ -168,7 +170,9 @@
         expected
         + plan.tokens_to_prefill * PREFILL_COST_S_PER_TOKEN
         + weighted_fetch_tokens * FETCH_COST_S_PER_TOKEN
-        + FULL_CACHE_COST_S * candidate.used_kv_tokens / engine.kv_tokens
+        + FULL_CACHE_COST_S
+        * candidate.used_kv_tokens
+        / max(1, engine.kv_tokens)
     )
 
 
@@ -251,6 +255,8 @@
     best = None
     best_key = None
     for record in records:
+        if record.slots <= 0:
+            continue
         running = load.running(record.identity, now)
         share = free_share(record, now)
         if share is not None and (
--- a/packages/chivelb-core/chivelb_core/forwarding/fetch_plan.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/fetch_plan.py
@@ -146,6 +146,8 @@
 ) -> float:
     """Returns the expected duration of a fetch by a runner, in seconds."""
     rate = min(link.bytes_per_s, engine.link_bytes_per_s)
+    if rate <= 0:
+        return math.inf
     seconds = link.setup_s + tokens * engine.bytes_per_token / rate
     return seconds * (CROSS_ZONE_DURATION_FACTOR if link.zone != zone else 1.0)
 
--- a/packages/chivelb-node/chivelb_node/edge/plain_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/plain_calls.py
@@ -250,7 +250,8 @@
         return min(
             healthy or eligible,
             key=lambda record: (
-                context.load.running(record.identity, now) // record.slots,
+                context.load.running(record.identity, now)
+                // max(1, record.slots),
                 record.zone != zone,
                 context.load.running(record.identity, now),
                 context.rng.random(),
--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import hashlib
+import math
 import random
 
 from chivelb_core import codes
@@ -184,4 +185,8 @@
     if len(route.split) == 1:
         return route.split[0].service
     weights = [share.weight for share in route.split]
+    if not math.isfinite(sum(weights)):
+        # A document of an older build; choices() needs a finite sum.
+        largest = max(weights)
+        weights = [weight / largest for weight in weights]
     return rng.choices(route.split, weights)[0].service
