No part of a document takes the place of another one of its name

Callers would see: 404 on an acknowledged route, or 401 with an acknowledged key.

Cause: the adapter told routes of one name apart as "name#index"; if another route has that very name, one of the two was lost. Of two services or tenants of one name the last took the place of the first, whose keys were gone.

Evidence, failing before: test_routes_of_one_name_are_all_there AssertionError: assert ['/3/', '/5/'... '/4/', '/6/'] == ['/0/', '/1/'... test_a_service_or_tenant_named_twice_is_refused[Tenants] Failed: DID NOT RAISE DocumentError

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -203,3 +203,29 @@
 )
 def test_a_malformed_deadline_header_is_ignored(text, timeout_s):
     assert headers.decode_timeout(text) == timeout_s
+
+
+# Guards against a route that takes the place of another one whose name is that
+# of a repeated name with its index.
+def test_routes_of_one_name_are_all_there():
+    names = ["a", "a#2", "a", "a#0", "a", "a#2#1", "a#2"]
+    routes = [
+        {**DOCUMENT["Routes"][0], "Name": name, "PathPrefix": f"/{index}/"}
+        for index, name in enumerate(names)
+    ]
+    replacement = wire_document.decode_replacement(
+        json.dumps({**DOCUMENT, "Routes": routes}).encode()
+    )
+    prefixes = [r.path_prefix for r in replacement.document.routes.values()]
+    assert prefixes == [f"/{index}/" for index in range(len(names))]
+
+
+# Guards against a tenant whose keys are lost, or a service whose settings are,
+# to another of its name.
+@pytest.mark.parametrize("collection", ["Services", "Tenants"])
+def test_a_service_or_tenant_named_twice_is_refused(collection):
+    entry = without_key(DOCUMENT[collection][0], "ApiKeys")
+    entries = [*DOCUMENT[collection], entry]
+    data = json.dumps({**DOCUMENT, collection: entries}).encode()
+    with pytest.raises(wire_document.DocumentError, match="named twice"):
+        wire_document.decode_replacement(data)
