--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -229,3 +229,12 @@
     data = json.dumps({**DOCUMENT, collection: entries}).encode()
     with pytest.raises(wire_document.DocumentError, match="named twice"):
         wire_document.decode_replacement(data)
+
+
+# Guards against a tenant whose name adds headers to requests at runners.
+@pytest.mark.parametrize("name", ["a\r\nX-Hold: 1", "a\nb", "\x00", "a\x7f"])
+def test_a_tenant_whose_name_no_header_can_hold_is_refused(name):
+    tenants = [{"Name": name, "ApiKeys": ["k"]}]
+    data = json.dumps({**DOCUMENT, "Tenants": tenants}).encode()
+    with pytest.raises(wire_document.DocumentError, match="control character"):
+        wire_document.decode_replacement(data)
