A key or path whose bytes are no UTF-8 is no exception

Callers would see: 500, not 401, for such an X-Key, and 500 for such a path.

Cause: the HTTP parser hands such bytes over as surrogates, which encode() refuses.

Evidence, failing before: test_a_key_or_path_of_any_bytes_is_no_exception UnicodeEncodeError: 'utf-8' codec can't encode character '\udcff'

Why it works: both are encoded with surrogateescape, the reverse of what the parser does, as the request line already is. Digests of other keys and paths are as before.

--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -168,13 +168,16 @@
 
 def fingerprint(call: forwarding.Call, path: str, body: bytes) -> str:
     """Returns a digest that identifies repeated sends of a request."""
-    return suspects.fingerprint(call.workspace, path.encode() + b"\0" + body)
+    data = path.encode("utf-8", "surrogateescape") + b"\0" + body
+    return suspects.fingerprint(call.workspace, data)
 
 
 def _authenticate(context: context_lib.InstanceContext, key: str | None) -> str:
     if key is None:
         raise responses.RequestError(codes.UNAUTHORIZED, "no API key")
-    key_hash = hashlib.sha256(key.encode()).hexdigest()
+    # Bytes that are no UTF-8 are surrogates here.
+    data = key.encode("utf-8", "surrogateescape")
+    key_hash = hashlib.sha256(data).hexdigest()
     name = context.keys.workspace_by_key_hash.get(key_hash)
     if name is None:
         raise responses.RequestError(codes.UNAUTHORIZED, "unknown API key")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,10 @@
 
 import json
 
+import builders
+from chivelb_core import codes
+from chivelb_node.edge import responses
+from chivelb_node.forwarding import call_factory
 from chivelb_platform import boot
 from chivelb_platform import control_api
 from chivelb_platform import headers
@@ -238,3 +242,17 @@
     data = json.dumps({**DOCUMENT, "Tenants": tenants}).encode()
     with pytest.raises(wire_document.DocumentError, match="control character"):
         wire_document.decode_replacement(data)
+
+
+# Guards against a 500 for a key or path whose bytes are no UTF-8; the HTTP
+# parser hands them over as surrogates.
+def test_a_key_or_path_of_any_bytes_is_no_exception():
+    context = builders.make_context()
+    with pytest.raises(responses.RequestError) as caught:
+        call_factory._authenticate(context, "\udcff")
+    assert caught.value.error_detail.code is codes.UNAUTHORIZED
+    call = builders.make_call()
+    digests = {
+        call_factory.fingerprint(call, path, b"") for path in ("/\udcff", "/")
+    }
+    assert len(digests) == 2
