--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import hashlib
+import math
 import random
 
 from chivelb_core import codes
@@ -165,13 +166,16 @@
 
 def fingerprint(call: forwarding.Call, path: str, body: bytes) -> str:
     """Returns a digest that identifies repeated sends of a request."""
-    return suspects.fingerprint(call.workspace, path.encode() + b"\0" + body)
+    data = path.encode("utf-8", "surrogateescape") + b"\0" + body
+    return suspects.fingerprint(call.workspace, data)
 
 
 def _authenticate(context: context_lib.InstanceContext, key: str | None) -> str:
     if key is None:
         raise responses.RequestError(codes.UNAUTHORIZED, "no API key")
-    key_hash = hashlib.sha256(key.encode()).hexdigest()
+    # Bytes that are no UTF-8 are surrogates here.
+    data = key.encode("utf-8", "surrogateescape")
+    key_hash = hashlib.sha256(data).hexdigest()
     name = context.keys.workspace_by_key_hash.get(key_hash)
     if name is None:
         raise responses.RequestError(codes.UNAUTHORIZED, "unknown API key")
@@ -182,4 +186,8 @@
     if len(route.split) == 1:
         return route.split[0].service
     weights = [share.weight for share in route.split]
+    if not math.isfinite(sum(weights)):
+        # A document of an older build; choices() needs a finite sum.
+        largest = max(weights)
+        weights = [weight / largest for weight in weights]
     return rng.choices(route.split, weights)[0].service
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,10 @@
 
 import json
 
+import builders
+from chivelb_core import codes
+from chivelb_node.edge import responses
+from chivelb_node.forwarding import call_factory
 from chivelb_platform import boot
 from chivelb_platform import control_api
 from chivelb_platform import headers
@@ -204,3 +208,52 @@
 )
 def test_a_malformed_deadline_header_is_ignored(text, timeout_s):
     assert headers.decode_timeout(text) == timeout_s
+
+
+# Guards against a route that takes the place of another one whose name is that
+# of a repeated name with its index.
+def test_routes_of_one_name_are_all_there():
+    names = ["a", "a#2", "a", "a#0", "a", "a#2#1", "a#2"]
+    routes = [
+        {**DOCUMENT["Routes"][0], "Name": name, "PathPrefix": f"/{index}/"}
+        for index, name in enumerate(names)
+    ]
+    replacement = wire_document.decode_replacement(
+        json.dumps({**DOCUMENT, "Routes": routes}).encode()
+    )
+    prefixes = [r.path_prefix for r in replacement.document.routes.values()]
+    assert prefixes == [f"/{index}/" for index in range(len(names))]
+
+
+# Guards against a tenant whose keys are lost, or a service whose settings are,
+# to another of its name.
+@pytest.mark.parametrize("collection", ["Services", "Tenants"])
+def test_a_service_or_tenant_named_twice_is_refused(collection):
+    entry = without_key(DOCUMENT[collection][0], "ApiKeys")
+    entries = [*DOCUMENT[collection], entry]
+    data = json.dumps({**DOCUMENT, collection: entries}).encode()
+    with pytest.raises(wire_document.DocumentError, match="named twice"):
+        wire_document.decode_replacement(data)
+
+
+# Guards against a tenant whose name adds headers to requests at runners.
+@pytest.mark.parametrize("name", ["a\r\nX-Hold: 1", "a\nb", "\x00", "a\x7f"])
+def test_a_tenant_whose_name_no_header_can_hold_is_refused(name):
+    tenants = [{"Name": name, "ApiKeys": ["k"]}]
+    data = json.dumps({**DOCUMENT, "Tenants": tenants}).encode()
+    with pytest.raises(wire_document.DocumentError, match="control character"):
+        wire_document.decode_replacement(data)
+
+
+# Guards against a 500 for a key or path whose bytes are no UTF-8; the HTTP
+# parser hands them over as surrogates.
+def test_a_key_or_path_of_any_bytes_is_no_exception():
+    context = builders.make_context()
+    with pytest.raises(responses.RequestError) as caught:
+        call_factory._authenticate(context, "\udcff")
+    assert caught.value.error_detail.code is codes.UNAUTHORIZED
+    call = builders.make_call()
+    digests = {
+        call_factory.fingerprint(call, path, b"") for path in ("/\udcff", "/")
+    }
+    assert len(digests) == 2
