--- a/tests/test_second_answers_review.py
+++ b/tests/test_second_answers_review.py
@@ -96,8 +96,8 @@
     return second
 
 
-# Guards against an answer to an earlier attempt, or to a caller's earlier
-# request with the same id, that is taken for the answer to the next one.
+# Guards against a late answer to an earlier request with the same id, such as
+# a further attempt, that is taken for the answer to the next one.
 def test_a_late_copy_is_no_answer_to_a_second_attempt_with_the_same_id():
     first = second_answers.plain("a")
     second = second_answers.plain("a", status=second_answers.FAILURE)
@@ -244,3 +244,62 @@
     started = time.perf_counter()
     events.ordered_prefix(run, "")
     assert time.perf_counter() - started < MAX_PARSE_S
+
+
+# Guards against headers of another response: the trailer of a late copy is
+# read as a header of the next response.
+@pytest.mark.parametrize("name", ["X-Response-Seal", "X-Request-Id"])
+def test_a_trailer_of_a_late_copy_is_no_header_of_the_next_response(name):
+    first = second_answers.streamed("a")
+    copy = first[:-2] + f"{name}: seal-a\r\n\r\n".encode()
+    second = second_answers.plain("b", status=second_answers.FAILURE)
+    received = asyncio.run(send_twice([first], [copy + second], second_id="b"))
+    assert received in FAILED or received.seals == (b"seal-b",)
+
+
+# Guards against a connection that is closed behind each sound response with a
+# trailer; a new connection costs time and money.
+def test_a_response_with_a_trailer_leaves_its_connection():
+    first = second_answers.streamed("a")[:-2] + b"X-Sum: 1\r\n\r\n"
+    second = second_answers.plain("b")
+    _, received, connections = asyncio.run(
+        second_answers.exchange_two([first], [second])
+    )
+    assert (received.status, connections) == (200, 1)
+
+
+# Guards against a request that ran and is sent again: the trailer of a late
+# copy says that nothing was executed.
+def test_a_trailer_of_a_late_copy_does_not_say_that_a_request_was_not_run():
+    first = second_answers.streamed("a")
+    copy = first[:-2] + b"X-Not-Executed: 1\r\n\r\n"
+    received = asyncio.run(
+        send_twice([first], [copy + second_answers.plain("b")], second_id="b")
+    )
+    assert received is not calls.OutcomeKind.NOT_RUN
+
+
+# Guards against a late copy between chunks, or within one, that leaves a body
+# that looks whole.
+@pytest.mark.parametrize(
+    "make", [second_answers.plain, second_answers.streamed]
+)
+def test_a_late_copy_within_chunks_leaves_no_whole_body(make):
+    copy = make("a")
+    response = second_answers.streamed("b")
+    own = b"id: 1\ndata: b\n\nid: 2\ndata: b\n\n"
+
+    async def run():
+        wrong = []
+        start = response.find(b"\r\n\r\n") + 4
+        for at in range(start, len(response) + 1):
+            received = await send_twice(
+                [copy],
+                [response[:at], 0.01, copy, 0.01, response[at:]],
+                second_id="b",
+            )
+            if received not in FAILED and received.body != own:
+                wrong.append((at, received))
+        return wrong
+
+    assert not asyncio.run(run())
