A request id of any bytes is looked for in responses

A request whose id has bytes that are no UTF-8 was sent, and then raised UnicodeEncodeError where its id was to be compared: its caller got 500 for a request that ran, and its connection stayed taken. The id is compared as the bytes that were forwarded.

--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -217,7 +217,8 @@
 
         Nothing but the close of its connection frames such a body.
         """
-        if second_responses.is_in_body(body, self.request_id.encode()):
+        request_id = self.request_id.encode("utf-8", "surrogateescape")
+        if second_responses.is_in_body(body, request_id):
             raise _unknown_outcome(
                 codes.TARGET_FAILED, "second response behind the body"
             )
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -148,3 +148,21 @@
 
     assert asyncio.run(run()) == [(200, b"r-1"), calls.OutcomeKind.NOT_RUN]
     assert target.connections == 2
+
+
+# Guards against a request that is sent and whose answer is not waited for: its
+# id has bytes that are no UTF-8.
+def test_an_id_of_any_bytes_is_recognized_in_the_response():
+    request_id = b"r-\xff".decode("utf-8", "surrogateescape")
+    echoed = answer("r-1").replace(b"Id: r-1", b"Id: r-\xff")
+    target = scripted.ScriptedTarget([echoed])
+
+    async def run():
+        pool = http_pool.HttpPool()
+        client = target_client.TargetClient(pool, lambda *_: None)
+        async with target.serve():
+            result = await send(client, target, request_id)
+        pool.close()
+        return result
+
+    assert asyncio.run(run()) == (200, b"r-1")
