Event ids of any length are compared, not only those of few digits

By the protocol ids increase, so a longer number is a higher one. Ids are now compared by their digits, without a limit and without int().

--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -4,7 +4,6 @@
 import dataclasses
 import re
 
-from chivelb_core import decimals
 import msgspec
 
 DONE_EVENT = b"data: [DONE]"
@@ -126,7 +125,7 @@
         begun_id: Id of an event that an earlier target began, or empty.
     """
     first_id = first_event_id(run)
-    first, begun = _parse_id(first_id), _parse_id(begun_id)
+    first, begun = _id_order(first_id), _id_order(begun_id)
     return first is not None and begun is not None and first > begun
 
 
@@ -155,7 +154,7 @@
         last_id: Id of the last event received.
     """
     first_id = first_event_id(run)
-    first, last = _parse_id(first_id), _parse_id(last_id)
+    first, last = _id_order(first_id), _id_order(last_id)
     if first is not None and last is not None:
         return first <= last
     return first_id == last_id
@@ -171,22 +170,23 @@
         run: Run of complete events.
         last_id: Id of the last event of the response before, or empty.
     """
-    previous = _parse_id(last_id)
-    if previous is None:
-        previous = -1
+    previous = _id_order(last_id)
     for match in _ID_OR_STATUS.finditer(run):
-        number = None if match[1] is None else _parse_id(match[1])
-        if match[1] is not None and number is None:
-            # Too many digits: such an id has no order.
-            continue
-        if number is None or number <= previous:
+        order = _id_order(match[1] or b"")
+        if order is None or (previous is not None and order <= previous):
             return run[: _end_of_events(run[: match.start()], 0)]
-        previous = number
+        previous = order
     return run
 
 
-def _parse_id(text: str | bytes) -> int | None:
-    return decimals.parse(text, decimals.MAX_DIGITS)
+def _id_order(text: str | bytes) -> tuple[int, bytes] | None:
+    """Returns what orders numeric ids of any length; None for other ids."""
+    if isinstance(text, str):
+        text = text.encode("utf-8", "replace")
+    if not text.isdigit():
+        return None
+    digits = text.lstrip(b"0")
+    return len(digits), digits
 
 
 async def check_events(
