No instance shares with a workspace whose isolation is acknowledged

Cause: an acknowledgement says that a majority of the voters has the change. The runners' record has the old shared salt in requests sent after it; the instances log "document version applied" later. Ruled out: the instance that took the request had applied the document (then the salt is its own).

Change: an entry instance uses the shared scope only under a lease of 2.2 s, which a majority of the voters grants for its document version. A voter refuses once its log has a later change of isolation, committed or not, so that no lease for older documents begins after the commit.

tests/control_groups.py has the control group that test_voter_service had.

--- a/packages/chivelb-core/chivelb_core/document/sharing.py
+++ b/packages/chivelb-core/chivelb_core/document/sharing.py
@@ -49,6 +49,15 @@
     return f"{version}"
 
 
+def epoch_version(epoch: str) -> int:
+    """Returns the document version with which a sharing epoch began.
+
+    Args:
+        epoch: Result of ``name_epoch`` or ``bound_epoch``.
+    """
+    return int(epoch.partition(".")[0])
+
+
 def digest_epoch(document: model_lib.Document) -> str:
     """Returns the sharing epoch of a document without versions.
 
--- a/packages/chivelb-core/chivelb_core/document/state.py
+++ b/packages/chivelb-core/chivelb_core/document/state.py
@@ -336,6 +336,17 @@
             sharing_epoch=self.sharing_epoch,
         )
 
+    def copy(self) -> "DocumentState":
+        """Returns a copy that entries can be applied to."""
+        return msgspec.structs.replace(
+            self,
+            part_versions=dict(self.part_versions),
+            answers=dict(self.answers),
+            history=list(self.history),
+            leases=dict(self.leases),
+            weights=dict(self.weights),
+        )
+
     def deltas_since(self, version: int) -> list[DocumentDelta] | None:
         """Returns the deltas after a version.
 
--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -149,7 +149,11 @@
 
 
 def sharing_scope(
-    weight_version: str, call: Call, document_state: state_lib.DocumentState
+    weight_version: str,
+    call: Call,
+    document_state: state_lib.DocumentState,
+    *,
+    may_share: bool = True,
 ) -> str:
     """Returns the sharing scope of a call's cached prompts.
 
@@ -161,6 +165,8 @@
         weight_version: Version of the target's weights.
         call: The call; it has a prompt.
         document_state: The document in force when the call is sent.
+        may_share: Whether this instance may use the shared scope. If not, each
+            workspace has a scope of its own, as if it were isolated.
 
     Returns:
         Printable ASCII text, whatever the names of workspaces and models. The
@@ -169,7 +175,9 @@
     workspaces = document_state.document.workspaces
     workspace = workspaces.get(call.workspace)
     # A workspace that was removed since the call arrived shares nothing.
-    if call.workspace and (workspace is None or workspace.isolated):
+    is_removed = bool(call.workspace) and workspace is None
+    is_isolated = workspace is not None and workspace.isolated
+    if is_removed or is_isolated or not may_share:
         kind, owner = "only", call.workspace
     else:
         kind, owner = "shared", document_state.sharing_epoch
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -13,6 +13,7 @@
 from chivelb_core import rollout
 from chivelb_core import routing
 from chivelb_core import targets
+from chivelb_core.document import sharing_leases
 from chivelb_core.forwarding import reach as reach_lib
 from chivelb_core.forwarding import request_limits
 from chivelb_core.routing import policies
@@ -65,6 +66,9 @@
         version: Document version in force. 0 is the empty document of a new
             control group; -1 means that no version is in force yet. It never
             decreases.
+        sharing_lease: Whether workspaces may share cached prompts now.
+        sharing_epoch_changed: Set when a document with another sharing epoch
+            is put in force.
         requested_versions: Since when weight versions are requested.
         keys: Index of workspace API keys.
         routes: Index of the routes of the document in force.
@@ -106,6 +110,8 @@
         self.rng = rng
         self.document_state = document_lib.DocumentState()
         self.version = -1
+        self.sharing_lease = sharing_leases.SharingLease()
+        self.sharing_epoch_changed = asyncio.Event()
         self.requested_versions = rollout.RequestedVersions()
         self.keys = KeyTable(self.document_state.document)
         self.routes = document_lib.RouteTable(self.document_state.document)
@@ -197,12 +203,20 @@
         """
         if document_state.version <= self.version:
             return False
+        if document_state.sharing_epoch != self.document_state.sharing_epoch:
+            self.sharing_epoch_changed.set()
         self.document_state = document_state
         self.version = document_state.version
         self.requested_versions.update(document_state.weights, monotonic())
         self._rebuild_indexes()
         return True
 
+    def may_share(self) -> bool:
+        """Returns whether workspaces may share cached prompts now."""
+        return self.sharing_lease.permits(
+            self.document_state.sharing_epoch, boottime()
+        )
+
     def weights_due_at(self, record: targets.TargetRecord) -> float:
         """Returns by when a newer version than a runner's is to be in force.
 
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -23,6 +23,7 @@
 from chivelb_node.control import group_entry
 from chivelb_node.control import group_log
 from chivelb_node.control import log_entries
+from chivelb_node.control import sharing_grantor
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.storage import journal
 from chivelb_node.storage import voter_files
@@ -104,6 +105,11 @@
         self._seen_voters: set[str] = set()
         self._group_log = group_log.GroupLog(context.metrics)
         self._state_was_read = False
+        self._sharing = sharing_grantor.SharingGrantor(
+            hub,
+            get_voter=lambda: self.voter,
+            get_state=lambda: self.document_state,
+        )
         for message_type in _CONSENSUS_MESSAGES:
             hub.register_handler(message_type, self._on_message)
         hub.register_handler(messages.VoterHello, self._on_hello)
@@ -243,6 +249,7 @@
             log=recovered.log,
             snapshot_data=recovered.snapshot,
         )
+        self._sharing.reset(recovered.log.base_index)
         self._publish()
         _log.info(
             "voter started",
@@ -286,8 +293,8 @@
         # next effects, which must be synced as well.
         while not (effects := self.voter.take_effects()).is_empty:
             if effects.snapshot is not None:
-                # Index, term and data.
-                self._install_snapshot(effects.snapshot[2])
+                index, _, data = effects.snapshot
+                self._install_snapshot(index, data)
             if effects.needs_sync:
                 await self._files.store(effects)
             if effects.entries:
@@ -327,15 +334,19 @@
         self._seen_voters = names
         return True
 
-    def _install_snapshot(self, data: bytes) -> None:
+    def _install_snapshot(self, index: int, data: bytes) -> None:
+        epoch = self.document_state.sharing_epoch
         snapshot = snapshots.decode_snapshot(data)
         self.document_state = state_lib.decode_document_state(snapshot.state)
+        self._sharing.record_applied(index, epoch)
         self._publish()
 
     def _apply(self, entries: list) -> None:
         before = self.document_state.version
         for entry in entries:
+            epoch = self.document_state.sharing_epoch
             result = log_entries.apply_entry(self.document_state, entry)
+            self._sharing.record_applied(entry.index, epoch)
             future = self._pending_proposals.pop(
                 (entry.index, entry.term), None
             )
@@ -404,6 +415,7 @@
             code = codes.CHANGE_UNKNOWN if appended else codes.NO_QUORUM
             return self._change_reply(code, None, appended=appended)
         assert change.change_id in self.document_state.answers
+        await self._sharing.wait_until_ended(result.version)
         return self._change_reply(codes.DONE, result, appended=True)
 
     def _change_reply(
@@ -426,6 +438,11 @@
         applied = None
         if self.is_leader and request.kind in COMMAND_KINDS:
             _, applied = await self.propose(request.kind, request.payload)
+            if applied is not None and request.kind == "replace":
+                # Also for one that was sent again: what it begins may last.
+                await self._sharing.wait_until_ended(
+                    self.document_state.version
+                )
         return messages.CommandReply(
             applied is not None, self.document_state.version, self.leader_name()
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -341,7 +341,10 @@
     def _scope(self, weight_version: str, call: forwarding.Call) -> str:
         """Returns the sharing scope of a call that is sent now."""
         return forwarding.sharing_scope(
-            weight_version, call, self.context.document_state
+            weight_version,
+            call,
+            self.context.document_state,
+            may_share=self.context.may_share(),
         )
 
     def _plan_placement(
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -81,6 +81,9 @@
     relayFailure @75 :RelayFailure;
     targetFull @76 :TargetFull;
     loadQuery @77 :LoadQuery;
+    sharingLeaseRequest @78 :SharingLeaseRequest;
+    sharingEndRequest @79 :SharingEndRequest;
+    voterAgreement @80 :VoterAgreement;
   }
 }
 
@@ -480,6 +483,14 @@
   versions @1 :List(Text);
 }
 
+struct SharingEndRequest {
+  version @0 :Int64;
+}
+
+struct SharingLeaseRequest {
+  version @0 :Int64;
+}
+
 struct Sighting {
   fingerprint @0 :Text;
   target @1 :Text;
@@ -636,6 +647,12 @@
   pre @5 :Bool;
 }
 
+struct VoterAgreement {
+  agreed @0 :Bool;
+  memberId @1 :Text;
+  voters @2 :List(Text);
+}
+
 struct VoterHello {
   name @0 :Text;
   memberId @1 :Text;
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -150,6 +150,41 @@
     nothing: bool = True
 
 
+class SharingLeaseRequest(msgspec.Struct, rename="camel", frozen=True):
+    """Asks a voter for a lease on the sharing epoch of a document version.
+
+    Attributes:
+        version: Document version by which the sender serves.
+    """
+
+    version: int
+
+
+class SharingEndRequest(msgspec.Struct, rename="camel", frozen=True):
+    """Asks a voter whether no lease of an older sharing epoch is left.
+
+    Attributes:
+        version: Document version that begins a sharing epoch. The receiver
+            grants no leases for older ones from now on.
+    """
+
+    version: int
+
+
+class VoterAgreement(msgspec.Struct, rename="camel", frozen=True):
+    """A voter's reply to a question that a majority has to agree on.
+
+    Attributes:
+        agreed: Whether the voter agrees.
+        member_id: Member id of the voter; empty if there is none.
+        voters: Member ids of all voters of the newest group in its log.
+    """
+
+    agreed: bool
+    member_id: str
+    voters: list[str]
+
+
 class ReadReply(msgspec.Struct, rename="camel", frozen=True):
     """Reply to a read request.
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -88,6 +88,9 @@
     relay_messages.RelayFailure,
     messages.TargetFull,
     messages.LoadQuery,
+    messages.SharingLeaseRequest,
+    messages.SharingEndRequest,
+    messages.VoterAgreement,
 )
 
 
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -81,6 +81,8 @@
         if receiver in self.silent or (sender, receiver) in self.cut:
             await asyncio.Event().wait()
         reply = self.hubs[receiver].handlers[type(body)](sender, body)
+        if asyncio.iscoroutine(reply):
+            reply = await reply
         size = len(codec.encode(codec.Envelope(reply)))
         self.received[sender][type(reply)] += size
         return reply
--- a/tests/test_voter_service.py
+++ b/tests/test_voter_service.py
@@ -1,98 +1,15 @@
 """Voter services that exchange messages in memory, with files on disk."""
 
 import asyncio
-import contextlib
 import errno
-import random
 
-import builders
 from chivelb_core.consensus import messages as consensus_messages
 from chivelb_node.control import voter_service
 from chivelb_node.storage import journal as journal_lib
+import control_groups
 import pytest
-import replicas
-
-SEEDS = ["v1", "v2", "v3"]
-WAIT_S = 30.0
-
-
-class ControlGroup:
-    """Voter services by name, and their network."""
-
-    def __init__(self, directory):
-        self.directory = directory
-        self.network = replicas.MemoryNetwork()
-        self.services = {}
-
-    async def start(self, name, *, start):
-        context = builders.make_context()
-        context.rng = random.Random(name)
-        settings = context.settings
-        settings.instance.name = name
-        settings.instance.data_dir = str(self.directory / name)
-        settings.control.voters = SEEDS
-        settings.control.start = start
-        settings.control.election_timeout_s = 0.3
-        settings.control.heartbeat_s = 0.06
-        service = voter_service.VoterService(
-            context,
-            replicas.MemoryHub(name, self.network),
-            lambda: None,
-            lambda: [other for other in self.network.hubs if other != name],
-        )
-        self.services[name] = service
-        self.network.silent.discard(name)
-        await service.start()
-
-    async def stop(self, name):
-        """Stops an instance without a word to the others."""
-        self.network.silent.add(name)
-        await self.services.pop(name).stop()
-
-    def leader(self):
-        return next((s for s in self.services.values() if s.is_leader), None)
-
-    def voter_names(self):
-        """Returns the names of the voters of the committed group."""
-        leader = self.leader()
-        if leader is None:
-            return set()
-        group = leader.voter.committed_group()
-        return {group.members[voter].name for voter in group.voters}
-
-    async def wait_until(self, condition):
-        async with asyncio.timeout(WAIT_S):
-            while not condition():
-                await asyncio.sleep(0.02)
-
-    async def commit(self):
-        await self.wait_until(self.leader)
-        async with asyncio.timeout(WAIT_S):
-            while True:
-                leader = self.leader()
-                if leader is not None:
-                    await leader.propose("test", b"")
-                    if leader.voter.commit_index == leader.voter.log.last_index:
-                        return
-                await asyncio.sleep(0.05)
-
-    async def commit_again_and_again(self):
-        while True:
-            await self.commit()
-            await asyncio.sleep(0.02)
-
-
-@contextlib.asynccontextmanager
-async def running_group(directory):
-    group = ControlGroup(directory)
-    for name in SEEDS:
-        await group.start(name, start="found")
-    await group.wait_until(group.leader)
-    try:
-        yield group
-    finally:
-        for name in list(group.services):
-            await group.stop(name)
+
+SEEDS = control_groups.SEEDS
 
 
 # Guards against a control group that keeps an instance as a voter which was
@@ -100,7 +17,7 @@
 @pytest.mark.parametrize("planned", [True, False])
 def test_a_successor_takes_the_vote_of_a_replaced_instance(tmp_path, planned):
     async def run():
-        async with running_group(tmp_path) as group:
+        async with control_groups.running_group(tmp_path) as group:
             if planned:
                 await group.start("v4", start="join")
             await group.stop("v1")
@@ -119,7 +36,7 @@
 # replaced while it was down.
 def test_an_instance_that_returns_after_its_replacement_joins_again(tmp_path):
     async def run():
-        async with running_group(tmp_path) as group:
+        async with control_groups.running_group(tmp_path) as group:
             await group.start("v4", start="join")
             await group.stop("v1")
             await group.wait_until(
@@ -166,7 +83,7 @@
     monkeypatch.setattr(voter_service, "DISK_RETRY_S", 0.05, raising=False)
 
     async def run():
-        async with running_group(tmp_path) as group:
+        async with control_groups.running_group(tmp_path) as group:
             for name in SEEDS:
                 await group.commit()
                 failing_folders.add(tmp_path / name)
@@ -190,7 +107,7 @@
     tmp_path, failing_folders
 ):
     async def run():
-        async with running_group(tmp_path) as group:
+        async with control_groups.running_group(tmp_path) as group:
             service = group.services["v1"]
             failing_folders.add(tmp_path / "v1")
             message = consensus_messages.AppendReply(
@@ -210,7 +127,7 @@
 # damaged, although a majority has all that it held.
 def test_a_voter_with_damaged_files_joins_as_a_new_member(tmp_path):
     async def run():
-        async with running_group(tmp_path) as group:
+        async with control_groups.running_group(tmp_path) as group:
             for _ in range(3):
                 await group.commit()
             await group.stop("v1")
