A workspace with an empty name is a workspace

Cause: Call.workspace was the empty text on public routes, and each reader took an empty name for none. It is None there now; the message to a peer that makes an attempt says whether there is a workspace (older senders name it alone).

--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -68,7 +68,8 @@
         route_name: Name of the route.
         route: Route configuration at the time of arrival.
         service: Service selected by the route's traffic split.
-        workspace: Workspace of the client; empty on public routes.
+        workspace: Workspace of the client, whose name may be empty; None on
+            public routes.
         priority: Priority in the instance's queue; 0 is the highest.
         prompt: Declared prompt metadata, or None.
         arrived_at: Monotonic time of arrival, in seconds.
@@ -94,7 +95,7 @@
     route_name: str
     route: model_lib.Route
     service: str
-    workspace: str
+    workspace: str | None
     priority: int
     prompt: Prompt | None
     arrived_at: float
@@ -172,12 +173,7 @@
         Printable ASCII text, whatever the names of workspaces and models. The
         scope of an isolated workspace differs from all others.
     """
-    workspaces = document_state.document.workspaces
-    workspace = workspaces.get(call.workspace)
-    # A workspace that was removed since the call arrived shares nothing.
-    is_removed = bool(call.workspace) and workspace is None
-    is_isolated = workspace is not None and workspace.isolated
-    if is_removed or is_isolated or not may_share:
+    if not may_share or _shares_nothing(call, document_state):
         kind, owner = "only", call.workspace
     else:
         kind, owner = "shared", document_state.sharing_epoch
@@ -185,8 +181,18 @@
     return f"{weight_version or 'unknown'}:{kind}:{digest}"
 
 
+def _shares_nothing(
+    call: Call, document_state: state_lib.DocumentState
+) -> bool:
+    """Returns whether a call's workspace is isolated, or was removed."""
+    if call.workspace is None:
+        return False
+    workspace = document_state.document.workspaces.get(call.workspace)
+    return workspace is None or workspace.isolated
+
+
 @functools.lru_cache(MAX_KEPT_DIGESTS)
-def _scope_digest(*names: str) -> str:
+def _scope_digest(*names: str | None) -> str:
     """Returns a digest of names of any characters, of fixed length."""
     return hashlib.blake2b(
         json.dumps(names).encode(), digest_size=SCOPE_DIGEST_BYTES
--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -111,16 +111,13 @@
             f"no route for {request_head.host}{request_head.path}",
         )
     name, route = match_found
-    workspace = ""
+    workspace = None
+    priority = route.priority
     if not route.public and context.document.workspaces:
         workspace = _authenticate(context, request_head.key)
-    workspace_settings = context.document.workspaces.get(workspace)
-    priority = route.priority
-    if (
-        workspace_settings is not None
-        and workspace_settings.priority is not None
-    ):
-        priority = workspace_settings.priority
+        workspace_priority = context.document.workspaces[workspace].priority
+        if workspace_priority is not None:
+            priority = workspace_priority
     wait_s = route.timeout_s
     if request_head.wait_s is not None:
         wait_s = min(wait_s, request_head.wait_s)
@@ -167,7 +164,7 @@
 def fingerprint(call: forwarding.Call, path: str, body: bytes) -> str:
     """Returns a digest that identifies repeated sends of a request."""
     data = path.encode("utf-8", "surrogateescape") + b"\0" + body
-    return suspects.fingerprint(call.workspace, data)
+    return suspects.fingerprint(call.workspace or "", data)
 
 
 def _authenticate(context: context_lib.InstanceContext, key: str | None) -> str:
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -118,7 +118,7 @@
         relay: relay_lib.ResponseRelay,
     ) -> None:
         call.part_keys = part_suspects.part_keys(
-            call.workspace, call.shared_part_ids
+            call.workspace or "", call.shared_part_ids
         )
         if call.takes_up_stream:
             await self._bind_to_origin(call)
--- a/packages/chivelb-node/chivelb_node/forwarding/relay_channel.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_channel.py
@@ -60,7 +60,8 @@
     request = relay_messages.RelayRequest(
         request_id=call.request_id,
         route=call.route_name,
-        workspace=call.workspace,
+        workspace=call.workspace or "",
+        has_workspace=call.workspace is not None,
         priority=call.priority,
         has_prompt=call.prompt is not None,
         identity=record.identity,
@@ -80,6 +81,13 @@
     await send_data(channel, message.body)
 
 
+def _workspace_of(request: relay_messages.RelayRequest) -> str | None:
+    # Older instances name a workspace without saying that there is one.
+    if request.workspace or request.has_workspace:
+        return request.workspace
+    return None
+
+
 async def receive_attempt(
     channel: ChannelPort,
     request: relay_messages.RelayRequest,
@@ -109,7 +117,7 @@
         route_name=request.route,
         route=route,
         service=record.service,
-        workspace=request.workspace,
+        workspace=_workspace_of(request),
         priority=request.priority,
         prompt=forwarding.Prompt("", (), 0, 0) if request.has_prompt else None,
         arrived_at=now,
--- a/packages/chivelb-node/chivelb_node/links/stream_origins.py
+++ b/packages/chivelb-node/chivelb_node/links/stream_origins.py
@@ -116,7 +116,7 @@
         """Records what began the stream of a call, and shares it if needed."""
         now = context_lib.monotonic()
         recorded = stream_origins.RecordedOrigin(
-            stream_origins.origin_key(call.workspace, call.request_id),
+            stream_origins.origin_key(call.workspace or "", call.request_id),
             origin,
             call.deadline + EXPIRY_MARGIN_S,
         )
@@ -232,7 +232,7 @@
         self._observe_targets(now)
         key = b""
         if call.resumes:
-            key = stream_origins.origin_key(call.workspace, call.resumes)
+            key = stream_origins.origin_key(call.workspace or "", call.resumes)
             origin = self.table.find(key, now)
             if origin is not None:
                 return stream_origins.Finding(origin, "own")
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -446,6 +446,7 @@
   requestTarget @14 :Data;
   headers @15 :List(RelayHeader);
   bodyBytes @16 :Int64;
+  hasWorkspace @17 :Bool;
 }
 
 struct ReleaseBlocks {
--- a/packages/chivelb-node/chivelb_node/wire/relay_messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/relay_messages.py
@@ -40,6 +40,8 @@
         request_target: Path and query.
         headers: End-to-end headers.
         body_bytes: Length of the body, which follows.
+        has_workspace: Whether the call has a workspace, whose name may be
+            empty.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     request_target: bytes
     headers: list[RelayHeader]
     body_bytes: int
+    has_workspace: bool
 
 
 class RelayData(msgspec.Struct, rename="camel", frozen=True):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -360,6 +360,7 @@
         request_id="r-1",
         route="quote",
         workspace="w",
+        has_workspace=True,
         priority=0,
         has_prompt=False,
         identity="a",
