A voter votes again by itself once its disk has room

What operators saw (reported by others; it happens here): the disks of control instances were full for some seconds each, one after another; long after, changes were refused or unanswered, while all processes ran.

The service ended for good; where its process stays, nobody votes in it. Ruled out: damage by the part that was taken (no such line), a voter that is not tried again (the error leaves the handler).

A file that can't be replaced leaves no .new file. A voter that was a member joins as a new one if it lost its id; it founded the group again under the old id, with an empty log. The proposals of a voter that stops are answered as unknown at once.

--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -105,6 +105,8 @@
         self._seen_voters: set[str] = set()
         self._group_log = group_log.GroupLog(context.metrics)
         self._state_was_read = False
+        # Whether it has been a member: it must not found the group again.
+        self._was_member = False
         self._sharing = sharing_grantor.SharingGrantor(
             hub,
             get_voter=lambda: self.voter,
@@ -162,18 +164,34 @@
         self.failure = failure
         self.voter = None
         self._files.close()
+        # Whether their entries are committed is not known here any more.
+        for future in self._pending_proposals.values():
+            if not future.done():
+                future.set_result(None)
 
     async def _initialize_voter(self) -> None:
         if self._files.read_identity():
+            self._was_member = True
             await self._recover_or_rejoin()
             return
         self._state_was_read = True
+        if self._was_member:
+            await self._rejoin()
+            return
         membership = await group_entry.find_membership(
             self, self.hub, self.context.settings, self.control_instances
         )
         if membership is not None:
             self._create(membership)
 
+    async def _rejoin(self) -> None:
+        """Joins the group as a new member."""
+        membership = await group_entry.join_group(
+            self, self.hub, self.name, self.control_instances
+        )
+        if membership is not None:
+            self._create(membership)
+
     async def _recover_or_rejoin(self) -> None:
         """Recovers the voter; joins as a new member if files are damaged.
 
@@ -181,19 +199,12 @@
         that nothing is erased as long as no majority has all that they held.
         """
         try:
-            if self.failure:
-                # After a failed sync, what is read may not be on the disk.
-                await self._files.rewrite()
             self._recover()
         except journal.JournalError as error:
             self._stop_voter(f"files: {error}")
         self._state_was_read = True
         if self.voter is None:
-            membership = await group_entry.join_group(
-                self, self.hub, self.name, self.control_instances
-            )
-            if membership is not None:
-                self._create(membership)
+            await self._rejoin()
 
     def _on_hello(
         self, peer: str, hello: messages.VoterHello
@@ -226,6 +237,7 @@
 
     def _recover(self) -> None:
         recovered = self._files.recover()
+        self._was_member = True
         self.failure = ""
         self.document_state = document.DocumentState()
         self._seen_voters = self._files.read_seen_voters()
--- a/packages/chivelb-node/chivelb_node/storage/journal.py
+++ b/packages/chivelb-node/chivelb_node/storage/journal.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterator
+import contextlib
 import itertools
 import os
 import pathlib
@@ -11,6 +12,7 @@
 # First byte of a record that holds a batch; never the first of MessagePack.
 BATCH_MARK = b"\xc1"
 MAX_RECORD_BYTES = 67_108_864
+FILE_MODE = 0o666
 
 
 class JournalError(Exception):
@@ -98,35 +100,59 @@
     opened. Damage before valid records is an error, because truncating
     there would silently lose synced records.
 
+    After a write or a sync has failed, the journal takes nothing until it is
+    closed and opened again. What was not synced is discarded then: the kernel
+    may show bytes that never reached the disk.
+
     Attributes:
         path: Path of the file.
-        size: Size of the valid records in bytes.
+        size: Size of the synced records in bytes.
+        failure: Error that ended its use, or None.
     """
 
-    __slots__ = ("path", "size", "_file", "_queue", "_flushing")
+    __slots__ = (
+        "path",
+        "size",
+        "failure",
+        "_descriptor",
+        "_queue",
+        "_flushing",
+        "_has_unsynced_tail",
+    )
 
     def __init__(self, path: pathlib.Path) -> None:
         """Creates a journal without opening its file."""
         self.path = path
         self.size = 0
-        self._file = None
+        self.failure: OSError | None = None
+        self._descriptor: int | None = None
         self._queue: list[tuple[list[bytes], asyncio.Future]] = []
         self._flushing: asyncio.Task | None = None
+        # Whether the file may have bytes behind the synced records.
+        self._has_unsynced_tail = False
 
     def open(self) -> list[bytes]:
         """Opens the file, truncates a torn tail and returns all payloads.
 
         Raises:
             JournalError: A record before the tail is damaged.
+            OSError: The file can't be read or synced.
         """
-        existed = self.path.exists()
         payloads, end = self._read()
-        self._file = self.path.open("r+b" if existed else "w+b")
-        self._file.truncate(end)
-        self._file.seek(end)
-        os.fsync(self._file.fileno())
-        sync_directory(self.path.parent)
+        descriptor = os.open(self.path, os.O_RDWR | os.O_CREAT, FILE_MODE)
+        try:
+            os.ftruncate(descriptor, end)
+            os.lseek(descriptor, end, os.SEEK_SET)
+            os.fsync(descriptor)
+            sync_directory(self.path.parent)
+        except OSError:
+            os.close(descriptor)
+            raise
+        self.close()
+        self._descriptor = descriptor
         self.size = end
+        self.failure = None
+        self._has_unsynced_tail = False
         return payloads
 
     def read(self) -> list[bytes]:
@@ -140,6 +166,8 @@
     def _read(self) -> tuple[list[bytes], int]:
         """Returns all payloads, and the size of the valid records in bytes."""
         data = self.path.read_bytes() if self.path.exists() else b""
+        if self._has_unsynced_tail:
+            data = data[: self.size]
         payloads = []
         end = 0
         for end, payload in iterate_records(data):  # noqa: B007
@@ -161,10 +189,12 @@
                 of earlier calls are synced.
 
         Raises:
-            OSError: The records could not be written; the journal must not
-                be used any further.
+            OSError: The records could not be written, or those of an earlier
+                call; the journal must be closed and opened again.
         """
         if not payloads and not self._queue and not self._is_flushing():
+            if self.failure is not None:
+                raise self.failure
             return
         future = asyncio.get_running_loop().create_future()
         self._queue.append((payloads, future))
@@ -181,48 +211,96 @@
             records = [record for payloads, _ in batch for record in payloads]
             data = encode_batch(records) if records else b""
             try:
+                # Behind records that were not written, none may follow.
+                if self.failure is not None:
+                    raise self.failure
                 if data:
                     await asyncio.to_thread(self._write, data)
             except OSError as error:
-                for _, future in batch:
-                    if not future.done():
-                        future.set_exception(error)
+                self.failure = error
+                _end_all(batch, error)
                 continue
             self.size += len(data)
-            for _, future in batch:
-                if not future.done():
-                    future.set_result(None)
+            _end_all(batch, None)
 
     def _write(self, data: bytes) -> None:
-        self._file.write(data)
-        self._file.flush()
-        os.fdatasync(self._file.fileno())
+        self._has_unsynced_tail = True
+        write_all(self._descriptor, data)
+        os.fdatasync(self._descriptor)
+        self._has_unsynced_tail = False
 
     async def rewrite(self, payloads: list[bytes]) -> None:
         """Replaces all records atomically, for compaction.
 
         Must not run concurrently with ``append``.
+
+        Raises:
+            OSError: The records could not be written; the journal must be
+                closed and opened again, with the old ones or the new ones.
         """
         data = b"".join(encode_batch([payload]) for payload in payloads)
-        await asyncio.to_thread(replace_file, self.path, data)
-        self._file.close()
-        self._file = self.path.open("r+b")
-        self._file.seek(len(data))
+        try:
+            await asyncio.to_thread(replace_file, self.path, data)
+            descriptor = os.open(self.path, os.O_RDWR)
+        except OSError as error:
+            self.failure = error
+            raise
+        self.close()
+        self._descriptor = descriptor
+        os.lseek(descriptor, len(data), os.SEEK_SET)
         self.size = len(data)
 
     def close(self) -> None:
-        """Closes the file."""
-        if self._file is not None:
-            self._file.close()
-            self._file = None
+        """Closes the file. Nothing is written, and no error is raised."""
+        if self._descriptor is not None:
+            with contextlib.suppress(OSError):
+                os.close(self._descriptor)
+            self._descriptor = None
+
+
+def _end_all(
+    batch: list[tuple[list[bytes], asyncio.Future]], error: OSError | None
+) -> None:
+    for _, future in batch:
+        if future.done():
+            continue
+        if error is None:
+            future.set_result(None)
+        else:
+            future.set_exception(error)
+
+
+def write_all(descriptor: int, data: bytes) -> None:
+    """Writes all bytes; the kernel may take them in several parts.
+
+    Raises:
+        OSError: Not all bytes were taken, for instance as the disk is full.
+    """
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(descriptor, rest) :]
 
 
 def replace_file(path: pathlib.Path, data: bytes) -> None:
-    """Replaces the contents of a file atomically and durably."""
+    """Replaces the contents of a file atomically and durably.
+
+    Raises:
+        OSError: The old contents are still there, unless the error came as
+            the directory was synced. Nothing else takes room on the disk.
+    """
     temporary = path.with_suffix(path.suffix + ".new")
-    with temporary.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary.replace(path)
+    try:
+        descriptor = os.open(
+            temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, FILE_MODE
+        )
+        try:
+            write_all(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        temporary.replace(path)
+    except OSError:
+        with contextlib.suppress(OSError):
+            temporary.unlink()
+        raise
     sync_directory(path.parent)
--- a/packages/chivelb-node/chivelb_node/storage/voter_files.py
+++ b/packages/chivelb-node/chivelb_node/storage/voter_files.py
@@ -73,10 +73,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         """Creates the object without reading any file."""
         self.folder = folder
-        self._open_journal()
-
-    def _open_journal(self) -> None:
-        self.journal = journal_lib.Journal(self.folder / "log.journal")
+        self.journal = journal_lib.Journal(folder / "log.journal")
 
     def read_identity(self) -> str:
         """Returns the member id, or empty if there is no state."""
@@ -88,10 +85,15 @@
 
         The identity file is written last, so that a crash before it leaves
         no state.
+
+        Raises:
+            OSError: The files can't be written. There may be no state left;
+                the instance must not take its earlier member id again.
         """
         self.folder.mkdir(parents=True, exist_ok=True)
         for name in ("identity", "log.journal", "snapshot", "witnessed"):
             (self.folder / name).unlink(missing_ok=True)
+        self.journal = journal_lib.Journal(self.folder / "log.journal")
         self.journal.open()
         journal_lib.replace_file(
             self.folder / "identity", member_id.encode() + b"\n"
@@ -132,27 +134,9 @@
                     _restore_entry(log, entry)
         return RecoveredState(self.read_identity(), hard_state, log, data)
 
-    async def rewrite(self) -> None:
-        """Writes all files again, so that what is read from them is synced.
-
-        Must be called before ``recover`` after a write or sync has failed.
-
-        Raises:
-            journal_lib.JournalError: A file is damaged.
-            OSError: A file can't be written.
-        """
-        snapshot = self._read_snapshot()
-        if snapshot is not None:
-            self.write_snapshot(*snapshot)
-        self.write_seen_voters(self.read_seen_voters())
-        records = self.journal.open()
-        await self.journal.rewrite(records)
-        self.close()
-
     def close(self) -> None:
         """Closes the journal; it can be recovered again."""
         self.journal.close()
-        self._open_journal()
 
     async def store(self, effects: consensus.Effects) -> None:
         """Writes and syncs the durable effects of a step.
--- a/tests/control_groups.py
+++ b/tests/control_groups.py
@@ -142,15 +142,16 @@
         await entry.holder.stop()
 
 
-async def replace_document(group, isolated_by_name, *, resend=False):
-    """Sends the operator's next document, or the newest one again.
+async def replace_document(group, isolated_by_name, *, number=None):
+    """Sends the operator's next document, or one with a given number.
 
     Returns:
         Whether the leader acknowledged it.
     """
     await group.wait_until(group.leader)
     leader = group.leader()
-    number = leader.document_state.number + (0 if resend else 1)
+    if number is None:
+        number = leader.document_state.number + 1
     replacement = builders.make_replacement(
         number, sharing_fleet.make_document(isolated_by_name)
     )
--- a/tests/test_sharing_leases.py
+++ b/tests/test_sharing_leases.py
@@ -109,7 +109,7 @@
                     lambda: group.leader().document_state.number == 2
                 )
                 assert await control_groups.replace_document(
-                    group, A_ISOLATED, resend=True
+                    group, A_ISOLATED, number=2
                 )
                 assert not entry.context.may_share()
                 assert await first
