A claim keeper serves again by itself once its disk has room

What was not synced was not granted to anyone, and is known afterwards.

The platform's programs run no claim keeper.

--- a/packages/chivelb-node/chivelb_node/control/claim_keeper.py
+++ b/packages/chivelb-node/chivelb_node/control/claim_keeper.py
@@ -23,6 +23,8 @@
 RETRY_PERIOD_S = 0.3
 CLOCK_MARGIN_S = 0.5
 EXPIRE_PERIOD_S = 30.0
+# Pause before the files are written again after a write has failed.
+DISK_RETRY_S = 1.0
 COMPACT_ABOVE_BYTES = 64_000_000
 _log = logs.get_logger("keeper")
 _journal_record_decoder = msgspec.msgpack.Decoder(keeper_lib.JournalRecord)
@@ -65,6 +67,9 @@
             if name != settings.instance.name
         ]
         self._compaction_lock = asyncio.Lock()
+        # Records of the keeper that are not synced yet, in order.
+        self._unsynced: list[keeper_lib.JournalRecord] = []
+        self._was_stopped_by_disk = False
         self._started_at = context_lib.monotonic()
         hub.register_handler(claim_messages.ClaimRequest, self._on_claim)
         hub.register_handler(claim_messages.ClaimRelease, self._on_release)
@@ -91,30 +96,65 @@
     @mode.Service.task
     async def _recover(self) -> None:
         while not self.should_stop and not self.serving:
-            if self._identity.exists():
-                # Created by an operator, who accepts the loss of claims.
-                _log.warning(
-                    "recovering without claims: "
-                    "an operator created the identity file"
-                )
-                self._start_serving()
-                return
-            if await self._copy_from_peers():
+            if await self._may_begin() and self._write_identity():
                 self._start_serving()
                 return
             await self.sleep(RETRY_PERIOD_S)
 
+    async def _may_begin(self) -> bool:
+        """Returns whether this keeper knows all claims that were granted."""
+        if self._identity.exists():
+            # Created by an operator, who accepts the loss of claims.
+            _log.warning(
+                "recovering without claims: "
+                "an operator created the identity file"
+            )
+            return True
+        return await self._copy_from_peers()
+
+    def _write_identity(self) -> bool:
+        """Writes a new disk id; returns False, and logs, if it can't."""
+        disk_id = secrets.token_hex(8)
+        try:
+            journal_lib.replace_file(self._identity, disk_id.encode())
+        except OSError as error:
+            self._stop_serving(f"disk: {error}")
+            return False
+        self.disk_id = disk_id
+        return True
+
     def _start_serving(self) -> None:
-        self.disk_id = secrets.token_hex(8)
-        journal_lib.replace_file(self._identity, self.disk_id.encode())
         self.failure = ""
         self.serving = True
         _log.info("claim keeper serving", claims=len(self.keeper.records))
 
     def _stop_serving(self, failure: str) -> None:
         self.serving = False
+        if failure != self.failure:
+            _log.error("claim keeper stopped", detail=failure)
         self.failure = failure
-        _log.error("claim keeper stopped", detail=failure)
+
+    def _stop_for_disk(self, error: OSError) -> None:
+        """Stops until the records that the disk did not take are synced."""
+        if self.serving:
+            self._was_stopped_by_disk = True
+        self._stop_serving(f"disk: {error}")
+
+    @mode.Service.task
+    async def _retry_disk(self) -> None:
+        while not self.should_stop:
+            await self.sleep(DISK_RETRY_S)
+            if self._journal.failure is None:
+                continue
+            try:
+                self._journal.open()
+            except (OSError, journal_lib.JournalError) as error:
+                self._stop_serving(f"disk: {error}")
+                continue
+            unsynced, self._unsynced = self._unsynced, []
+            if await self._append(unsynced) and self._was_stopped_by_disk:
+                self._was_stopped_by_disk = False
+                self._start_serving()
 
     async def _copy_from_peers(self) -> bool:
         """Copies the claims of all other keepers.
@@ -147,8 +187,7 @@
                 return False
             self.keeper.merge_claims(records)
         self.failure = ""
-        await self._sync()
-        return True
+        return await self._sync()
 
     def _have_earlier_rounds_ended(self) -> bool:
         waited_s = context_lib.monotonic() - self._started_at
@@ -186,19 +225,29 @@
 
     # Requests from claim clients.
 
-    async def _sync(self) -> None:
-        journal_records = self.keeper.take_unsynced_records()
+    async def _sync(self) -> bool:
+        """Syncs the keeper's records; returns False if the disk refuses.
+
+        Nothing may be answered then that depends on them.
+        """
+        # Wait for a compaction: it replaces the journal, so records that
+        # are appended while it runs would be lost.
+        async with self._compaction_lock:
+            pass
+        return await self._append(self.keeper.take_unsynced_records())
+
+    async def _append(self, records: list[keeper_lib.JournalRecord]) -> bool:
+        self._unsynced += records
         try:
-            # Wait for a compaction: it replaces the journal, so records that
-            # are appended while it runs would be lost.
-            async with self._compaction_lock:
-                pass
             await self._journal.append(
-                [msgspec.msgpack.encode(record) for record in journal_records]
+                [msgspec.msgpack.encode(record) for record in records]
             )
         except OSError as error:
-            self._stop_serving(f"disk: {error}")
-            raise
+            self._stop_for_disk(error)
+            return False
+        # Appends end in their order.
+        del self._unsynced[: len(records)]
+        return True
 
     async def _on_claim(
         self, peer: str, request: claim_messages.ClaimRequest
@@ -208,7 +257,10 @@
                 self.keeper.name, refused=self.failure or "recovering"
             )
         reply = self.keeper.claim(request, time.time())
-        await self._sync()
+        if not await self._sync():
+            return claim_messages.ClaimReply(
+                self.keeper.name, refused=self.failure
+            )
         return reply
 
     async def _on_release(
@@ -228,7 +280,8 @@
         if not self.serving:
             return None
         update(request, time.time())
-        await self._sync()
+        if not await self._sync():
+            return None
         return claim_messages.ClaimAck(self.keeper.name)
 
     async def _on_hello(
@@ -236,6 +289,8 @@
     ) -> None:
         if hello.keeper != peer or peer not in self._peers:
             return
+        if self._journal.failure is not None:
+            return
         # ``seen`` and ``seen_life`` are the sequence and the disk id of this
         # keeper as the peer last observed them.
         same_disk = hello.seen_life == self.disk_id
@@ -284,9 +339,15 @@
 
     async def _compact(self) -> None:
         async with self._compaction_lock:
-            await self._journal.append([])
-            self.keeper.take_unsynced_records()
-            compacted = self.keeper.compacted_records()
-            await self._journal.rewrite(
-                [msgspec.msgpack.encode(record) for record in compacted]
-            )
+            try:
+                await self._journal.append([])
+                # The compacted records have them.
+                self._unsynced += self.keeper.take_unsynced_records()
+                compacted = self.keeper.compacted_records()
+                await self._journal.rewrite(
+                    [msgspec.msgpack.encode(record) for record in compacted]
+                )
+            except OSError as error:
+                self._stop_for_disk(error)
+            else:
+                self._unsynced.clear()
