A new instance learns all targets, whatever number of lifetimes has ended

Cause: the reply to a digest has the first 500 records in the order in which they were listed, and records of ended lifetimes stay. The repair repeats, with the same 500. The targets that serve come first now, and the repair asks for pages until it has all. An older peer, which knows no pages, sends its first one again and is not asked a third time.

--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -9,6 +9,7 @@
 import zlib
 
 from chivelb_core import targets
+from chivelb_core.targets import table as table_lib
 import mode
 import msgspec
 
@@ -192,11 +193,13 @@
     def _on_digest(
         self, peer: str, message: messages.TargetDigest
     ) -> messages.TargetUpdates:
-        """Replies with all targets if the sender's digest differs."""
-        if message.digest == self._digest():
+        """Replies with a page of targets if the sender's digest differs."""
+        if message.offset == 0 and message.digest == self._digest():
             return messages.TargetUpdates([])
-        records = [e.record for e in self.context.targets.entries.values()]
-        return messages.TargetUpdates(records[:MAX_RECORDS_PER_MESSAGE])
+        entries = sorted(self.context.targets.entries.values(), key=_page_key)
+        first = max(0, message.offset)
+        page = entries[first : first + MAX_RECORDS_PER_MESSAGE]
+        return messages.TargetUpdates([entry.record for entry in page])
 
     @mode.Service.task
     async def _repair(self) -> None:
@@ -207,12 +210,24 @@
             await asyncio.sleep(REPAIR_PERIOD_S)
 
     async def _repair_from(self, peer: str) -> None:
-        reply = await self.hub.request(
-            peer, messages.TargetDigest(self._digest()), REPAIR_TIMEOUT_S
-        )
-        if isinstance(reply, messages.TargetUpdates):
+        digest = self._digest()
+        offset = 0
+        first_identity = ""
+        while True:
+            reply = await self.hub.request(
+                peer, messages.TargetDigest(digest, offset), REPAIR_TIMEOUT_S
+            )
+            if not isinstance(reply, messages.TargetUpdates):
+                return
             self._on_target_updates(peer, reply)
-            self.is_synced = True
+            offset += len(reply.records)
+            if len(reply.records) < MAX_RECORDS_PER_MESSAGE:
+                break
+            if reply.records[0].identity == first_identity:
+                # An older peer knows no pages: it sent the first one again.
+                break
+            first_identity = reply.records[0].identity
+        self.is_synced = True
 
     def _shared_state(self, identity: str) -> tuple | None:
         """Returns the state of a target that peers must learn immediately."""
@@ -241,6 +256,12 @@
         return control_instances or sorted(alive)
 
 
+def _page_key(entry: table_lib.TargetEntry) -> tuple[bool, str]:
+    """Returns the place of a target among the pages of all targets."""
+    is_ended = entry.is_leaving or entry.is_replaced
+    return is_ended, entry.record.identity
+
+
 def _is_valid_hold(message: messages.TargetHold) -> bool:
     return 0 <= message.hold_s <= MAX_HOLD_S and targets.is_weight_number(
         message.version
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -574,6 +574,7 @@
 
 struct TargetDigest {
   digest @0 :Int64;
+  offset @1 :Int64;
 }
 
 struct TargetFull {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -212,13 +212,17 @@
 
 
 class TargetDigest(msgspec.Struct, rename="camel", frozen=True):
-    """Asks for all targets unless the receiver's digest is the same.
+    """Asks for a page of all targets unless the receiver's digest is the same.
+
+    The targets that may get requests come first, then all others.
 
     Attributes:
         digest: Digest of the sender's targets.
+        offset: Number of targets on the pages before.
     """
 
     digest: int
+    offset: int = 0
 
 
 class TargetHold(msgspec.Struct, rename="camel", frozen=True):
