A new member writes its group before its id

The files of a member are created together now, its id last.

test_a_new_member_has_all_its_files_or_no_id; on the code before it fails at the new parameter of VoterFiles.create alone.

--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -226,13 +226,14 @@
         )
 
     def _create(self, membership: group_entry.Membership) -> None:
-        self._files.create(membership.member_id)
+        snapshot = None
         if membership.group.members:
             data = snapshots.encode_snapshot(
                 membership.group,
                 state_lib.encode_document_state(document.DocumentState()),
             )
-            self._files.write_snapshot(0, 0, data)
+            snapshot = (0, 0, data)
+        self._files.create(membership.member_id, snapshot)
         self._recover()
 
     def _recover(self) -> None:
--- a/packages/chivelb-node/chivelb_node/storage/restore.py
+++ b/packages/chivelb-node/chivelb_node/storage/restore.py
@@ -49,10 +49,9 @@
     )
     member_id = f"{name}/{secrets.token_hex(4)}"
     member = group_lib.Member(member_id, name, True)
-    files.create(member_id)
     snapshot = snapshots.encode_snapshot(
         group_lib.Group({member_id: member}),
         state_lib.encode_document_state(document_state),
     )
-    files.write_snapshot(1, 1, snapshot)
+    files.create(member_id, (1, 1, snapshot))
     return document_state.version
--- a/packages/chivelb-node/chivelb_node/storage/voter_files.py
+++ b/packages/chivelb-node/chivelb_node/storage/voter_files.py
@@ -80,12 +80,18 @@
         path = self.folder / "identity"
         return path.read_text().strip() if path.exists() else ""
 
-    def create(self, member_id: str) -> None:
-        """Creates empty files for a member id.
+    def create(
+        self, member_id: str, snapshot: tuple[int, int, bytes] | None = None
+    ) -> None:
+        """Creates the files of a new member with an empty log.
 
         The identity file is written last, so that a crash before it leaves
         no state.
 
+        Args:
+            member_id: Id of the member.
+            snapshot: Index, term and data of the snapshot that it starts with.
+
         Raises:
             OSError: The files can't be written. There may be no state left;
                 the instance must not take its earlier member id again.
@@ -95,6 +101,8 @@
             (self.folder / name).unlink(missing_ok=True)
         self.journal = journal_lib.Journal(self.folder / "log.journal")
         self.journal.open()
+        if snapshot is not None:
+            self.write_snapshot(*snapshot)
         journal_lib.replace_file(
             self.folder / "identity", member_id.encode() + b"\n"
         )
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -211,9 +211,9 @@
             path.write_bytes(b"\xff" * 8 + path.read_bytes())
             create = voter_files.VoterFiles.create
 
-            def create_without_identity(files, member_id):
+            def create_without_identity(files, member_id, snapshot=None):
                 monkeypatch.setattr(voter_files.VoterFiles, "create", create)
-                create(files, member_id)
+                create(files, member_id, snapshot)
                 (files.folder / "identity").unlink()
                 raise OSError(errno.ENOSPC, "No space left on device")
 
@@ -246,3 +246,18 @@
             assert waited_s < voter_service.APPLY_TIMEOUT_S / 2
 
     asyncio.run(run())
+
+
+# Guards against a member without a group: its id was written, and then the
+# disk was full.
+@pytest.mark.parametrize("room", [0, 5, 30])
+def test_a_new_member_has_all_its_files_or_no_id(tmp_path, monkeypatch, room):
+    disk = full_disks.Disk(monkeypatch)
+    files = voter_files.VoterFiles(tmp_path / "voter")
+    disk.room = room
+    with pytest.raises(OSError):
+        files.create("v1/1", (0, 0, b"x" * 30))
+    assert not files.read_identity()
+    disk.room = 10**6
+    files.create("v1/1", (0, 0, b"x" * 30))
+    assert files.recover().snapshot == b"x" * 30
