--- a/tests/control_groups.py
+++ b/tests/control_groups.py
@@ -8,6 +8,7 @@
 from chivelb_node.control import commands
 from chivelb_node.control import sharing_holder
 from chivelb_node.control import voter_service
+from chivelb_node.storage import journal as journal_lib
 from chivelb_node.wire import messages
 import replicas
 import sharing_fleet
@@ -82,6 +83,29 @@
             await asyncio.sleep(0.02)
 
 
+async def return_with_damaged_files(group, name):
+    """Damages the journal of an instance that was stopped, and starts it.
+
+    Returns:
+        The member id under which it is a voter again.
+    """
+    for _ in range(3):
+        await group.commit()
+    await group.stop(name)
+    path = group.directory / name / "voter" / "log.journal"
+    data = bytearray(path.read_bytes())
+    data[journal_lib.HEADER_BYTES] ^= 1
+    path.write_bytes(data)
+    await group.start(name, start="found")
+    await group.wait_until(
+        lambda: (
+            group.voter_names() == set(SEEDS)
+            and group.services[name].voter is not None
+        )
+    )
+    return group.services[name].voter.member_id
+
+
 @contextlib.asynccontextmanager
 async def running_group(directory):
     group = ControlGroup(directory)
