Calls that wait for the start wait for the sharing lease too

A call that waits for the start waits for the first lease as well, within the same limit; a lease that was refused is asked for again after 50 ms, not 150. test_a_call_waits_until_workspaces_may_share and test_the_first_lease_ends_the_wait_at_the_start; before, there was nothing to wait for.

--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -67,6 +67,8 @@
             control group; -1 means that no version is in force yet. It never
             decreases.
         sharing_lease: Whether workspaces may share cached prompts now.
+        sharing_known: Set once a sharing lease was granted, or if none is
+            needed.
         sharing_epoch_changed: Set when a document with another sharing epoch
             is put in force.
         requested_versions: Since when weight versions are requested.
@@ -111,6 +113,8 @@
         self.document_state = document_lib.DocumentState()
         self.version = -1
         self.sharing_lease = sharing_leases.SharingLease()
+        self.sharing_known = asyncio.Event()
+        self.sharing_known.set()
         self.sharing_epoch_changed = asyncio.Event()
         self.requested_versions = rollout.RequestedVersions()
         self.keys = KeyTable(self.document_state.document)
@@ -162,6 +166,11 @@
         """Whether a document is in force by which it can serve."""
         return self.readiness.is_set()
 
+    @property
+    def knows_caches(self) -> bool:
+        """Whether it knows what is cached where, and whether to share it."""
+        return self.sources_known.is_set() and self.sharing_known.is_set()
+
     def is_starting(self, now: float) -> bool:
         """Returns whether documents and targets may still be on their way.
 
--- a/packages/chivelb-node/chivelb_node/control/sharing_holder.py
+++ b/packages/chivelb-node/chivelb_node/control/sharing_holder.py
@@ -13,7 +13,7 @@
 from chivelb_node.wire import messages
 
 RENEW_PERIOD_S = 0.7
-RETRY_PERIOD_S = 0.15
+RETRY_PERIOD_S = 0.05
 REQUEST_TIMEOUT_S = 0.5
 _log = logs.get_logger("sharing")
 
@@ -42,6 +42,7 @@
         self.hub = hub
         self.control_instances = control_instances
         context.sharing_lease.is_required = True
+        context.sharing_known.clear()
         self._was_sharing = False
 
     @mode.Service.task
@@ -70,6 +71,7 @@
         )
         if granted:
             self.context.sharing_lease.renew(epoch, requested_at)
+            self.context.sharing_known.set()
         return granted
 
     async def _wait(self, period_s: float) -> None:
--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -61,12 +61,13 @@
 ) -> None:
     """Waits for the first document while the instance is starting.
 
-    It also waits until the cached parts of prompts are known. Returns at once
-    if the start is over, or if no document has come within the usual time: it
-    is then unknown when the request could be served.
+    It also waits until the cached parts of prompts are known, and whether
+    workspaces may share them: what is read in between is read once for each
+    workspace. Returns at once if the start is over, or if no document has come
+    within the usual time: it is then unknown when the request could be served.
     """
     now = context_lib.monotonic()
-    if context.sources_known.is_set() or not context.is_starting(now):
+    if context.knows_caches or not context.is_starting(now):
         return
     limit_s = STARTUP_WAIT_S
     if request_head.wait_s is not None:
@@ -75,6 +76,7 @@
         async with asyncio.timeout(limit_s):
             await context.readiness.wait()
             await context.sources_known.wait()
+            await context.sharing_known.wait()
     _log.info(
         "waited for the start",
         request_id=request_head.request_id,
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -78,6 +78,24 @@
     assert 0.04 < asyncio.run(run()) < 1.0
 
 
+# Guards against a start at which shared parts are read once for each workspace:
+# calls that had waited went out before the instance had its sharing lease.
+def test_a_call_waits_until_workspaces_may_share():
+    context = make_starting_context()
+    context.readiness.set()
+    context.sources_known.set()
+    context.sharing_known.clear()
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.05, context.sharing_known.set)
+        started = context_lib.monotonic()
+        await call_factory.wait_until_ready(context, make_head())
+        return context_lib.monotonic() - started
+
+    assert 0.04 < asyncio.run(run()) < 1.0
+
+
 def test_a_call_waits_no_longer_than_half_of_its_callers_time():
     context = make_starting_context()
     head = make_head(wait_s=0.1)
--- a/tests/test_sharing_leases.py
+++ b/tests/test_sharing_leases.py
@@ -150,6 +150,24 @@
     asyncio.run(run())
 
 
+# Guards against calls that wait for a lease for good, or not at all, at the
+# start of an instance.
+def test_the_first_lease_ends_the_wait_at_the_start(tmp_path):
+    async def run():
+        async with control_groups.running_group(tmp_path) as group:
+            entry = control_groups.Entry("e1", group)
+            assert not entry.context.sharing_known.is_set()
+            assert not await entry.holder.renew()
+            assert await control_groups.replace_document(group, SHARED)
+            entry.learn_document()
+            await entry.holder.start()
+            await group.wait_until(entry.context.sharing_known.is_set)
+            assert entry.context.may_share()
+            await entry.holder.stop()
+
+    asyncio.run(run())
+
+
 # Guards against a voter that grants a lease while its log has a change of
 # isolation that it has not applied yet: a majority may have committed it.
 def test_a_voter_with_a_pending_isolation_grants_nothing(tmp_path):
