Evacuation of an availability zone

Cause: an operator had no way to keep requests away from the targets of a zone; marking targets as leaving is final for an incarnation and misses those that start later.

Targets of an evacuated zone are not eligible; a relaying peer checks before and after the body and removes sources of the zone; runners and stores there are no sources of KV cache. Calls of a service whose targets are all evacuated are refused at once, also those that wait. Orders name the document version in force where they were received, so that one that is still being submitted does not undo a newer one; `CommandReply` tells when an order was superseded.

A repeated order was first ignored without a version: a late submission of a given-up order could then undo an acknowledged one, so each order creates a version. The whole suite was not run on this commit.

--- a/packages/chivelb-cli/chivelb_cli/commands/operate.py
+++ b/packages/chivelb-cli/chivelb_cli/commands/operate.py
@@ -97,6 +97,16 @@
     drain.add_argument(
         "--target", default="", help="drain this target instead of the instance"
     )
+    evacuate = _add_operator_parser(
+        commands,
+        "evacuate",
+        "send no more requests to the targets of an availability zone",
+        run_evacuate,
+    )
+    evacuate.add_argument("zone")
+    evacuate.add_argument(
+        "--stop", action="store_true", help="end the evacuation of the zone"
+    )
     snapshot = commands.add_parser(
         "snapshot", help="save or restore a snapshot of the configuration"
     )
@@ -410,6 +420,13 @@
         )
         lines += [f"    error: {error}" for error in s["faults"]]
     lines += [f"  {name:<16} unreachable" for name in site["unreachable"]]
+    evacuated = site["here"].get("evacuated_zones", {})
+    if evacuated:
+        lines += ["", "evacuated zones:"]
+        lines += [
+            f"  {zone:<16} since version {version}"
+            for zone, version in sorted(evacuated.items())
+        ]
     lines += ["", "targets:"]
     for t in site["here"]["targets"]:
         eligibility = "eligible" if t["eligible"] else "not eligible"
@@ -432,6 +449,20 @@
     return EXIT_OK
 
 
+def run_evacuate(arguments: argparse.Namespace) -> int:
+    """Evacuates an availability zone, or ends its evacuation."""
+    reply = fetch_json(
+        arguments,
+        "/operator/evacuate",
+        {"zone": arguments.zone, "stop": arguments.stop},
+    )
+    text = f"zone {reply['zone']} is evacuated"
+    if not reply["evacuated"]:
+        text = f"zone {reply['zone']} is not evacuated"
+    _print_output(arguments, reply, text)
+    return EXIT_OK
+
+
 def save_snapshot(arguments: argparse.Namespace) -> int:
     """Saves a snapshot of the replicated configuration to a file."""
     status, data = request(arguments, "/operator/snapshot")
--- a/packages/chivelb-core/chivelb_core/document/state.py
+++ b/packages/chivelb-core/chivelb_core/document/state.py
@@ -18,6 +18,7 @@
 MAX_RECORDED_RESULTS = 200_000
 MAX_HISTORY_DELTAS = 2_000
 MAX_REPLICA_HISTORY_DELTAS = 500
+MAX_EVACUATION_ORDERS = 1_000
 
 
 class DeltaError(ValueError):
@@ -57,6 +58,8 @@
         number: The operator's document number at this version.
         weights: Number of the newest requested weight version of each model
             at this document version.
+        evacuated_zones: Evacuated availability zones at this document version,
+            each with the version since which it is evacuated.
     """
 
     version: int
@@ -65,6 +68,7 @@
     operations: list[changes.Operation]
     number: int = 0
     weights: dict[str, int] = {}
+    evacuated_zones: dict[str, int] = {}
 
 
 class DocumentState(msgspec.Struct, kw_only=True):
@@ -87,6 +91,11 @@
         sharing_epoch: Names the last change of which workspaces are isolated;
             prompts that workspaces share are cached under it. No value
             returns. Empty before the first document.
+        evacuated_zones: Availability zones whose targets get no requests, each
+            with the version since which it is evacuated. No document changes
+            them.
+        evacuation_orders: Version that the last order to evacuate a zone, or
+            to end that, created, by zone, oldest first; empty in replicas.
     """
 
     document: model_lib.Document = msgspec.field(
@@ -102,6 +111,8 @@
     source: bytes = b""
     weights: dict[str, int] = {}
     sharing_epoch: str = ""
+    evacuated_zones: dict[str, int] = {}
+    evacuation_orders: dict[str, int] = {}
 
     def replace(self, replacement: changes.DocumentReplacement) -> bool:
         """Applies a committed replacement of the whole document.
@@ -144,6 +155,45 @@
         self._append_delta(self.document, f"weights-{model}-{version}", "", [])
         return True
 
+    def order_evacuation(
+        self, zone: str, *, evacuate: bool, known_version: int
+    ) -> bool:
+        """Applies a committed order to evacuate a zone, or to end that.
+
+        An order that finds the zone as ordered changes only the version. One
+        that arrives after a newer order for the zone has no effect: an
+        instance may still be submitting it after the operator has sent it
+        again through another instance, or has ordered the opposite.
+
+        Args:
+            zone: Name of the availability zone.
+            evacuate: True to evacuate the zone, False to end its evacuation.
+            known_version: Document version in force where the order was
+                received, at that time.
+
+        Returns:
+            True if the zone is in the ordered state, False if the order was
+            superseded by a newer one.
+        """
+        is_repeated = (zone in self.evacuated_zones) == evacuate
+        if (
+            not is_repeated
+            and self.evacuation_orders.get(zone, 0) > known_version
+        ):
+            return False
+        version = self.version + 1
+        if evacuate:
+            self.evacuated_zones.setdefault(zone, version)
+        else:
+            self.evacuated_zones.pop(zone, None)
+        self.evacuation_orders.pop(zone, None)
+        self.evacuation_orders[zone] = version
+        while len(self.evacuation_orders) > MAX_EVACUATION_ORDERS:
+            del self.evacuation_orders[next(iter(self.evacuation_orders))]
+        order = "evacuation" if evacuate else "evacuation-end"
+        self._append_delta(self.document, f"{order}-{zone}-{version}", "", [])
+        return True
+
     def apply_change(self, change: changes.Change) -> ChangeResult:
         """Applies a committed change by compare-and-set.
 
@@ -231,6 +281,7 @@
                 operations,
                 self.number,
                 dict(self.weights),
+                dict(self.evacuated_zones),
             )
         )
         del self.history[:-MAX_HISTORY_DELTAS]
@@ -316,6 +367,9 @@
             number=deltas[-1].number if deltas else self.number,
             weights=deltas[-1].weights if deltas else self.weights,
             sharing_epoch=sharing_epoch,
+            evacuated_zones=deltas[-1].evacuated_zones
+            if deltas
+            else self.evacuated_zones,
         )
 
     def to_replica(self) -> "DocumentState":
@@ -334,6 +388,7 @@
             number=self.number,
             weights=dict(self.weights),
             sharing_epoch=self.sharing_epoch,
+            evacuated_zones=dict(self.evacuated_zones),
         )
 
     def copy(self) -> "DocumentState":
@@ -345,6 +400,8 @@
             history=list(self.history),
             leases=dict(self.leases),
             weights=dict(self.weights),
+            evacuated_zones=dict(self.evacuated_zones),
+            evacuation_orders=dict(self.evacuation_orders),
         )
 
     def deltas_since(self, version: int) -> list[DocumentDelta] | None:
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -63,19 +63,21 @@
 
     Invariants: an announcement only replaces an older one; leaving is final
     for an incarnation; a target with an expired lease receives no new
-    requests.
+    requests; nor does one in an evacuated availability zone.
 
     Attributes:
         entries: Known targets by identity.
         max_entries: Maximum number of entries.
+        evacuated_zones: Availability zones whose targets get no new requests.
     """
 
-    __slots__ = ("entries", "max_entries")
+    __slots__ = ("entries", "max_entries", "evacuated_zones")
 
     def __init__(self, max_entries: int = 20_000) -> None:
         """Creates an empty table with a maximum number of entries."""
         self.entries: dict[str, TargetEntry] = {}
         self.max_entries = max_entries
+        self.evacuated_zones: frozenset[str] = frozenset()
 
     def announce(self, record: record_lib.TargetRecord, now: float) -> bool:
         """Applies an announcement.
@@ -178,7 +180,7 @@
                 for entry in self.entries.values()
                 if entry.record.service == service
                 and entry.resting_until > now
-                and self._may_serve(entry, now)
+                and self._may_serve(entry, now, self.evacuated_zones)
             ),
             default=math.inf,
         )
@@ -202,12 +204,15 @@
         return (
             known is not None
             and known.resting_until <= now
-            and self._may_serve(known, now)
+            and self._may_serve(known, now, self.evacuated_zones)
         )
 
-    def _may_serve(self, entry: TargetEntry, now: float) -> bool:
+    def _may_serve(
+        self, entry: TargetEntry, now: float, excluded_zones: frozenset[str]
+    ) -> bool:
         return (
-            not entry.is_leaving
+            entry.record.zone not in excluded_zones
+            and not entry.is_leaving
             and not entry.is_replaced
             and entry.record.state == "ready"
             and entry.paused_until <= now < entry.expires_at
@@ -224,6 +229,29 @@
             if self.is_eligible(identity, now):
                 yield record
 
+    def count_in_zone(self, zone: str) -> int:
+        """Returns the number of known targets in an availability zone."""
+        return sum(entry.record.zone == zone for entry in self.entries.values())
+
+    def is_evacuated(self, service: str, now: float) -> bool:
+        """Returns whether a service has targets in evacuated zones alone.
+
+        Targets that would get no requests in any case don't count.
+
+        Args:
+            service: Name of the service.
+            now: Monotonic time in seconds.
+        """
+        if not self.evacuated_zones:
+            return False
+        zones = {
+            entry.record.zone
+            for entry in self.entries.values()
+            if entry.record.service == service
+            and self._may_serve(entry, now, frozenset())
+        }
+        return bool(zones) and zones <= self.evacuated_zones
+
     def recent_failures(self, now: float, within_s: float) -> Iterator[str]:
         """Yields the identities of targets that failed recently.
 
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -20,6 +20,7 @@
 
 from chivelb_node import settings as settings_lib
 from chivelb_node import stopping
+from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import metrics as metrics_lib
 
 monotonic = time.monotonic
@@ -30,6 +31,7 @@
 # Share of the time that a weight version may take to be in force, after which
 # requests are no longer sent to runners with an older one.
 WEIGHTS_DUE_RATIO = 0.85
+_log = logs.get_logger("context")
 
 
 def boottime() -> float:
@@ -61,6 +63,8 @@
     Attributes:
         settings: Validated settings.
         rng: Source of randomness.
+        zone_regions: Region of each known availability zone; empty if the
+            settings have none.
         document_state: The document in force, by which this instance serves,
             and its version history.
         version: Document version in force. 0 is the empty document of a new
@@ -110,6 +114,7 @@
         """Creates the state, with no document in force."""
         self.settings = settings
         self.rng = rng
+        self.zone_regions = settings_lib.parse_zones(settings.instance.zones)
         self.document_state = document_lib.DocumentState()
         self.version = -1
         self.sharing_lease = sharing_leases.SharingLease()
@@ -217,9 +222,33 @@
         self.document_state = document_state
         self.version = document_state.version
         self.requested_versions.update(document_state.weights, monotonic())
+        self._apply_evacuations()
         self._rebuild_indexes()
         return True
 
+    def _apply_evacuations(self) -> None:
+        """Stops requests to the targets of the evacuated zones."""
+        before = self.targets.evacuated_zones
+        since_by_zone = self.document_state.evacuated_zones
+        self.targets.evacuated_zones = frozenset(since_by_zone)
+        for zone in sorted(since_by_zone.keys() - before):
+            self.metrics.evacuated_zone.labels(zone).set(1)
+            _log.warning(
+                "zone evacuated",
+                zone=zone,
+                since_version=since_by_zone[zone],
+                version=self.version,
+                targets=self.targets.count_in_zone(zone),
+            )
+        for zone in sorted(before - since_by_zone.keys()):
+            self.metrics.evacuated_zone.remove(zone)
+            _log.info(
+                "evacuation of zone ended",
+                zone=zone,
+                version=self.version,
+                targets=self.targets.count_in_zone(zone),
+            )
+
     def may_share(self) -> bool:
         """Returns whether workspaces may share cached prompts now."""
         return self.sharing_lease.permits(
--- a/packages/chivelb-node/chivelb_node/control/commands.py
+++ b/packages/chivelb-node/chivelb_node/control/commands.py
@@ -45,16 +45,37 @@
     version: int
 
 
+class EvacuationCommand(msgspec.Struct, frozen=True):
+    """Evacuates an availability zone, or ends its evacuation.
+
+    Attributes:
+        zone: Name of the availability zone.
+        evacuate: True to evacuate the zone, False to end its evacuation.
+        known_version: Document version in force at the instance that received
+            the order, at that time. The order has no effect if the zone got
+            another one in a later version.
+    """
+
+    zone: str
+    evacuate: bool
+    known_version: int
+
+
+# Kind of the log entries that hold an ``EvacuationCommand``.
+EVACUATION_KIND = "evacuation"
+
 Command = (
     document.Change
     | document.DocumentReplacement
     | LeaseCommand
     | WeightsCommand
+    | EvacuationCommand
 )
 _change_decoder = msgspec.msgpack.Decoder(document.Change)
 _lease_decoder = msgspec.msgpack.Decoder(LeaseCommand)
 _replacement_decoder = msgspec.msgpack.Decoder(document.DocumentReplacement)
 _weights_decoder = msgspec.msgpack.Decoder(WeightsCommand)
+_evacuation_decoder = msgspec.msgpack.Decoder(EvacuationCommand)
 
 
 def encode(command: Command) -> bytes:
@@ -93,3 +114,8 @@
 def decode_weights(data: bytes) -> WeightsCommand:
     """Decodes a weights command from a log entry."""
     return _weights_decoder.decode(data)
+
+
+def decode_evacuation(data: bytes) -> EvacuationCommand:
+    """Decodes an evacuation command from a log entry."""
+    return _evacuation_decoder.decode(data)
--- a/packages/chivelb-node/chivelb_node/control/log_entries.py
+++ b/packages/chivelb-node/chivelb_node/control/log_entries.py
@@ -36,4 +36,11 @@
             return document_state.set_weight_version(
                 weights.model, weights.version
             )
+        case commands.EVACUATION_KIND:
+            order = commands.decode_evacuation(entry.data)
+            return document_state.order_evacuation(
+                order.zone,
+                evacuate=order.evacuate,
+                known_version=order.known_version,
+            )
     return None
--- a/packages/chivelb-node/chivelb_node/control/voter_client.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import enum
 import functools
 
 from chivelb_core import codes
@@ -31,6 +32,17 @@
 _result_decoder = msgspec.msgpack.Decoder(state_lib.ChangeResult)
 
 
+class OrderOutcome(enum.Enum):
+    """What is known of an order that was submitted to the voters.
+
+    An order whose outcome is ``UNKNOWN`` may be committed, now or later.
+    """
+
+    COMMITTED = "committed"
+    SUPERSEDED = "superseded"
+    UNKNOWN = "unknown"
+
+
 class VoterClient:
     """Client of the control group.
 
@@ -129,6 +141,48 @@
         Raises:
             commands.CommandTooLargeError: No message may hold the command.
         """
+        reply = await self._submit_command(
+            kind, payload, timeout_s, accept=lambda reply: reply.applied
+        )
+        return reply is not None
+
+    async def submit_evacuation(
+        self, zone: str, *, evacuate: bool, timeout_s: float
+    ) -> OrderOutcome:
+        """Submits an order to evacuate a zone, or to end that.
+
+        The order names the document version in force here, so that it has no
+        effect if it reaches the log after a newer order for the zone.
+
+        Args:
+            zone: Name of the availability zone.
+            evacuate: True to evacuate the zone, False to end its evacuation.
+            timeout_s: Seconds after which no further attempt is made.
+        """
+        command = commands.EvacuationCommand(
+            zone, evacuate, max(self.context.version, 0)
+        )
+        reply = await self._submit_command(
+            commands.EVACUATION_KIND,
+            commands.encode(command),
+            timeout_s,
+            accept=lambda reply: reply.applied or reply.superseded,
+        )
+        if reply is None:
+            return OrderOutcome.UNKNOWN
+        if reply.superseded:
+            return OrderOutcome.SUPERSEDED
+        return OrderOutcome.COMMITTED
+
+    async def _submit_command(
+        self,
+        kind: str,
+        payload: bytes,
+        timeout_s: float,
+        *,
+        accept: Callable[[messages.CommandReply], bool],
+    ) -> messages.CommandReply | None:
+        """Returns the accepted reply of the leader, or None without one."""
         commands.check_size(payload)
         request = messages.CommandRequest(kind, payload)
         deadline = context_lib.monotonic() + timeout_s
@@ -139,12 +193,12 @@
                     body=request,
                     timeout_s=min(REQUEST_TIMEOUT_S, remaining_s),
                 ),
-                accept=lambda reply: reply.applied,
+                accept=accept,
             )
             if reply is not None:
-                return True
+                return reply
             await asyncio.sleep(RETRY_PERIOD_S)
-        return False
+        return None
 
     async def read_linearizable_version(self) -> int | None:
         """Returns the version of a linearizable read, or None on failure."""
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -37,7 +37,7 @@
 READ_TIMEOUT_S = 1.0
 # Kinds of log entries that a ``CommandRequest`` may propose, all of them
 # idempotent. Changes and leases have requests of their own.
-COMMAND_KINDS = frozenset({"replace", "weights"})
+COMMAND_KINDS = frozenset({"replace", "weights", commands.EVACUATION_KIND})
 HELLO_PERIOD_S = group_entry.HELLO_PERIOD_S
 HELLO_TIMEOUT_S = group_entry.HELLO_TIMEOUT_S
 JOIN_PERIOD_S = group_entry.JOIN_PERIOD_S
@@ -456,8 +456,16 @@
                 await self._sharing.wait_until_ended(
                     self.document_state.version
                 )
+        # An older replacement or weight version counts as applied; an order
+        # that a newer one has superseded does not.
+        is_superseded = (
+            request.kind == commands.EVACUATION_KIND and applied is False
+        )
         return messages.CommandReply(
-            applied is not None, self.document_state.version, self.leader_name()
+            applied is not None and not is_superseded,
+            self.document_state.version,
+            self.leader_name(),
+            is_superseded,
         )
 
     async def _on_read(
--- a/packages/chivelb-node/chivelb_node/edge/console.py
+++ b/packages/chivelb-node/chivelb_node/edge/console.py
@@ -201,10 +201,16 @@
                 for target in cluster.here.targets
             ),
         )
-        unreachable = ", ".join(cluster.unreachable)
-        note = f"<p class=fault>unreachable: {html.escape(unreachable)}</p>"
+        notes = "".join(
+            f"<p class=fault>{label}: {html.escape(', '.join(names))}</p>"
+            for label, names in (
+                ("unreachable", cluster.unreachable),
+                ("evacuated zones", sorted(cluster.here.evacuated_zones)),
+            )
+            if names
+        )
         body = (
-            f"<p>version {cluster.newest}</p>{note if unreachable else ''}"
+            f"<p>version {cluster.newest}</p>{notes}"
             f"<h2>instances</h2>{instances}<h2>targets</h2>{targets}"
         )
         return console_pages.page_response("overview", body)
--- a/packages/chivelb-node/chivelb_node/edge/dispatch.py
+++ b/packages/chivelb-node/chivelb_node/edge/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 
 from chivelb_core import admission
 from chivelb_core import codes
@@ -25,6 +26,7 @@
 LARGE_CALL_FRACTION = 0.25
 RATE_WINDOW_S = 1.0
 RATE_SMOOTHING = 0.4
+EVACUATED_DETAIL = "all targets are in evacuated availability zones"
 
 
 # Returns identity of the store, number of leading blocks that it holds,
@@ -129,6 +131,8 @@
         now = context_lib.monotonic()
         if context.crash_suspects.is_refused(call.fingerprint, now):
             raise responses.RequestError(codes.SUSPECT)
+        if context.targets.is_evacuated(call.service, now):
+            raise responses.RequestError(codes.NO_TARGET, EVACUATED_DETAIL)
         limits = context.document.limits
         max_wait_s = limits.queue_deadline_s
         if call.class_name == "batch":
@@ -399,6 +403,8 @@
             now = context_lib.monotonic()
             for service, queue in self.context.queues.items():
                 self.start_waiting_calls(service)
+                if self.context.targets.is_evacuated(service, now):
+                    self._reject_evacuated(queue)
                 if service in self.rates:
                     busy = queue.waiting > 0
                     self.rates[service].advance(now, busy=busy)
@@ -406,6 +412,15 @@
                     self._fail_expired(service, queued)
                 queue.remove_idle_flows()
 
+    def _reject_evacuated(self, queue: admission.FairQueue) -> None:
+        """Rejects calls whose targets were evacuated while they waited."""
+        for queued in queue.expire(math.inf):
+            _, future = queued.item
+            if not future.done():
+                future.set_exception(
+                    responses.RequestError(codes.NO_TARGET, EVACUATED_DETAIL)
+                )
+
     def _fail_expired(
         self, service: str, queued: admission.QueuedRequest
     ) -> None:
--- a/packages/chivelb-node/chivelb_node/edge/operators.py
+++ b/packages/chivelb-node/chivelb_node/edge/operators.py
@@ -16,7 +16,9 @@
 import msgspec
 
 from chivelb_node import context as context_lib
+from chivelb_node.control import evacuations
 from chivelb_node.control import replica as replica_lib
+from chivelb_node.control import voter_client as voter_client_lib
 from chivelb_node.edge import request_bodies
 from chivelb_node.edge import responses
 from chivelb_node.edge import status as status_lib
@@ -58,6 +60,18 @@
     target: str = ""
 
 
+class EvacuationBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /operator/evacuate``.
+
+    Attributes:
+        zone: Name of the availability zone.
+        stop: Whether to end the evacuation of the zone.
+    """
+
+    zone: str
+    stop: bool = False
+
+
 class OperatorHandlers:
     """Handlers of the routes for operators.
 
@@ -91,6 +105,7 @@
         router.add_post("/operator/check", self._guard(self.check))
         router.add_post("/operator/changes", self._guard(self.change))
         router.add_post("/operator/drain", self._guard(self.drain))
+        router.add_post("/operator/evacuate", self._guard(self.evacuate))
 
     def _guard(self, handler):
         async def guarded(request: web.Request) -> web.StreamResponse:
@@ -247,6 +262,42 @@
         )
         return json_response({"draining": body.target})
 
+    async def evacuate(self, request: web.Request) -> web.Response:
+        """Evacuates an availability zone, or ends its evacuation.
+
+        Both orders are idempotent. No new requests go to the targets of an
+        evacuated zone.
+        """
+        try:
+            body = msgspec.json.decode(
+                await self._read_body(request) or b"{}", type=EvacuationBody
+            )
+            evacuations.check_zone(body.zone, self.context.zone_regions)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise responses.RequestError(codes.BAD_FIELD, str(error)) from None
+        voter_client = self.replica.voter_client
+        if not voter_client.voters():
+            raise responses.RequestError(
+                codes.NO_QUORUM,
+                "neither voters nor a data directory are configured",
+            )
+        outcome = await evacuations.submit(
+            self.context, voter_client, body.zone, evacuate=not body.stop
+        )
+        match outcome:
+            case voter_client_lib.OrderOutcome.UNKNOWN:
+                raise responses.RequestError(
+                    codes.CHANGE_UNKNOWN,
+                    "the order may be accepted; send it again",
+                )
+            case voter_client_lib.OrderOutcome.SUPERSEDED:
+                raise responses.RequestError(
+                    codes.CHANGE_CONFLICT,
+                    f"zone {body.zone!r} got another order that this instance "
+                    "did not know of; check the status and send it again",
+                )
+        return json_response({"zone": body.zone, "evacuated": not body.stop})
+
 
 async def _wait_until(condition: Callable[[], bool]) -> None:
     """Polls until a condition holds or ``CATCH_UP_POLLS`` is reached."""
--- a/packages/chivelb-node/chivelb_node/edge/plain_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/plain_calls.py
@@ -243,7 +243,10 @@
             if record.identity not in tried
         ]
         if not eligible:
-            raise responses.RequestError(codes.NO_TARGET)
+            detail = ""
+            if context.targets.is_evacuated(service, now):
+                detail = dispatch.EVACUATED_DETAIL
+            raise responses.RequestError(codes.NO_TARGET, detail)
         failing = set(
             context.targets.recent_failures(now, dispatch.FAILURE_COOLDOWN_S)
         )
--- a/packages/chivelb-node/chivelb_node/edge/status.py
+++ b/packages/chivelb-node/chivelb_node/edge/status.py
@@ -59,6 +59,8 @@
         faults: Errors that keep its voter or claim keeper from working.
         targets: Targets that it knows.
         members: Membership status of the other instances, by name.
+        evacuated_zones: Evacuated availability zones, each with the document
+            version since which its targets get no requests of the instance.
     """
 
     name: str
@@ -75,6 +77,7 @@
     faults: list[str] = []
     targets: list[TargetStatus] = []
     members: dict[str, str] = {}
+    evacuated_zones: dict[str, int] = {}
 
 
 class ClusterStatus(msgspec.Struct):
@@ -142,6 +145,7 @@
                 name: member.member.status
                 for name, member in self.gossip.swim.members.items()
             },
+            evacuated_zones=dict(context.document_state.evacuated_zones),
         )
         self._add_voter(status)
         if self.claim_keeper_service is not None:
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -190,7 +190,35 @@
         if rest_s <= MAX_REST_SHARE * (call.deadline - now):
             return call.deadline
         backlog_s = 0.0 if math.isinf(rest_s) else rest_s
-        raise responses.RequestError(codes.NO_TARGET, backlog_s=backlog_s)
+        raise responses.RequestError(
+            codes.NO_TARGET,
+            self._describe_evacuation(call.service, now),
+            backlog_s=backlog_s,
+        )
+
+    def _describe_evacuation(self, service: str, now: float) -> str:
+        """Returns an error detail if all targets of a service are evacuated."""
+        table = self.context.targets
+        if not table.is_evacuated(service, now):
+            return ""
+        zones = ", ".join(sorted(table.evacuated_zones))
+        return f"all targets are in evacuated availability zones: {zones}"
+
+    def _reject_evacuated_calls(
+        self, service: str, waiting_list: waiting.WaitingList, now: float
+    ) -> None:
+        """Rejects calls whose targets were evacuated while they waited."""
+        if self.context.is_starting(now):
+            return
+        detail = self._describe_evacuation(service, now)
+        if not detail:
+            return
+        for waiting_call in list(waiting_list.calls.values()):
+            if not waiting_call.item.done():
+                waiting_list.leave(waiting_call)
+                waiting_call.item.set_exception(
+                    responses.RequestError(codes.NO_TARGET, detail)
+                )
 
     def _release_if_granted(self, future: asyncio.Future, service: str) -> None:
         """Releases a reservation granted while its call was being cancelled."""
@@ -396,6 +424,7 @@
         for service, waiting_list in self.waiting_lists.items():
             now = context_lib.monotonic()
             self._reject_refused_calls(waiting_list, now)
+            self._reject_evacuated_calls(service, waiting_list, now)
             self.dispatch(service)
             self._shed_calls(service, waiting_list, now)
 
--- a/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
@@ -11,6 +11,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node.forwarding import ports
 from chivelb_node.forwarding import relay_channel
+from chivelb_node.forwarding import source_links
 from chivelb_node.telemetry import logs
 from chivelb_node.wire import relay_messages
 
@@ -90,6 +91,13 @@
             )
         if attempt is None:
             return
+        # The target may have come to take none while the body was received.
+        refusal = self._refusal(request, route, record)
+        if refusal is not None:
+            self._log_end(channel, request, refusal.reason)
+            await channel.send(refusal)
+            return
+        self._drop_evacuated_sources(attempt.assignment)
         relay = asyncio.create_task(self._make_attempt(channel, attempt))
         # Nothing more is sent by the peer; this ends with the channel.
         closing = asyncio.create_task(channel.receive())
@@ -135,6 +143,15 @@
             return relay_messages.RelayRefusal(NO_PATH, "service")
         return None
 
+    def _drop_evacuated_sources(self, assignment: ports.Assignment) -> None:
+        """Removes sources that the peer may not know to be evacuated."""
+        assignment.fetch_addresses = source_links.without_evacuated(
+            self.context, assignment.fetch_addresses
+        )
+        assignment.save_addresses = source_links.without_evacuated(
+            self.context, assignment.save_addresses
+        )
+
     async def _make_attempt(
         self,
         channel: relay_channel.ChannelPort,
--- a/packages/chivelb-node/chivelb_node/forwarding/source_links.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/source_links.py
@@ -14,6 +14,8 @@
 class SourceLinks:
     """Links to sources that sent a message recently.
 
+    Sources in evacuated availability zones are left out.
+
     Attributes:
         context: Shared state of the instance.
         directory: Prompt parts by the source that holds their KV cache.
@@ -51,6 +53,7 @@
             if entry.record.address in addresses
             and entry.record.service == service
             and not entry.is_leaving
+            and not self._is_evacuated(entry.record.zone)
             and self._has_recent_message(entry.record.address, now)
         }
 
@@ -59,9 +62,13 @@
         return [
             link
             for link in self._configured_stores()
-            if self._has_recent_message(link.address, now)
+            if not self._is_evacuated(link.zone)
+            and self._has_recent_message(link.address, now)
         ]
 
+    def _is_evacuated(self, zone: str) -> bool:
+        return zone in self.context.targets.evacuated_zones
+
     def _configured_stores(self) -> list[fetch_plan_lib.Link]:
         """Returns the links to the stores of the document in force."""
         if self._stores_version != self.context.version:
@@ -98,3 +105,29 @@
         stored_tokens = self.directory.source(address).total_tokens
         capacity = self._store_tokens[address] * STORE_MAX_FILL_RATIO
         return int(capacity) - stored_tokens
+
+
+def without_evacuated(
+    context: context_lib.InstanceContext, addresses: list[str]
+) -> list[str]:
+    """Returns addresses with an empty one for each in an evacuated zone.
+
+    Args:
+        context: Shared state of the instance.
+        addresses: Address of a source or store for each part of a prompt;
+            empty for none.
+    """
+    zones = context.targets.evacuated_zones
+    if not zones or not any(addresses):
+        return addresses
+    evacuated = {
+        entry.record.address
+        for entry in context.targets.entries.values()
+        if entry.record.zone in zones
+    }
+    evacuated.update(
+        service.store.address
+        for service in context.document.services.values()
+        if service.store is not None and service.store.zone in zones
+    )
+    return ["" if address in evacuated else address for address in addresses]
--- a/packages/chivelb-node/chivelb_node/links/cache.py
+++ b/packages/chivelb-node/chivelb_node/links/cache.py
@@ -336,8 +336,11 @@
         The blocks are exported if the expected saving, with the cost weights
         of the service's goal, exceeds the cost of the transfer time to write
         and read them. The retention policy ``none`` (``limits.keeping`` of
-        the active configuration document) disables exports.
+        the active configuration document) disables exports. Runners in
+        evacuated availability zones export nothing.
         """
+        if record.zone in self.context.targets.evacuated_zones:
+            return
         if self.context.document.limits.keeping == "none":
             return
         keys = call.keys(record.weight_version)
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -24,6 +24,9 @@
         region: Region; instances of one region discover each other.
         data_dir: Directory for durable state; empty for a diskless instance.
         log_level: Lowest log level that is written.
+        zones: All availability zones with their regions, each as
+            ``zone=region``; if empty, names of zones and regions are not
+            checked.
     """
 
     name: str
@@ -31,6 +34,7 @@
     region: str = "local"
     data_dir: str = ""
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
+    zones: list[str] = []
 
 
 class Http(msgspec.Struct, kw_only=True):
@@ -361,8 +365,43 @@
     return Seed(*parts)
 
 
+def parse_zones(assignments: list[str]) -> dict[str, str]:
+    """Returns the region of each availability zone.
+
+    Raises:
+        ValueError: An assignment is not of the form ``zone=region``, or a zone
+            is listed twice.
+
+    Example:
+        >>> parse_zones(["z1=north"])
+        {'z1': 'north'}
+    """
+    regions = {}
+    for text in assignments:
+        zone, _, region = (part.strip() for part in text.rpartition("="))
+        if not zone or not region:
+            raise ValueError(f"{text!r} is not of the form zone=region")
+        if zone in regions:
+            raise ValueError(f"zone {zone!r} is listed twice")
+        regions[zone] = region
+    return regions
+
+
+def _find_zone_conflicts(instance: Instance) -> list[str]:
+    try:
+        regions = parse_zones(instance.zones)
+    except ValueError as error:
+        return [f"[instance] zones: {error}"]
+    if not regions or regions.get(instance.zone) == instance.region:
+        return []
+    return [
+        f"[instance] zones: must have {instance.zone}={instance.region}, the "
+        "zone and region of this instance"
+    ]
+
+
 def _find_conflicts(settings: Settings) -> list[str]:
-    errors = []
+    errors = _find_zone_conflicts(settings.instance)
     # An empty [peers] listen is valid; a placeholder address replaces it.
     for location, address in (
         ("[http] listen", settings.http.listen),
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -191,6 +191,12 @@
             "1 if this voter knows a leader of the control group, else 0",
             registry=self.registry,
         )
+        self.evacuated_zone = prometheus_client.Gauge(
+            "chivelb_evacuated_zone",
+            "1 for each availability zone whose targets get no requests",
+            ("zone",),
+            registry=self.registry,
+        )
         self.version = prometheus_client.Gauge(
             "chivelb_document_version",
             "Document version in force",
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -191,6 +191,7 @@
   applied @0 :Bool;
   version @1 :Int64;
   leader @2 :Text;
+  superseded @3 :Bool;
 }
 
 struct CommandRequest {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -89,7 +89,8 @@
 
     Attributes:
         kind: Kind of the log entry: ``replace`` replaces the whole document,
-            ``weights`` sets the weight version of a model.
+            ``weights`` sets the weight version of a model, ``evacuation``
+            evacuates an availability zone or ends that.
         payload: The encoded command.
     """
 
@@ -104,11 +105,14 @@
         applied: Whether the command was committed and applied.
         version: Version of the document state after the command.
         leader: Name of the leader if the receiver of the request is not it.
+        superseded: Whether the command was committed, but has no effect
+            because of a newer one.
     """
 
     applied: bool
     version: int
     leader: str
+    superseded: bool = False
 
 
 class LeaseRequest(msgspec.Struct, rename="camel", frozen=True):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 
 import builders
 from chivelb_core import codes
+from chivelb_node import settings as settings_lib
 from chivelb_node.edge import responses
 from chivelb_node.forwarding import call_factory
 from chivelb_platform import boot
@@ -70,6 +71,14 @@
     assert settings.peers.listen == "10.1.0.1:7700"
     assert settings.peers.seeds[0] == "10.1.0.2@unknown@10.1.0.2:7700"
     assert settings.control.voters == ["10.1.0.2", "10.2.0.2"]
+    assert settings.instance.zones == []
+
+
+def test_the_zones_of_the_settings_have_regions(tmp_path):
+    zones = {"z1": "r", "z2": "r", "y=1": "south"}
+    content = json.dumps({**PLATFORM_SETTINGS, "Zones": zones}).encode()
+    settings = boot.make_settings(read_settings_file(tmp_path, content).ok)
+    assert settings_lib.parse_zones(settings.instance.zones) == zones
 
 
 @pytest.mark.parametrize(
@@ -84,6 +93,12 @@
             json.dumps({**PLATFORM_SETTINGS, "InternalPorts": [1]}).encode(),
             "InternalPorts",
         ),
+        (json.dumps({**PLATFORM_SETTINGS, "Zones": ["z"]}).encode(), "Zones"),
+        (
+            json.dumps({**PLATFORM_SETTINGS, "Zones": {"z": 1}}).encode(),
+            "Zones",
+        ),
+        (json.dumps({**PLATFORM_SETTINGS, "Zones": {"z": ""}}).encode(), "z="),
         (b"{", "truncated"),
         (b"\xff\xfe\x00", "malformed"),
         (b"", "truncated"),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -39,6 +39,10 @@
         BASE + "[forwarding]\nweights_apply_s = 0\n",
         ["[forwarding] weights_apply_s", "above 0"],
     ),
+    (BASE + "zones = z\n", ["[instance] zones", "'z'", "zone=region"]),
+    (BASE + "zones = z=local, z=south\n", ["[instance] zones", "'z'", "twice"]),
+    (BASE + "zones = y=local\n", ["[instance] zones", "z=local"]),
+    (BASE + "zones = z=south\n", ["[instance] zones", "z=local"]),
     ("[http]\n", ["[instance]: section is missing"]),
     ("no section\n", ["x.ini"]),
     (BASE + BASE, ["x.ini"]),
@@ -52,6 +56,13 @@
         assert part in message
 
 
+def test_the_zones_are_read_with_their_regions():
+    text = BASE + "region = north\nzones = z = north, y=north, x=south\n"
+    settings = settings_lib.parse_settings(text).ok
+    zones = settings_lib.parse_zones(settings.instance.zones)
+    assert zones == {"z": "north", "y": "north", "x": "south"}
+
+
 def test_a_missing_file_is_an_error(tmp_path):
     result = settings_lib.read_settings(tmp_path / "none.ini")
     assert result.is_error()
