Requests restricted to regions

Cause: a route or workspace whose requests must stay in some regions could not say so; any eligible target got them.

Placement, fetches, saves, relaying peers and the call paths of `chivelbd` leave out targets and sources of other regions, by the zone table of the settings. Without any target there a call is refused with the new code 2012. Unknown regions are refused where a document or change is received. Services, workspaces and routes are encoded without default values, since older builds refuse unknown fields; what operators are shown has all fields as before.

Tested: test_regions, no network but the hub's channels of the relay test. The whole suite was not run on this commit.

--- a/packages/chivelb-core/chivelb_core/codes.py
+++ b/packages/chivelb-core/chivelb_core/codes.py
@@ -254,6 +254,15 @@
     RetryAdvice.LATER,
     "No target can continue this stream.",
 )
+# The targets of all other regions are ruled out by the route or the workspace.
+NO_TARGET_IN_REGION = _result_code(
+    2012,
+    "no_target_in_region",
+    503,
+    _NOT_RUN,
+    RetryAdvice.LATER,
+    "No target of the service is in a region that the request may use.",
+)
 CALLER_LEFT = _result_code(
     3004,
     "caller_left",
--- a/packages/chivelb-core/chivelb_core/document/model.py
+++ b/packages/chivelb-core/chivelb_core/document/model.py
@@ -4,8 +4,13 @@
 from the kind of its service: a runner, which is an inference engine with an
 HTTP server, for a model service; a store of KV cache for a store service; any
 other HTTP server for a plain service.
+
+Services, workspaces and routes are encoded without the fields that have their
+default value: an older build, which knows no unknown field, can decode them as
+long as a new field is not used.
 """
 
+from typing import Any
 from typing import Literal
 
 import msgspec
@@ -57,7 +62,9 @@
     managed: bool = False
 
 
-class Service(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+class Service(
+    msgspec.Struct, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
+):
     """A service that workspaces may call.
 
     Attributes:
@@ -88,7 +95,9 @@
     store: StoreConfig | None = None
 
 
-class Workspace(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+class Workspace(
+    msgspec.Struct, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
+):
     """A tenant with its own API keys, queue limit and cache secret.
 
     Attributes:
@@ -104,6 +113,7 @@
             priority of the route.
         isolated: Whether its cached prompts are not shared with any other
             workspace.
+        regions: Regions whose targets its requests may use; empty for all.
     """
 
     key_hashes: list[str]
@@ -113,6 +123,7 @@
     max_queued: int = 256
     priority: int | None = None
     isolated: bool = True
+    regions: list[str] = []
 
 
 class Model(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -170,7 +181,9 @@
     weight: float = 1.0
 
 
-class Route(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+class Route(
+    msgspec.Struct, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
+):
     """Routes requests with a given host and path prefix to services.
 
     Attributes:
@@ -193,6 +206,7 @@
             first; each attempt sends it to one target.
         public: Whether requests need no API key.
         resumable: Whether another runner may continue a stream.
+        regions: Regions whose targets the requests may use; empty for all.
     """
 
     host: str
@@ -207,6 +221,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    regions: list[str] = []
 
     @property
     def repeatable(self) -> bool:
@@ -295,9 +310,24 @@
     return msgspec.json.encode(document, order="deterministic")
 
 
+def describe_part(part: msgspec.Struct) -> dict[str, Any]:
+    """Returns all fields of a part as built-in types, also default values."""
+    return {
+        field.name: msgspec.to_builtins(getattr(part, field.name))
+        for field in msgspec.structs.fields(part)
+    }
+
+
 def redact(document: Document) -> dict:
     """Returns the document as built-in types, without its secrets."""
-    redacted = msgspec.to_builtins(document)
+    redacted: dict[str, Any] = {
+        collection: {
+            name: describe_part(part)
+            for name, part in getattr(document, collection).items()
+        }
+        for collection in COLLECTIONS
+    }
+    redacted["limits"] = msgspec.to_builtins(document.limits)
     for workspace in redacted["workspaces"].values():
         workspace["cache_secret"] = "(secret)"
     return redacted
--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -89,6 +89,7 @@
         origin_recorded: Whether the origin of the stream was recorded.
         attempts: Number of times the request was sent to a target.
         tried: Identities of the targets that the request was sent to.
+        regions: Regions whose targets it may use; None for all.
     """
 
     request_id: str
@@ -109,6 +110,7 @@
     origin_recorded: bool = False
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
+    regions: frozenset[str] | None = None
 
     @property
     def shared_part_ids(self) -> list[str]:
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -1,5 +1,6 @@
 """Table of the known targets and the leases of their announcements."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 import math
@@ -168,9 +169,20 @@
         known.is_brittle = is_brittle
         return changed
 
-    def rest_ends_at(self, service: str, now: float) -> float:
+    def rest_ends_at(
+        self,
+        service: str,
+        now: float,
+        *,
+        is_allowed: Callable[[str], bool] = lambda zone: True,
+    ) -> float:
         """Returns when the first resting target of a service may get requests.
 
+        Args:
+            service: Name of the service.
+            now: Monotonic time in seconds.
+            is_allowed: Returns whether targets of a zone count.
+
         Returns:
             Monotonic time in seconds; infinite if none is only resting.
         """
@@ -180,6 +192,7 @@
                 for entry in self.entries.values()
                 if entry.record.service == service
                 and entry.resting_until > now
+                and is_allowed(entry.record.zone)
                 and self._may_serve(entry, now, self.evacuated_zones)
             ),
             default=math.inf,
@@ -233,7 +246,30 @@
         """Returns the number of known targets in an availability zone."""
         return sum(entry.record.zone == zone for entry in self.entries.values())
 
-    def is_evacuated(self, service: str, now: float) -> bool:
+    def has_target(
+        self, service: str, is_allowed: Callable[[str], bool]
+    ) -> bool:
+        """Returns whether a service has a target in some zones.
+
+        Args:
+            service: Name of the service.
+            is_allowed: Returns whether targets of a zone count.
+        """
+        return any(
+            entry.record.service == service
+            and not entry.is_leaving
+            and not entry.is_replaced
+            and is_allowed(entry.record.zone)
+            for entry in self.entries.values()
+        )
+
+    def is_evacuated(
+        self,
+        service: str,
+        now: float,
+        *,
+        is_allowed: Callable[[str], bool] = lambda zone: True,
+    ) -> bool:
         """Returns whether a service has targets in evacuated zones alone.
 
         Targets that would get no requests in any case don't count.
@@ -241,6 +277,7 @@
         Args:
             service: Name of the service.
             now: Monotonic time in seconds.
+            is_allowed: Returns whether targets of a zone count.
         """
         if not self.evacuated_zones:
             return False
@@ -248,6 +285,7 @@
             entry.record.zone
             for entry in self.entries.values()
             if entry.record.service == service
+            and is_allowed(entry.record.zone)
             and self._may_serve(entry, now, frozenset())
         }
         return bool(zones) and zones <= self.evacuated_zones
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -226,6 +226,23 @@
         self._rebuild_indexes()
         return True
 
+    def allows_zone(self, regions: frozenset[str] | None, zone: str) -> bool:
+        """Returns whether a request may use the targets of a zone.
+
+        A zone whose region is not known is in none that a request is
+        restricted to.
+
+        Args:
+            regions: Regions that the request may use; None for all.
+            zone: Name of the availability zone.
+        """
+        if regions is None:
+            return True
+        instance = self.settings.instance
+        if zone == instance.zone:
+            return instance.region in regions
+        return self.zone_regions.get(zone) in regions
+
     def _apply_evacuations(self) -> None:
         """Stops requests to the targets of the evacuated zones."""
         before = self.targets.evacuated_zones
--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -9,6 +9,7 @@
 from chivelb_core.document import changes as changes_lib
 from chivelb_core.document import distribution
 from chivelb_core.document import model as model_lib
+from chivelb_core.document import regions as regions_lib
 from chivelb_core.document import sharing
 from chivelb_core.document import state as state_lib
 import mode
@@ -165,7 +166,11 @@
         if not path:
             return None
         loaded = model_lib.decode_document(pathlib.Path(path).read_bytes())
-        problems = document.validate_document(loaded)
+        known_regions = set(self.context.zone_regions.values())
+        problems = [
+            *document.validate_document(loaded),
+            *regions_lib.validate_regions(loaded, known_regions),
+        ]
         for problem in problems:
             _log.error(
                 "invalid document file",
--- a/packages/chivelb-node/chivelb_node/edge/dispatch.py
+++ b/packages/chivelb-node/chivelb_node/edge/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import functools
 import math
 
 from chivelb_core import admission
@@ -131,8 +132,7 @@
         now = context_lib.monotonic()
         if context.crash_suspects.is_refused(call.fingerprint, now):
             raise responses.RequestError(codes.SUSPECT)
-        if context.targets.is_evacuated(call.service, now):
-            raise responses.RequestError(codes.NO_TARGET, EVACUATED_DETAIL)
+        check_targets(context, call.service, call.regions, now)
         limits = context.document.limits
         max_wait_s = limits.queue_deadline_s
         if call.class_name == "batch":
@@ -261,7 +261,9 @@
         usable = [
             record
             for record in records
-            if call.may_go_to(record) and record.identity not in call.tried
+            if call.may_go_to(record)
+            and record.identity not in call.tried
+            and context.allows_zone(call.regions, record.zone)
         ]
         suspect = self.context.crash_suspects.is_suspect(call.fingerprint, now)
         usable = self._isolate_suspects(usable, now, suspect=suspect)
@@ -300,6 +302,7 @@
             for record in records
             if call.total_tokens >= LARGE_CALL_FRACTION * record.room_tokens
             and call.may_go_to(record)
+            and self.context.allows_zone(call.regions, record.zone)
         ]
         if not reservable:
             return
@@ -432,3 +435,34 @@
         if not any(self.context.targets.eligible(service, now)):
             code = codes.NO_TARGET
         future.set_exception(responses.RequestError(code))
+
+
+def check_targets(
+    context: context_lib.InstanceContext,
+    service: str,
+    regions: frozenset[str] | None,
+    now: float,
+) -> None:
+    """Checks that a call may find a target at all.
+
+    Args:
+        context: Shared state of the instance.
+        service: Name of the service.
+        regions: Regions whose targets the call may use; None for all.
+        now: Monotonic time in seconds.
+
+    Raises:
+        responses.RequestError: All targets are in evacuated zones, or none is
+            in the regions that the call may use.
+    """
+    is_allowed = functools.partial(context.allows_zone, regions)
+    if context.targets.is_evacuated(service, now, is_allowed=is_allowed):
+        raise responses.RequestError(codes.NO_TARGET, EVACUATED_DETAIL)
+    if regions is not None and not context.targets.has_target(
+        service, is_allowed
+    ):
+        raise responses.RequestError(
+            codes.NO_TARGET_IN_REGION,
+            f"no target of service {service!r} in the regions "
+            f"{sorted(regions)}",
+        )
--- a/packages/chivelb-node/chivelb_node/edge/operators.py
+++ b/packages/chivelb-node/chivelb_node/edge/operators.py
@@ -12,7 +12,9 @@
 from chivelb_core import document
 from chivelb_core.document import changes as changes_lib
 from chivelb_core.document import model as model_lib
+from chivelb_core.document import regions as regions_lib
 from chivelb_core.document import state as state_lib
+from chivelb_core.document import validation
 import msgspec
 
 from chivelb_node import context as context_lib
@@ -198,7 +200,10 @@
     async def check(self, request: web.Request) -> web.Response:
         """Validates a document without applying it."""
         loaded = decode_document(await self._read_body(request))
-        problems = document.validate_document(loaded)
+        problems = [
+            *document.validate_document(loaded),
+            *regions_lib.validate_regions(loaded, self._known_regions()),
+        ]
         return json_response({"problems": msgspec.to_builtins(problems)})
 
     async def change(self, request: web.Request) -> web.Response:
@@ -223,6 +228,11 @@
     ) -> state_lib.ChangeResult | codes.ErrorDetail:
         """Restores redacted secrets in a change and submits it."""
         complete_change = restore_secrets(change, self.context.document)
+        problems = self._unknown_regions(complete_change)
+        if problems:
+            return state_lib.ChangeResult(
+                codes.CHANGE_INVALID.number, self.context.version, "", problems
+            )
         outcome = await self.replica.voter_client.submit_change(complete_change)
         number = outcome.code
         if isinstance(outcome, codes.ErrorDetail):
@@ -235,6 +245,28 @@
         )
         return outcome
 
+    def _known_regions(self) -> set[str]:
+        return set(self.context.zone_regions.values())
+
+    def _unknown_regions(
+        self, change: document.Change
+    ) -> list[validation.Problem]:
+        """Returns problems of the parts that a change puts."""
+        changed, problems = changes_lib.apply_operations(
+            self.context.document, change.operations, check=False
+        )
+        if problems:
+            # The voters refuse the change, unless a newer version has the part.
+            return []
+        paths = {operation.path for operation in change.operations}
+        return [
+            problem
+            for problem in regions_lib.validate_regions(
+                changed, self._known_regions()
+            )
+            if problem.path.rpartition("/")[0] in paths
+        ]
+
     async def drain(self, request: web.Request) -> web.Response:
         """Drains a target, or drains and stops this instance.
 
--- a/packages/chivelb-node/chivelb_node/edge/parsing.py
+++ b/packages/chivelb-node/chivelb_node/edge/parsing.py
@@ -10,6 +10,7 @@
 from chivelb_core import document
 from chivelb_core import kv_cache
 from chivelb_core import targets
+from chivelb_core.document import regions as regions_lib
 from chivelb_core.kv_cache import keys as keys_lib
 
 from chivelb_node import context as context_lib
@@ -50,6 +51,7 @@
         tried: Targets on which an attempt of the call has failed.
         software_version: Software version that a target must have to continue
             the answer; None if the answer has not begun.
+        regions: Regions whose targets it may use; None for all.
     """
 
     request_id: str
@@ -73,6 +75,7 @@
     reuse_probability: float = 0.3
     tried: set[str] = dataclasses.field(default_factory=set)
     software_version: str | None = None
+    regions: frozenset[str] | None = None
 
     def may_go_to(self, record: targets.TargetRecord) -> bool:
         """Returns whether a target has versions that may serve the call."""
@@ -320,4 +323,5 @@
         body=body,
         repeatable=service.repeatable and body.get("repeatable", True) is True,
         fingerprint=calls.fingerprint(workspace_name, prompt),
+        regions=regions_lib.allowed_regions(workspace.regions),
     )
--- a/packages/chivelb-node/chivelb_node/edge/plain_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/plain_calls.py
@@ -11,6 +11,7 @@
 from chivelb_core import document
 from chivelb_core import targets
 from chivelb_core.calls import attempt as attempt_lib
+from chivelb_core.document import regions as regions_lib
 import mode
 
 from chivelb_node import context as context_lib
@@ -40,6 +41,7 @@
         request_id: Id of the request.
         repeatable: Whether the call may run more than once.
         timeout_s: Timeout of an attempt, in seconds.
+        regions: Regions whose targets it may use; None for all.
     """
 
     service: str
@@ -50,6 +52,7 @@
     request_id: str
     repeatable: bool
     timeout_s: float
+    regions: frozenset[str] | None = None
 
 
 class PlainCalls(mode.Service):
@@ -118,6 +121,7 @@
             request_id=request_id,
             repeatable=repeatable,
             timeout_s=service.timeout_s,
+            regions=regions_lib.allowed_regions(workspace.regions),
         )
         key = request.headers.get("Idempotency-Key", "")
         if repeatable or not key:
@@ -179,7 +183,7 @@
         attempts = 0
         self.context.stop.check_start()
         while True:
-            record = self._choose_target(call.service, tried)
+            record = self._choose_target(call, tried)
             attempts += 1
             tried.add(record.identity)
             attempt_id = f"{call.request_id}.{secrets.token_hex(4)}"
@@ -233,20 +237,21 @@
         )
 
     def _choose_target(
-        self, service: str, tried: set[str]
+        self, call: PlainCall, tried: set[str]
     ) -> targets.TargetRecord:
         now = context_lib.monotonic()
         context = self.context
         eligible = [
             record
-            for record in context.targets.eligible(service, now, role="plain")
+            for record in context.targets.eligible(
+                call.service, now, role="plain"
+            )
             if record.identity not in tried
+            and context.allows_zone(call.regions, record.zone)
         ]
         if not eligible:
-            detail = ""
-            if context.targets.is_evacuated(service, now):
-                detail = dispatch.EVACUATED_DETAIL
-            raise responses.RequestError(codes.NO_TARGET, detail)
+            dispatch.check_targets(context, call.service, call.regions, now)
+            raise responses.RequestError(codes.NO_TARGET)
         failing = set(
             context.targets.recent_failures(now, dispatch.FAILURE_COOLDOWN_S)
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+import functools
 import math
 
 from chivelb_core import codes
@@ -185,36 +186,58 @@
         if self.context.is_starting(now):
             # Targets may be announced until the start is over.
             return self.context.startup_ends_at
-        rest_ends_at = self.context.targets.rest_ends_at(call.service, now)
+        table = self.context.targets
+        is_allowed = self._zone_filter(call)
+        if call.regions is not None and not table.has_target(
+            call.service, is_allowed
+        ):
+            raise responses.RequestError(
+                codes.NO_TARGET_IN_REGION,
+                f"no target of service {call.service!r} in the regions "
+                f"{sorted(call.regions)}",
+            )
+        rest_ends_at = table.rest_ends_at(
+            call.service, now, is_allowed=is_allowed
+        )
         rest_s = rest_ends_at - now
         if rest_s <= MAX_REST_SHARE * (call.deadline - now):
             return call.deadline
         backlog_s = 0.0 if math.isinf(rest_s) else rest_s
         raise responses.RequestError(
             codes.NO_TARGET,
-            self._describe_evacuation(call.service, now),
+            self._describe_evacuation(call, now),
             backlog_s=backlog_s,
         )
 
-    def _describe_evacuation(self, service: str, now: float) -> str:
-        """Returns an error detail if all targets of a service are evacuated."""
+    def _zone_filter(self, call: forwarding.Call) -> Callable[[str], bool]:
+        """Returns a function that tells whether a call may use a zone."""
+        return functools.partial(self.context.allows_zone, call.regions)
+
+    def _describe_evacuation(self, call: forwarding.Call, now: float) -> str:
+        """Returns an error detail if all targets of a call are evacuated."""
         table = self.context.targets
-        if not table.is_evacuated(service, now):
+        if not table.is_evacuated(
+            call.service, now, is_allowed=self._zone_filter(call)
+        ):
             return ""
         zones = ", ".join(sorted(table.evacuated_zones))
         return f"all targets are in evacuated availability zones: {zones}"
 
     def _reject_evacuated_calls(
-        self, service: str, waiting_list: waiting.WaitingList, now: float
+        self, waiting_list: waiting.WaitingList, now: float
     ) -> None:
         """Rejects calls whose targets were evacuated while they waited."""
-        if self.context.is_starting(now):
+        if not self.context.targets.evacuated_zones:
             return
-        detail = self._describe_evacuation(service, now)
-        if not detail:
+        if self.context.is_starting(now):
             return
+        details: dict[frozenset[str] | None, str] = {}
         for waiting_call in list(waiting_list.calls.values()):
-            if not waiting_call.item.done():
+            call = waiting_call.call
+            if call.regions not in details:
+                details[call.regions] = self._describe_evacuation(call, now)
+            detail = details[call.regions]
+            if detail and not waiting_call.item.done():
                 waiting_list.leave(waiting_call)
                 waiting_call.item.set_exception(
                     responses.RequestError(codes.NO_TARGET, detail)
@@ -274,10 +297,16 @@
             return
         now = context_lib.monotonic()
         known = self._known_targets(service, now)
+        blocked_regions = set()
         for waiting_call in list(waiting_list.in_order(now)):
             if waiting_call.item.done():
                 waiting_list.leave(waiting_call)
                 continue
+            call = waiting_call.call
+            if call.software_version is None and (
+                call.regions in blocked_regions
+            ):
+                continue
             reservation = self._try_reserve(
                 waiting_call.call,
                 now,
@@ -290,6 +319,10 @@
             ):
                 # Targets of other versions may have capacity for others.
                 continue
+            if reservation is None and call.regions is not None:
+                # Targets of other regions may have capacity for others.
+                blocked_regions.add(call.regions)
+                continue
             if reservation is None:
                 return
             waiting_list.start(waiting_call, now)
@@ -424,7 +457,7 @@
         for service, waiting_list in self.waiting_lists.items():
             now = context_lib.monotonic()
             self._reject_refused_calls(waiting_list, now)
-            self._reject_evacuated_calls(service, waiting_list, now)
+            self._reject_evacuated_calls(waiting_list, now)
             self.dispatch(service)
             self._shed_calls(service, waiting_list, now)
 
@@ -443,14 +476,15 @@
 def _first_of_each_version(
     waiting_calls: Iterable[waiting.WaitingCall],
 ) -> Iterator[forwarding.Call]:
-    """Yields the first call that may go to targets of each software version.
+    """Yields the first call that waits for each kind of target.
 
-    A call that is bound to a version waits for other targets than those
-    behind it.
+    A call that is bound to a software version, or restricted to regions, waits
+    for other targets than those behind it.
     """
     seen = set()
     for waiting_call in waiting_calls:
-        version = waiting_call.call.software_version
-        if version not in seen:
-            seen.add(version)
-            yield waiting_call.call
+        call = waiting_call.call
+        kind = (call.software_version, call.regions)
+        if kind not in seen:
+            seen.add(kind)
+            yield call
--- a/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/call_factory.py
@@ -11,6 +11,7 @@
 from chivelb_core import document
 from chivelb_core import forwarding
 from chivelb_core.calls import suspects
+from chivelb_core.document import regions as regions_lib
 
 from chivelb_node import context as context_lib
 from chivelb_node.edge import responses
@@ -135,6 +136,7 @@
         deadline=request_head.at + wait_s,
         last_event_id=request_head.last_event_id,
         resumes=request_head.resumes,
+        regions=regions_lib.call_regions(context.document, route, workspace),
     )
 
 
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -70,7 +70,7 @@
         table = self.context.targets
         records = [
             record
-            for record in self._without_overdue(call.service, now)
+            for record in self._without_overdue(call, now)
             if record.identity not in call.tried
             and call.may_go_to(record.software_version)
         ]
@@ -106,7 +106,7 @@
         failed = set(table.failed_since(now - FAILURE_COOLDOWN_S))
         records = [
             record
-            for record in self._without_overdue(call.service, now)
+            for record in self._without_overdue(call, now)
             if table.is_unreachable(record.identity)
             and record.identity not in call.tried
             and record.identity not in failed
@@ -115,10 +115,19 @@
         return self.context.request_limits.partition(records, now)[0]
 
     def _without_overdue(
-        self, service: str, now: float
+        self, call: forwarding.Call, now: float
     ) -> list[targets.TargetRecord]:
-        """Returns the eligible targets whose weights need not be newer."""
-        records = list(self.context.targets.eligible(service, now))
+        """Returns the eligible targets whose weights need not be newer.
+
+        Targets outside the regions that the call may use are left out.
+        """
+        records = list(self.context.targets.eligible(call.service, now))
+        if call.regions is not None:
+            records = [
+                record
+                for record in records
+                if self.context.allows_zone(call.regions, record.zone)
+            ]
         if not self.context.requested_versions.learned_at:
             return records
         in_force = [r for r in records if self.context.weights_due_at(r) > now]
@@ -460,7 +469,11 @@
         links = self.sources.runner_links(call.service, engine, addresses, now)
         for link in self.sources.stores(now):
             links[link.address] = link
-        return links
+        return {
+            address: link
+            for address, link in links.items()
+            if self.context.allows_zone(call.regions, link.zone)
+        }
 
     def record_placed(
         self, call: forwarding.Call, placement: choice_lib.Placement, now: float
@@ -484,7 +497,11 @@
             call.prompt,
             placement.salt,
             directory=self.directory,
-            stores=self.sources.stores(now),
+            stores=[
+                store
+                for store in self.sources.stores(now)
+                if self.context.allows_zone(call.regions, store.zone)
+            ],
             free_tokens=self.sources.store_free_tokens,
             zone=placement.record.zone,
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/relay_channel.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_channel.py
@@ -81,7 +81,8 @@
     await send_data(channel, message.body)
 
 
-def _workspace_of(request: relay_messages.RelayRequest) -> str | None:
+def workspace_of(request: relay_messages.RelayRequest) -> str | None:
+    """Returns the workspace of a request; None on public routes."""
     # Older instances name a workspace without saying that there is one.
     if request.workspace or request.has_workspace:
         return request.workspace
@@ -117,7 +118,7 @@
         route_name=request.route,
         route=route,
         service=record.service,
-        workspace=_workspace_of(request),
+        workspace=workspace_of(request),
         priority=request.priority,
         prompt=forwarding.Prompt("", (), 0, 0) if request.has_prompt else None,
         arrived_at=now,
--- a/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
@@ -7,6 +7,7 @@
 from chivelb_core import codes
 from chivelb_core import targets
 from chivelb_core.document import model as model_lib
+from chivelb_core.document import regions as regions_lib
 
 from chivelb_node import context as context_lib
 from chivelb_node.forwarding import ports
@@ -97,7 +98,7 @@
             self._log_end(channel, request, refusal.reason)
             await channel.send(refusal)
             return
-        self._drop_evacuated_sources(attempt.assignment)
+        self._drop_sources(attempt.assignment, self._regions(request, route))
         relay = asyncio.create_task(self._make_attempt(channel, attempt))
         # Nothing more is sent by the peer; this ends with the channel.
         closing = asyncio.create_task(channel.receive())
@@ -137,19 +138,32 @@
             return relay_messages.RelayRefusal(
                 "not a target of the route", "target"
             )
+        regions = self._regions(request, route)
+        if not self.context.allows_zone(regions, record.zone):
+            return relay_messages.RelayRefusal("region not allowed", "target")
         if self.context.targets.is_unreachable(record.identity):
             return relay_messages.RelayRefusal(NO_PATH, "target")
         if self.context.is_unreachable(record, now):
             return relay_messages.RelayRefusal(NO_PATH, "service")
         return None
 
-    def _drop_evacuated_sources(self, assignment: ports.Assignment) -> None:
-        """Removes sources that the peer may not know to be evacuated."""
-        assignment.fetch_addresses = source_links.without_evacuated(
-            self.context, assignment.fetch_addresses
+    def _regions(
+        self, request: relay_messages.RelayRequest, route: model_lib.Route
+    ) -> frozenset[str] | None:
+        """Returns the regions that a request may use; None for all."""
+        return regions_lib.call_regions(
+            self.context.document, route, relay_channel.workspace_of(request)
         )
-        assignment.save_addresses = source_links.without_evacuated(
-            self.context, assignment.save_addresses
+
+    def _drop_sources(
+        self, assignment: ports.Assignment, regions: frozenset[str] | None
+    ) -> None:
+        """Removes sources that the peer may not know to be ruled out."""
+        assignment.fetch_addresses = source_links.permitted_addresses(
+            self.context, assignment.fetch_addresses, regions
+        )
+        assignment.save_addresses = source_links.permitted_addresses(
+            self.context, assignment.save_addresses, regions
         )
 
     async def _make_attempt(
--- a/packages/chivelb-node/chivelb_node/forwarding/source_links.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/source_links.py
@@ -107,27 +107,41 @@
         return int(capacity) - stored_tokens
 
 
-def without_evacuated(
-    context: context_lib.InstanceContext, addresses: list[str]
+def permitted_addresses(
+    context: context_lib.InstanceContext,
+    addresses: list[str],
+    regions: frozenset[str] | None,
 ) -> list[str]:
-    """Returns addresses with an empty one for each in an evacuated zone.
+    """Returns addresses with an empty one for each that must not be used.
+
+    These are sources and stores in evacuated zones and, for a request that is
+    restricted to regions, all that are not known to be in one of them.
 
     Args:
         context: Shared state of the instance.
         addresses: Address of a source or store for each part of a prompt;
             empty for none.
+        regions: Regions that the request may use; None for all.
     """
-    zones = context.targets.evacuated_zones
-    if not zones or not any(addresses):
+    evacuated_zones = context.targets.evacuated_zones
+    if not any(addresses) or (regions is None and not evacuated_zones):
         return addresses
-    evacuated = {
-        entry.record.address
+    zones = {
+        entry.record.address: entry.record.zone
         for entry in context.targets.entries.values()
-        if entry.record.zone in zones
     }
-    evacuated.update(
-        service.store.address
+    zones.update(
+        (service.store.address, service.store.zone)
         for service in context.document.services.values()
-        if service.store is not None and service.store.zone in zones
+        if service.store is not None
     )
-    return ["" if address in evacuated else address for address in addresses]
+
+    def is_permitted(address: str) -> bool:
+        zone = zones.get(address)
+        if zone is None:
+            return regions is None
+        return zone not in evacuated_zones and context.allows_zone(
+            regions, zone
+        )
+
+    return [address if is_permitted(address) else "" for address in addresses]
--- a/packages/chivelb-node/chivelb_node/links/cache.py
+++ b/packages/chivelb-node/chivelb_node/links/cache.py
@@ -262,6 +262,8 @@
                 continue
             if not self.context.targets.is_eligible(identity, now):
                 continue
+            if not self.context.allows_zone(call.regions, entry.record.zone):
+                continue
             rate = min(entry.record.link_rate, record.link_rate)
             # A store reports the bytes queued for its link as pending tokens.
             wait = entry.record.pending_tokens / entry.record.link_rate
@@ -349,7 +351,7 @@
             or keys[-1] in self._keys_being_exported
         ):
             return
-        store = self._choose_store(kv_cache.anchor_key(keys))
+        store = self._choose_store(kv_cache.anchor_key(keys), call.regions)
         if store is None:
             return
         service = self.context.document.services[call.service]
@@ -371,13 +373,16 @@
             )
         )
 
-    def _choose_store(self, anchor_key: str) -> targets.TargetRecord | None:
+    def _choose_store(
+        self, anchor_key: str, regions: frozenset[str] | None
+    ) -> targets.TargetRecord | None:
         now = context_lib.monotonic()
         candidates = [
             entry.record
             for identity, entry in self.context.targets.entries.items()
             if entry.record.role == "store"
             and self.context.targets.is_eligible(identity, now)
+            and self.context.allows_zone(regions, entry.record.zone)
         ]
         if not candidates:
             return None
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -246,10 +246,11 @@
 def test_no_first_attempt_goes_to_an_evacuated_zone():
     replies = [test_forwarder.stream(test_forwarder.E1) for _ in range(12)]
     harness = make_harness(*replies)
-    put_in_force(harness.context, "z2")
+    # The own zone, whose targets are preferred otherwise.
+    put_in_force(harness.context, "z1")
     for _ in replies:
         assert harness.run_call(test_forwarder.make_call()).end == "finished"
-    assert {sent.record.identity for sent in harness.targets.sent} == {"a"}
+    assert {sent.record.identity for sent in harness.targets.sent} == {"b"}
 
 
 # Guards against retries and resumed streams that begin before the order and go
@@ -371,8 +372,8 @@
     assert addresses() == ({"a:1", "b:1"}, {"s1:1", "s2:1"})
     put_in_force(context, "z2")
     assert addresses() == ({"a:1"}, {"s1:1"})
-    kept = source_links.without_evacuated(
-        context, ["b:1", "a:1", "", "s2:1", "s1:1", "unknown:1"]
+    kept = source_links.permitted_addresses(
+        context, ["b:1", "a:1", "", "s2:1", "s1:1", "unknown:1"], None
     )
     assert kept == ["", "a:1", "", "", "s1:1", "unknown:1"]
     put_in_force(context)
