Limit the requests that a cold target gets

Cause: a target that has just started handles few requests and crashes well above that; all instances sent to it at once, since it looks idle.

Change: services declare cold_start_s and cold_requests_per_s; targets report their cold time in heartbeats (ColdRemainingMs) and responses (X-Cold-Ms). The first n known instances of the zone by rendezvous hashing may send to a cold target, each once in 1.1 s or more, and only if they were among them for one interval. Instances that seem to be down are counted: zones cut off from each other would each rank their own otherwise, and exceed the bound with three of them.

--- a/packages/chivelb-core/chivelb_core/document/model.py
+++ b/packages/chivelb-core/chivelb_core/document/model.py
@@ -75,6 +75,10 @@
             from all instances together.
         engine: Properties of the runners; None for other services.
         store: The store; None for other services.
+        cold_start_s: Time for which a target is cold after its start, in
+            seconds; 0 if its targets have no cold time or report it.
+        cold_requests_per_s: Requests a second that a cold target can handle,
+            from all instances together; 0 for no limit.
     """
 
     kind: Literal["model", "plain", "store"] = "model"
@@ -86,6 +90,8 @@
     max_connections: int = 1_000
     engine: EngineConfig | None = None
     store: StoreConfig | None = None
+    cold_start_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 class Workspace(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
--- a/packages/chivelb-core/chivelb_core/document/validation.py
+++ b/packages/chivelb-core/chivelb_core/document/validation.py
@@ -13,6 +13,8 @@
 _SHA256_HEX_PATTERN = re.compile(r"[0-9a-f]{64}")
 _SECRET_HEX_PATTERN = re.compile(r"([0-9a-f]{2}){16,64}")
 
+# Longest time for which a target may be cold after its start.
+MAX_COLD_START_S = 3_600.0
 # Names of the routing policies: how a target is chosen for a request, and
 # whether cached blocks of its prompt are loaded from a store (KV cache, not
 # weights) or their tokens recomputed.
@@ -107,6 +109,7 @@
     """
     for name, service in document.services.items():
         engine, store = service.engine, service.store
+        yield from _cold_start_problems(f"services/{name}", service)
         if engine is not None:
             path = f"services/{name}/engine"
             yield from _positive(f"{path}/slots", engine.slots)
@@ -127,6 +130,21 @@
             )
 
 
+def _cold_start_problems(
+    path: str, service: model_lib.Service
+) -> Iterator[Problem]:
+    if not 0 <= service.cold_start_s <= MAX_COLD_START_S:
+        yield Problem(
+            f"{path}/cold_start_s",
+            f"{service.cold_start_s} must be from 0 to {MAX_COLD_START_S:g}",
+        )
+    if not 0 <= service.cold_requests_per_s < math.inf:
+        yield Problem(
+            f"{path}/cold_requests_per_s",
+            f"{service.cold_requests_per_s} must be finite and not negative",
+        )
+
+
 def _positive(path: str, value: float) -> Iterator[Problem]:
     if not 0 < value < math.inf:
         yield Problem(path, f"{value} must be above 0 and finite")
@@ -169,6 +187,7 @@
                 f"{path}/timeout_s",
                 f"{service.timeout_s} must be above 0 and at most 3600",
             )
+        yield from _cold_start_problems(path, service)
 
 
 def _workspace_problems(document: model_lib.Document) -> Iterator[Problem]:
--- a/packages/chivelb-core/chivelb_core/targets/record.py
+++ b/packages/chivelb-core/chivelb_core/targets/record.py
@@ -46,6 +46,11 @@
         software_version: Version of the target's software, which stays the
             same for an identity; empty if unknown. What two versions write
             does not fit together in one stream.
+        cold_s: Seconds for which it stays cold: it has just started, handles
+            few requests and has nothing cached. 0 if it is warm.
+        tells_cold: Whether ``cold_s`` is reported. Otherwise it stays as it is
+            known, or is cold for the time that its service declares if its
+            incarnation is not known.
     """
 
     identity: str
@@ -69,6 +74,8 @@
     checks_fencing: bool = True
     lease_s: float = 5.0
     software_version: str = ""
+    cold_s: float = 0.0
+    tells_cold: bool = False
 
     @property
     def order(self) -> tuple[int, int]:
@@ -89,6 +96,7 @@
 # Tokens or bytes per second.
 MAX_RATE_PER_S = 1e15
 MAX_LOAD_AGE_S = 3_600.0
+MAX_COLD_S = 3_600.0
 MAX_PORT = 65_535
 _ADDRESS = re.compile(r"[0-9A-Za-z._:%\[\]-]{1,253}:([0-9]{1,5})")
 _NUMBER = re.compile(r"[0-9]{1,19}")
@@ -136,6 +144,13 @@
     return [*problems, *_find_wrong_numbers(record)]
 
 
+def without_invalid_cold_time(record: TargetRecord) -> TargetRecord:
+    """Returns a record that reports no cold time if its value is invalid."""
+    if 0.0 <= record.cold_s <= MAX_COLD_S:
+        return record
+    return msgspec.structs.replace(record, cold_s=0.0, tells_cold=False)
+
+
 def _find_wrong_names(record: TargetRecord, max_length: int) -> Iterator[str]:
     for name in ("identity", "address", "zone", "service"):
         if not 0 < len(getattr(record, name)) <= max_length:
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -1,5 +1,7 @@
 """Table of the known targets and the leases of their announcements."""
 
+from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterator
 import dataclasses
 import math
@@ -12,6 +14,8 @@
 # Time after a rest in which a target gets no more requests than it has slots:
 # those that waited for the end of the rest would come all at once.
 CAREFUL_AFTER_S = 3.0
+# A reported end of the cold time that differs by less than this is the same.
+COLD_TOLERANCE_S = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,6 +40,10 @@
             instance because it had no room for one, in seconds.
         is_brittle: Whether it says that it stops if it has to turn away many
             requests for want of room.
+        cold_until: Monotonic time until which it is cold, in seconds.
+        cold_learned_at: Monotonic time at which that was learned, in seconds.
+        is_cold_presumed: Whether it has reported no cold time yet, so that
+            ``cold_until`` follows from what its service declares.
     """
 
     record: record_lib.TargetRecord
@@ -48,6 +56,9 @@
     paused_until: float = -math.inf
     resting_until: float = -math.inf
     is_brittle: bool = False
+    cold_until: float = -math.inf
+    cold_learned_at: float = -math.inf
+    is_cold_presumed: bool = False
 
     def needs_room(self, now: float) -> bool:
         """Returns whether requests must not be turned away there.
@@ -68,21 +79,47 @@
     Attributes:
         entries: Known targets by identity.
         max_entries: Maximum number of entries.
+        cold_start_s: Returns for how long the targets of a service are cold
+            after a start, in seconds; 0 if that is not known.
+        next_cold_send_at: Returns the monotonic time from which this instance
+            may send a request to a cold target, in seconds.
+        on_cold: Called with a target that has turned cold.
     """
 
-    __slots__ = ("entries", "max_entries")
+    __slots__ = (
+        "entries",
+        "max_entries",
+        "cold_start_s",
+        "next_cold_send_at",
+        "on_cold",
+    )
 
     def __init__(self, max_entries: int = 20_000) -> None:
         """Creates an empty table with a maximum number of entries."""
         self.entries: dict[str, TargetEntry] = {}
         self.max_entries = max_entries
+        self.cold_start_s: Callable[[str], float] = lambda service: 0.0
+        self.next_cold_send_at: Callable[
+            [record_lib.TargetRecord, float], float
+        ] = lambda record, now: -math.inf
+        self.on_cold: Callable[[record_lib.TargetRecord], None] = (
+            lambda record: None
+        )
 
-    def announce(self, record: record_lib.TargetRecord, now: float) -> bool:
+    def announce(
+        self,
+        record: record_lib.TargetRecord,
+        now: float,
+        *,
+        may_end_cold: bool = True,
+    ) -> bool:
         """Applies an announcement.
 
         Args:
             record: The announcement.
             now: Monotonic time in seconds.
+            may_end_cold: Whether it can end a cold time early; an announcement
+                that was kept for some time may be older than what is known.
 
         Returns:
             True if it was new and must be propagated to other instances.
@@ -102,10 +139,67 @@
             entry.paused_until = known.paused_until
             entry.resting_until = known.resting_until
             entry.is_brittle = known.is_brittle
+            entry.cold_until = known.cold_until
+            entry.cold_learned_at = known.cold_learned_at
+            entry.is_cold_presumed = known.is_cold_presumed
+            cold_s = record.cold_s if record.tells_cold else None
+        else:
+            cold_s = record.cold_s
+            if not record.tells_cold:
+                cold_s = self.cold_start_s(record.service)
         self.entries[record.identity] = entry
         self._claim_address(entry)
+        if cold_s is not None:
+            if not may_end_cold:
+                cold_s = max(cold_s, entry.cold_until - now)
+            self.set_cold(record.identity, record.incarnation, cold_s, now)
+            entry.is_cold_presumed = not record.tells_cold
         return True
 
+    def set_cold(
+        self,
+        identity: str,
+        incarnation: int,
+        cold_s: float,
+        now: float,
+        *,
+        sent_at: float = math.inf,
+    ) -> bool:
+        """Records for how long a target stays cold.
+
+        Args:
+            identity: The target.
+            incarnation: Its incarnation.
+            cold_s: Time in seconds; 0 if it is warm.
+            now: Monotonic time in seconds.
+            sent_at: Monotonic time at which the request was sent whose response
+                reports this, in seconds. A response that was overtaken does
+                not end a cold time.
+
+        Returns:
+            Whether the target has turned cold or warm, or stays cold for
+            longer than was known.
+        """
+        known = self.entries.get(identity)
+        if known is None or known.record.incarnation != incarnation:
+            return False
+        was_cold = known.cold_until > now
+        if not cold_s and sent_at <= known.cold_learned_at:
+            return False
+        until = now + cold_s
+        lasts_longer = until > known.cold_until + COLD_TOLERANCE_S
+        known.cold_until = until
+        known.cold_learned_at = now
+        known.is_cold_presumed = False
+        if cold_s and not was_cold:
+            self.on_cold(known.record)
+        return was_cold != (cold_s > 0.0) or (cold_s > 0.0 and lasts_longer)
+
+    def cold_s(self, identity: str, now: float) -> float:
+        """Returns how long a target stays cold, in seconds; 0 if it is warm."""
+        entry = self.entries.get(identity)
+        return 0.0 if entry is None else max(0.0, entry.cold_until - now)
+
     def _claim_address(self, entry: TargetEntry) -> None:
         """Assigns an address to the target that announced it last.
 
@@ -183,6 +277,72 @@
             default=math.inf,
         )
 
+    def count_cold(self, now: float) -> int:
+        """Returns the number of cold targets that may be used."""
+        return sum(
+            entry.cold_until > now and self._may_serve(entry, now)
+            for entry in self.entries.values()
+        )
+
+    def opens_at(self, entry: TargetEntry, now: float) -> float:
+        """Returns when a target takes a request of this instance if it is cold.
+
+        Returns:
+            Monotonic time in seconds, which may be past.
+        """
+        if entry.cold_until <= now:
+            return -math.inf
+        return min(entry.cold_until, self.next_cold_send_at(entry.record, now))
+
+    def cold_opens_at(
+        self, service: str, now: float, *, without: Container[str] = ()
+    ) -> float:
+        """Returns when the first cold target of a service may get a request.
+
+        Args:
+            service: The service.
+            now: Monotonic time in seconds.
+            without: Identities of targets that do not count.
+
+        Returns:
+            Monotonic time in seconds, which may be past; infinite without a
+            target that is cold and otherwise usable.
+        """
+        return min(
+            (
+                self.opens_at(entry, now)
+                for identity, entry in self.entries.items()
+                if entry.record.service == service
+                and entry.cold_until > now
+                and identity not in without
+                and entry.resting_until <= now
+                and self._may_serve(entry, now)
+            ),
+            default=math.inf,
+        )
+
+    def cold_entries(self, service: str, now: float) -> list[TargetEntry]:
+        """Returns the targets of a service that are cold and otherwise usable.
+
+        Args:
+            service: The service.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The targets; empty if one is usable and not cold.
+        """
+        found = []
+        for entry in self.entries.values():
+            if (
+                entry.record.service == service
+                and entry.resting_until <= now
+                and self._may_serve(entry, now)
+            ):
+                if entry.cold_until <= now:
+                    return []
+                found.append(entry)
+        return found
+
     def needs_room(self, identity: str, now: float) -> bool:
         """Returns whether requests must not be turned away at a target."""
         entry = self.entries.get(identity)
@@ -196,13 +356,27 @@
                 known.record, weight_version=version
             )
 
-    def is_eligible(self, identity: str, now: float) -> bool:
-        """Returns whether a target may receive new requests now."""
+    def is_eligible(
+        self, identity: str, now: float, *, ignores_cold: bool = False
+    ) -> bool:
+        """Returns whether a target may receive new requests now.
+
+        Args:
+            identity: The target.
+            now: Monotonic time in seconds.
+            ignores_cold: Whether a cold target counts as a warm one, because
+                another instance has decided to send the request.
+        """
         known = self.entries.get(identity)
         return (
             known is not None
             and known.resting_until <= now
             and self._may_serve(known, now)
+            and (
+                known.cold_until <= now
+                or ignores_cold
+                or self.opens_at(known, now) <= now
+            )
         )
 
     def _may_serve(self, entry: TargetEntry, now: float) -> bool:
@@ -214,14 +388,19 @@
         )
 
     def eligible(
-        self, service: str, now: float, role: str = "runner"
+        self,
+        service: str,
+        now: float,
+        role: str = "runner",
+        *,
+        ignores_cold: bool = False,
     ) -> Iterator[record_lib.TargetRecord]:
         """Yields the records of the targets that may receive new requests."""
         for identity, entry in self.entries.items():
             record = entry.record
             if record.service != service or record.role != role:
                 continue
-            if self.is_eligible(identity, now):
+            if self.is_eligible(identity, now, ignores_cold=ignores_cold):
                 yield record
 
     def recent_failures(self, now: float, within_s: float) -> Iterator[str]:
--- a/packages/chivelb-node/chivelb_node/app.py
+++ b/packages/chivelb-node/chivelb_node/app.py
@@ -86,6 +86,7 @@
         self.replica = replica_lib.ReplicaService(
             self.context, self.hub, self.gossip
         )
+        self.gossip.rank_for(self.context.cold_targets, lambda name: True)
         self.claims = claim_client.ClaimClient(self.context, self.hub)
         self.loads = load_sharing.LoadReporting(
             self.context, self.hub, self.gossip
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 import random
 import time
 
@@ -14,12 +15,14 @@
 from chivelb_core import routing
 from chivelb_core import targets
 from chivelb_core.document import sharing_leases
+from chivelb_core.forwarding import cold_targets
 from chivelb_core.forwarding import reach as reach_lib
 from chivelb_core.forwarding import request_limits
 from chivelb_core.routing import policies
 
 from chivelb_node import settings as settings_lib
 from chivelb_node import stopping
+from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import metrics as metrics_lib
 
 monotonic = time.monotonic
@@ -30,6 +33,7 @@
 # Share of the time that a weight version may take to be in force, after which
 # requests are no longer sent to runners with an older one.
 WEIGHTS_DUE_RATIO = 0.85
+_log = logs.get_logger("targets")
 
 
 def boottime() -> float:
@@ -85,6 +89,7 @@
         part_suspects: Parts of prompts that may crash targets.
         reach: Whether it reaches the targets of a service by itself.
         request_limits: Limits that targets named, and grants to send to them.
+        cold_targets: When this instance may send to cold targets.
         retry_budget: Limits the retries of model calls and calls to plain
             services that this instance makes, as a ratio of its first attempts.
             It is not shared with other instances and has no settings.
@@ -99,6 +104,8 @@
         sources_known: Set once it is known which parts of prompts are cached
             where, or enough time was given to learn it.
         in_progress: Number of requests in progress.
+        forget_parts: Called with the address of a target that holds no part of
+            a prompt any more.
         list_transports: Returns the transports of callers' connections; None
             stands for one that is closed.
         stop_requested: Event that requests a graceful shutdown.
@@ -127,10 +134,17 @@
         self.part_suspects = calls.PartSuspects()
         self.reach = reach_lib.ReachTable()
         self.request_limits = request_limits.LimitTable()
+        self.cold_targets = cold_targets.ColdTargets(settings.instance.name)
+        self.targets.cold_start_s = self._cold_start_s
+        self.targets.next_cold_send_at = self._next_cold_send_at
+        self.targets.on_cold = self._on_cold
         self.retry_budget = calls.TokenBucketBudget()
         self.queues: dict[str, admission.FairQueue] = {}
         self.policies = policies.make_policies()
         self.metrics = metrics_lib.Metrics()
+        self.metrics.cold_targets.set_function(
+            lambda: self.targets.count_cold(monotonic())
+        )
         self.draining = False
         self.stop = stopping.Stop(lambda: monotonic())
         self.startup_ends_at = monotonic()
@@ -139,6 +153,7 @@
         self.readiness = asyncio.Event()
         self.sources_known = asyncio.Event()
         self.in_progress = 0
+        self.forget_parts: Callable[[str], None] = lambda address: None
         self.list_transports: Callable[
             [], Iterable[asyncio.Transport | None]
         ] = list
@@ -183,7 +198,9 @@
         """Returns whether this instance reaches no target of a service."""
         if service not in self.reach.failures:
             return False
-        count = sum(1 for _ in self.targets.eligible(service, now))
+        count = sum(
+            1 for _ in self.targets.eligible(service, now, ignores_cold=True)
+        )
         return self.reach.is_isolated(service, count, now)
 
     def is_unreachable(self, record: targets.TargetRecord, now: float) -> bool:
@@ -194,6 +211,67 @@
             record.service, now
         ) and not self.reach.was_reached(record.identity, now)
 
+    def _cold_start_s(self, service: str) -> float:
+        declared = self.document.services.get(service)
+        return 0.0 if declared is None else declared.cold_start_s
+
+    def _next_cold_send_at(
+        self, record: targets.TargetRecord, now: float
+    ) -> float:
+        rate_per_s = self.cold_rate_per_s(record.service)
+        if not rate_per_s:
+            return -math.inf
+        return self.cold_targets.next_send_at(record, rate_per_s, now)
+
+    def cold_rate_per_s(self, service: str) -> float:
+        """Returns the requests a second that a cold target can handle.
+
+        Returns:
+            The rate; 0 if the service declares none, so that there is no limit.
+        """
+        declared = self.document.services.get(service)
+        return 0.0 if declared is None else declared.cold_requests_per_s
+
+    def _on_cold(self, record: targets.TargetRecord) -> None:
+        """Discards what a target has lost that has just turned cold."""
+        self.directory.forget(record.identity)
+        self.forget_parts(record.address)
+
+    def record_sent(self, identity: str, now: float) -> None:
+        """Records that a request is sent to a target.
+
+        It uses the grant of a limited target and the turn at a cold one.
+
+        Args:
+            identity: The target.
+            now: Monotonic time in seconds.
+        """
+        self.request_limits.spend(identity)
+        if self.targets.cold_s(identity, now):
+            self.cold_targets.record_send(identity, now)
+            self.metrics.cold_sends.inc()
+
+    def record_cold_change(self, identity: str, source: str) -> None:
+        """Logs that a target has turned cold or warm, or stays cold longer.
+
+        Args:
+            identity: The target.
+            source: ``target``, ``heartbeat``, or the peer that told.
+        """
+        now = monotonic()
+        record = self.targets.entries[identity].record
+        cold_s = self.targets.cold_s(identity, now)
+        may_send_in_s = self._next_cold_send_at(record, now) - now
+        _log.info(
+            "target is cold" if cold_s else "target is warm",
+            target=identity,
+            service=record.service,
+            cold_s=round(cold_s, 3),
+            sends=math.isfinite(may_send_in_s)
+            or not self.cold_rate_per_s(record.service),
+            source=source,
+        )
+
     @property
     def document(self) -> document_lib.Document:
         """The document in force."""
--- a/packages/chivelb-node/chivelb_node/edge/dispatch.py
+++ b/packages/chivelb-node/chivelb_node/edge/dispatch.py
@@ -220,6 +220,7 @@
                 record
                 for record in records
                 if reservations.is_available(record.identity, queued)
+                and self.context.targets.is_eligible(record.identity, now)
             ]
             grant = self._choose(queued.item[0], open_records, now)
             if grant is not None:
@@ -382,6 +383,7 @@
             self.context.load.load(
                 grant.record.identity
             ).own_suspect_requests += 1
+        self.context.record_sent(grant.record.identity, now)
         self.context.load.record_send(
             grant.record.identity,
             now,
--- a/packages/chivelb-node/chivelb_node/edge/plain_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/plain_calls.py
@@ -184,7 +184,9 @@
             tried.add(record.identity)
             attempt_id = f"{call.request_id}.{secrets.token_hex(4)}"
             load = self.context.load
-            load.record_send(record.identity, context_lib.monotonic(), 0, 0)
+            now = context_lib.monotonic()
+            self.context.record_sent(record.identity, now)
+            load.record_send(record.identity, now, 0, 0)
             try:
                 response = await services.call_service(
                     self.session,
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -185,8 +185,12 @@
         if self.context.is_starting(now):
             # Targets may be announced until the start is over.
             return self.context.startup_ends_at
-        rest_ends_at = self.context.targets.rest_ends_at(call.service, now)
-        rest_s = rest_ends_at - now
+        table = self.context.targets
+        rest_s = min(
+            table.rest_ends_at(call.service, now),
+            table.cold_opens_at(call.service, now, without=call.tried),
+        )
+        rest_s -= now
         if rest_s <= MAX_REST_SHARE * (call.deadline - now):
             return call.deadline
         backlog_s = 0.0 if math.isinf(rest_s) else rest_s
@@ -309,7 +313,7 @@
             call.mean_kv_tokens,
             placement.tokens_to_prefill,
         )
-        self.context.request_limits.spend(placement.record.identity)
+        self.context.record_sent(placement.record.identity, now)
         self.context.load.record_send(
             placement.record.identity,
             now,
--- a/packages/chivelb-node/chivelb_node/forwarding/ports.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/ports.py
@@ -66,6 +66,8 @@
         brittle: All values in which it says that it is brittle, and how many
             requests it may turn away in a second.
         rests: All values in which it asks this instance for rest, in seconds.
+        cold_times: All values in which it reports for how long it stays cold,
+            in milliseconds.
         is_leaving: Whether it says that it leaves.
         is_refused: Whether it had no room for the request, or would not take
             it for another reason, and has not run it.
@@ -74,6 +76,7 @@
     limits: list[str] = dataclasses.field(default_factory=list)
     brittle: list[str] = dataclasses.field(default_factory=list)
     rests: list[str] = dataclasses.field(default_factory=list)
+    cold_times: list[str] = dataclasses.field(default_factory=list)
     is_leaving: bool = False
     is_refused: bool = False
 
--- a/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
@@ -122,7 +122,10 @@
             )
         if record.incarnation != request.incarnation:
             return relay_messages.RelayRefusal("another incarnation", "target")
-        if not self.context.targets.is_eligible(record.identity, now):
+        # The peer has decided when to send to a cold target.
+        if not self.context.targets.is_eligible(
+            record.identity, now, ignores_cold=True
+        ):
             return relay_messages.RelayRefusal("target takes none", "target")
         services = [share.service for share in route.split]
         if record.service not in services:
--- a/packages/chivelb-node/chivelb_node/links/gossip.py
+++ b/packages/chivelb-node/chivelb_node/links/gossip.py
@@ -1,11 +1,13 @@
 """Runs the SWIM membership protocol over UDP."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 import random
 import time
 
 from chivelb_core import membership
+from chivelb_core.forwarding import cold_targets
 from chivelb_core.membership import messages as membership_messages
 import mode
 
@@ -167,6 +169,48 @@
         for name in self.peers_in_region():
             yield name, self.swim.members[name].member.zone
 
+    def known_by_zone(
+        self, places_calls: Callable[[str], bool]
+    ) -> dict[str, list[str]]:
+        """Returns the known instances of this region that place calls.
+
+        Those that seem to be down are included, since they may still be
+        serving; those that have left are not.
+
+        Args:
+            places_calls: Returns whether an instance places calls at targets.
+
+        Returns:
+            Sorted names by zone.
+        """
+        local_member = self.swim.local_member
+        members = [local_member] + [
+            state.member
+            for state in self.swim.members.values()
+            if state.member.region == local_member.region
+            and state.member.status != "left"
+        ]
+        by_zone: dict[str, list[str]] = {}
+        for member in sorted(members, key=lambda member: member.name):
+            if places_calls(member.name):
+                by_zone.setdefault(member.zone, []).append(member.name)
+        return by_zone
+
+    def rank_for(
+        self,
+        cold: cold_targets.ColdTargets,
+        places_calls: Callable[[str], bool],
+    ) -> None:
+        """Lets the members decide which instances send to cold targets.
+
+        Args:
+            cold: When this instance, which starts now, may send to them.
+            places_calls: Returns whether an instance places calls at targets.
+        """
+        cold.list_members = lambda: self.known_by_zone(places_calls)
+        cold.revision = lambda: self.swim.revision
+        cold.started_at = context_lib.monotonic()
+
     def region_members(self) -> list[str]:
         """Returns the live instances of this region, including this one."""
         return sorted([*self.peers_in_region(), self.swim.local_member.name])
--- a/packages/chivelb-node/chivelb_node/links/reachability.py
+++ b/packages/chivelb-node/chivelb_node/links/reachability.py
@@ -70,7 +70,8 @@
             await asyncio.sleep(delay_s)
             delay_s = min(MAX_CHECK_DELAY_S, BACKOFF_FACTOR * delay_s)
             now = context_lib.monotonic()
-            records = list(self.context.targets.eligible(service, now))
+            table = self.context.targets
+            records = list(table.eligible(service, now, ignores_cold=True))
             if not records:
                 break
             record = self.context.rng.choice(records)
@@ -115,7 +116,10 @@
         """Returns how many targets of a service are known and reachable."""
         now = context_lib.monotonic()
         table = self.context.targets
-        known = [record.identity for record in table.eligible(service, now)]
+        known = [
+            record.identity
+            for record in table.eligible(service, now, ignores_cold=True)
+        ]
         reachable = [
             identity
             for identity in known
--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -9,6 +9,7 @@
 import zlib
 
 from chivelb_core import targets
+from chivelb_core.forwarding import cold_targets
 from chivelb_core.targets import table as table_lib
 import mode
 import msgspec
@@ -59,6 +60,7 @@
         hub.register_handler(messages.TargetDigest, self._on_digest)
         hub.register_handler(messages.TargetHold, self._on_hold)
         hub.register_handler(messages.TargetLeaving, self._on_leaving)
+        hub.register_handler(messages.TargetCold, self._on_cold)
 
     # Changes that this instance receives first.
 
@@ -67,10 +69,15 @@
 
         Returns when all peers have confirmed the change or timed out.
         """
+        now = context_lib.monotonic()
         previous_state = self._shared_state(record.identity)
-        if self._apply_announcement(
-            record
-        ) and previous_state != self._shared_state(record.identity):
+        cold_s = self.context.targets.cold_s(record.identity, now)
+        if self._apply_announcement(record) and (
+            previous_state != self._shared_state(record.identity)
+            or _is_cold_change(
+                cold_s, self.context.targets.cold_s(record.identity, now)
+            )
+        ):
             await self._request_all_peers(messages.TargetUpdates([record]))
 
     async def mark_leaving(self, identity: str) -> None:
@@ -119,11 +126,17 @@
 
     # Messages from peers.
 
-    def _apply_announcement(self, record: targets.TargetRecord) -> bool:
+    def _apply_announcement(
+        self, record: targets.TargetRecord, *, may_end_cold: bool = True
+    ) -> bool:
         now = context_lib.monotonic()
         previous_state = self._shared_state(record.identity)
-        if not self.context.targets.announce(record, now):
+        table = self.context.targets
+        cold_s = table.cold_s(record.identity, now)
+        if not table.announce(record, now, may_end_cold=may_end_cold):
             return False
+        if _is_cold_change(cold_s, table.cold_s(record.identity, now)):
+            self.context.record_cold_change(record.identity, "heartbeat")
         if previous_state != self._shared_state(record.identity):
             _log.info(
                 "target changed",
@@ -141,13 +154,25 @@
     def _on_target_updates(
         self, peer: str, message: messages.TargetUpdates
     ) -> messages.Confirmation:
+        self._apply_updates(peer, message)
+        return messages.Confirmation()
+
+    def _apply_updates(
+        self,
+        peer: str,
+        message: messages.TargetUpdates,
+        *,
+        may_end_cold: bool = True,
+    ) -> None:
         for record in message.records:
             problems = targets.validate_listed_record(record)
             if problems:
                 self._refusals.record(peer, "; ".join(problems))
             else:
-                self._apply_announcement(record)
-        return messages.Confirmation()
+                self._apply_announcement(
+                    targets.without_invalid_cold_time(record),
+                    may_end_cold=may_end_cold,
+                )
 
     def _on_leaving(self, peer: str, message: messages.TargetLeaving) -> bool:
         changed = self.context.targets.mark_leaving(
@@ -162,6 +187,19 @@
             )
         return changed
 
+    def _on_cold(self, peer: str, message: messages.TargetCold) -> None:
+        """Records how long a target stays cold, as it told a peer."""
+        try:
+            cold_s = cold_targets.check_cold_time(message.cold_s)
+        except cold_targets.ColdTimeError as error:
+            self._refusals.record(peer, f"malformed cold time: {error}")
+            return
+        identity = message.identity
+        if self.context.targets.set_cold(
+            identity, message.incarnation, cold_s, context_lib.monotonic()
+        ):
+            self.context.record_cold_change(identity, peer)
+
     def _on_hold(
         self, peer: str, message: messages.TargetHold
     ) -> messages.Confirmation:
@@ -199,7 +237,10 @@
         entries = sorted(self.context.targets.entries.values(), key=_page_key)
         first = max(0, message.offset)
         page = entries[first : first + MAX_RECORDS_PER_MESSAGE]
-        return messages.TargetUpdates([entry.record for entry in page])
+        now = context_lib.monotonic()
+        return messages.TargetUpdates(
+            [_with_cold_time(entry, now) for entry in page]
+        )
 
     @mode.Service.task
     async def _repair(self) -> None:
@@ -219,7 +260,8 @@
             )
             if not isinstance(reply, messages.TargetUpdates):
                 return
-            self._on_target_updates(peer, reply)
+            # A response may have told of a cold time since.
+            self._apply_updates(peer, reply, may_end_cold=False)
             offset += len(reply.records)
             if len(reply.records) < MAX_RECORDS_PER_MESSAGE:
                 break
@@ -262,6 +304,28 @@
     return is_ended, entry.record.identity
 
 
+def _is_cold_change(before_s: float, after_s: float) -> bool:
+    """Returns whether a target turned cold or warm, or stays cold longer."""
+    return (before_s > 0.0) != (after_s > 0.0) or (
+        after_s > before_s + table_lib.COLD_TOLERANCE_S
+    )
+
+
+def _with_cold_time(
+    entry: table_lib.TargetEntry, now: float
+) -> targets.TargetRecord:
+    """Returns the record of a target with the rest of its cold time.
+
+    A cold time that is only presumed here, as after a restart of this instance,
+    is not told: peers may know the target for longer.
+    """
+    cold_s = max(0.0, entry.cold_until - now)
+    is_told = not (cold_s and entry.is_cold_presumed)
+    return msgspec.structs.replace(
+        entry.record, cold_s=cold_s if is_told else 0.0, tells_cold=is_told
+    )
+
+
 def _is_valid_hold(message: messages.TargetHold) -> bool:
     return 0 <= message.hold_s <= MAX_HOLD_S and targets.is_weight_number(
         message.version
--- a/packages/chivelb-node/chivelb_node/links/target_signals.py
+++ b/packages/chivelb-node/chivelb_node/links/target_signals.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from chivelb_core import targets
+from chivelb_core.forwarding import cold_targets
 from chivelb_core.forwarding import request_limits as limits_lib
 from chivelb_core.forwarding import rests
 
@@ -69,6 +70,7 @@
         if signals.is_leaving:
             self.mark_leaving(record)
         self._obey_rest(record, signals.rests)
+        self._record_cold_time(record, signals.cold_times, at)
         if signals.is_refused and is_brittle:
             message = messages.TargetFull(record.identity, record.incarnation)
             if self._on_full(self.hub.local_name, message):
@@ -99,6 +101,32 @@
         ):
             self._log_rest(record.identity, rest_s, "asked for it", "target")
 
+    def _record_cold_time(
+        self, record: targets.TargetRecord, values: Sequence[str], at: float
+    ) -> None:
+        """Records how long a target stays cold, and tells peers of changes."""
+        try:
+            cold_s = cold_targets.parse_cold_time(values)
+        except cold_targets.ColdTimeError as error:
+            _log.warning(
+                "cold time not understood",
+                target=record.identity,
+                detail=str(error),
+            )
+            return
+        if cold_s is None:
+            return
+        identity, incarnation = record.identity, record.incarnation
+        now = context_lib.monotonic()
+        if self.context.targets.set_cold(
+            identity, incarnation, cold_s, now, sent_at=at
+        ):
+            self.context.record_cold_change(identity, "target")
+            self.hub.broadcast(
+                self.gossip.peers_in_region(),
+                messages.TargetCold(identity, incarnation, cold_s),
+            )
+
     def _log_rest(
         self, identity: str, rest_s: float, reason: str, source: str
     ) -> None:
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -170,6 +170,16 @@
         self.rests = self._counter(
             "target_rests", "Rests of targets that began here", ("reason",)
         )
+        self.cold_sends = prometheus_client.Counter(
+            "chivelb_cold_target_sends",
+            "Requests that were sent to cold targets",
+            registry=self.registry,
+        )
+        self.cold_targets = prometheus_client.Gauge(
+            "chivelb_cold_targets",
+            "Targets that are known to be cold",
+            registry=self.registry,
+        )
         self.relayed = self._counter(
             "relayed_attempts",
             "Attempts through another instance",
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -84,6 +84,7 @@
     sharingLeaseRequest @78 :SharingLeaseRequest;
     sharingEndRequest @79 :SharingEndRequest;
     voterAgreement @80 :VoterAgreement;
+    targetCold @81 :TargetCold;
   }
 }
 
@@ -572,6 +573,12 @@
   differs @2 :Bool;
 }
 
+struct TargetCold {
+  identity @0 :Text;
+  incarnation @1 :Int64;
+  coldS @2 :Float64;
+}
+
 struct TargetDigest {
   digest @0 :Int64;
   offset @1 :Int64;
@@ -620,6 +627,8 @@
   checksFencing @18 :Bool;
   leaseS @19 :Float64;
   softwareVersion @20 :Text;
+  coldS @21 :Float64;
+  tellsCold @22 :Bool;
 }
 
 struct TouchBlocks {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -636,6 +636,20 @@
     incarnation: int
 
 
+class TargetCold(msgspec.Struct, rename="camel", frozen=True):
+    """Tells for how long a target stays cold, as one of its responses says.
+
+    Attributes:
+        identity: The target.
+        incarnation: Lifetime of the target.
+        cold_s: Time in seconds; 0 if it is warm.
+    """
+
+    identity: str
+    incarnation: int
+    cold_s: float
+
+
 class Refusal(msgspec.Struct, rename="camel", frozen=True):
     """Reply to a request that could not be served.
 
--- a/packages/chivelb-node/chivelb_node/wire/registry.py
+++ b/packages/chivelb-node/chivelb_node/wire/registry.py
@@ -91,6 +91,7 @@
     messages.SharingLeaseRequest,
     messages.SharingEndRequest,
     messages.VoterAgreement,
+    messages.TargetCold,
 )
 
 
