Tell peers of cold times, let calls wait for turns, document both

Change: heartbeats and responses report cold times, which are told to peers only when a target turns cold or warm or stays cold longer. A wrong value is logged and ignored. Calls for which only cold targets are left wait for the next turn, or are refused at once. The runner of the lab reports a cold time (--cold-s).

--- a/packages/chivelb-cli/chivelb_cli/lab/options.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/options.py
@@ -96,6 +96,8 @@
     - ``--link-rate``: bandwidth of the link to the stores in bytes per second.
     - ``--bytes-per-token``: announced size of a token's KV cache in bytes.
     - ``--weights``: base URL of the weight store; empty for none.
+    - ``--cold-s``: time in seconds for which it reports to be cold after its
+      start.
     - ``--ignore-fencing``: accept orders with a stale fencing token.
     """
     parser.add_argument("--model", default="lm")
@@ -113,6 +115,7 @@
     parser.add_argument("--bytes-per-token", type=int, default=1_024)
     parser.add_argument("--weights", default="")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--cold-s", type=float, default=0.0)
     parser.add_argument(
         "--ignore-fencing", dest="checks_fencing", action="store_false"
     )
--- a/packages/chivelb-cli/chivelb_cli/lab/runner.py
+++ b/packages/chivelb-cli/chivelb_cli/lab/runner.py
@@ -82,6 +82,7 @@
         self.orders: list[dict] = []
         self._fencing_token = 0
         self._incarnation = time.time_ns() // 1_000_000
+        self._cold_until = time.monotonic() + arguments.cold_s
         self._port = 0
         self._hang_streams_before = 0.0
         self._load_task: asyncio.Task | None = None
@@ -431,6 +432,8 @@
             link_rate=arguments.link_rate,
             bytes_per_token=arguments.bytes_per_token,
             checks_fencing=arguments.checks_fencing,
+            cold_s=max(0.0, self._cold_until - time.monotonic()),
+            tells_cold=True,
         )
 
     def background_tasks(self, port: int) -> list:
--- a/packages/chivelb-core/chivelb_core/forwarding/cold_targets.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/cold_targets.py
@@ -155,6 +155,7 @@
         "sent_at",
         "_revision",
         "_lists",
+        "_entitled",
     )
 
     def __init__(
@@ -178,6 +179,8 @@
         self.sent_at: dict[str, float] = {}
         self._revision: int | None = None
         self._lists: list[SenderList] = []
+        # What follows from the lists, by identity, zone and rate.
+        self._entitled: dict[tuple[str, str, float], float] = {}
 
     def _update_lists(self, now: float) -> None:
         """Adds a list if the instances have changed."""
@@ -191,28 +194,27 @@
         # The first list is not news: a start is accounted for by its time.
         since = now if self._lists else -math.inf
         self._lists.append(SenderList(by_zone, self.local_name, since))
+        self._entitled.clear()
+        # The one before the last was in force until then.
+        while len(self._lists) > 1 and (
+            self._lists[1].since + MAX_INTERVAL_S <= now
+        ):
+            del self._lists[0]
 
     def _entitled_at(
-        self, record: targets.TargetRecord, rate_per_s: float, now: float
+        self, record: targets.TargetRecord, rate_per_s: float
     ) -> float:
         """Returns from when this instance may send to a cold target.
 
         Requests that it has sent there are not considered.
         """
-        self._update_lists(now)
         count = sender_count(rate_per_s)
         if self._lists[-1].rank(record.identity, record.zone) >= count:
             return math.inf
         interval_s = send_interval_s(rate_per_s)
         entitled_at = self.started_at + interval_s
         # A list was in force until the next one.
-        while len(self._lists) > 1 and (
-            self._lists[1].since + MAX_INTERVAL_S <= now
-        ):
-            del self._lists[0]
         for before, after in zip(self._lists, self._lists[1:], strict=False):
-            if after.since + interval_s <= now:
-                continue
             if before.rank(record.identity, record.zone) >= count:
                 entitled_at = max(entitled_at, after.since + interval_s)
         return entitled_at
@@ -232,17 +234,23 @@
             Monotonic time in seconds, which may be past; infinity if other
             instances send to it.
         """
-        sent_at = self.sent_at.get(record.identity, -math.inf)
-        return max(
-            sent_at + send_interval_s(rate_per_s),
-            self._entitled_at(record, rate_per_s, now),
-        )
+        self._update_lists(now)
+        key = (record.identity, record.zone, rate_per_s)
+        entitled_at = self._entitled.get(key)
+        if entitled_at is None:
+            if len(self._entitled) >= MAX_RANKED:
+                self._entitled.clear()
+            entitled_at = self._entitled_at(record, rate_per_s)
+            self._entitled[key] = entitled_at
+        sent_at = self.sent_at.get(record.identity)
+        if sent_at is None:
+            return entitled_at
+        return max(sent_at + send_interval_s(rate_per_s), entitled_at)
 
     def record_send(self, identity: str, now: float) -> None:
         """Records that a request is sent to a cold target."""
         self.sent_at[identity] = now
 
-    def forget(self, known: Mapping[str, object]) -> None:
-        """Removes the targets that are not known any more."""
-        for identity in self.sent_at.keys() - known.keys():
-            del self.sent_at[identity]
+    def forget(self, identity: str) -> None:
+        """Removes the state of a target that was removed."""
+        self.sent_at.pop(identity, None)
--- a/packages/chivelb-core/chivelb_core/forwarding/waiting.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/waiting.py
@@ -161,6 +161,7 @@
         *,
         first_wait_s: float = 0.0,
         min_interval_s: float = 0.0,
+        is_exact: bool = False,
     ) -> Iterator[tuple[WaitingCall, float]]:
         """Yields calls that are expected to time out before they start.
 
@@ -168,22 +169,27 @@
             now: Monotonic time in seconds.
             first_wait_s: Expected wait until the next start, in seconds.
             min_interval_s: Least interval between starts, in seconds.
+            is_exact: Whether both are known exactly, because no other instance
+                takes what is expected here.
 
         Yields:
             The queue entry, and the expected wait until its start in
             seconds.
         """
+        is_limited = min_interval_s > 0.0 and not is_exact
         interval_s = max(
             min_interval_s,
-            self.start_interval_s(now, is_limited=min_interval_s > 0.0),
+            0.0
+            if is_exact
+            else self.start_interval_s(now, is_limited=is_limited),
         )
         wait_s = first_wait_s
-        if min_interval_s:
+        if is_limited:
             # What has taken this long is expected to take as long again.
             wait_s = max(wait_s, self._without_start_s(now))
         for waiting_call in self.in_order(now):
             own_wait_s = wait_s
-            if min_interval_s:
+            if is_limited:
                 own_wait_s *= _limited_wait_factor(waiting_call.call, now)
             if would_time_out(waiting_call, wait_s=own_wait_s, now=now):
                 yield waiting_call, own_wait_s
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -186,7 +186,7 @@
         was_cold = known.cold_until > now
         if not cold_s and sent_at <= known.cold_learned_at:
             return False
-        until = now + cold_s
+        until = now + cold_s if cold_s else -math.inf
         lasts_longer = until > known.cold_until + COLD_TOLERANCE_S
         known.cold_until = until
         known.cold_learned_at = now
@@ -368,14 +368,18 @@
                 another instance has decided to send the request.
         """
         known = self.entries.get(identity)
+        return known is not None and self._is_eligible(known, now, ignores_cold)
+
+    def _is_eligible(
+        self, entry: TargetEntry, now: float, ignores_cold: bool
+    ) -> bool:
         return (
-            known is not None
-            and known.resting_until <= now
-            and self._may_serve(known, now)
+            entry.resting_until <= now
+            and self._may_serve(entry, now)
             and (
-                known.cold_until <= now
+                entry.cold_until <= now
                 or ignores_cold
-                or self.opens_at(known, now) <= now
+                or self.opens_at(entry, now) <= now
             )
         )
 
@@ -396,11 +400,11 @@
         ignores_cold: bool = False,
     ) -> Iterator[record_lib.TargetRecord]:
         """Yields the records of the targets that may receive new requests."""
-        for identity, entry in self.entries.items():
+        for entry in self.entries.values():
             record = entry.record
             if record.service != service or record.role != role:
                 continue
-            if self.is_eligible(identity, now, ignores_cold=ignores_cold):
+            if self._is_eligible(entry, now, ignores_cold):
                 yield record
 
     def recent_failures(self, now: float, within_s: float) -> Iterator[str]:
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -212,11 +212,16 @@
         """
         if not self.context.settings.decisions.shedding:
             return
-        first_wait_s, interval_s = self.placement_policy.limited_wait(
+        policy = self.placement_policy
+        cold_wait = policy.cold_wait(service, now)
+        first_wait_s, interval_s = cold_wait or policy.limited_wait(
             service, now
         )
         timeouts = waiting_list.expected_timeouts(
-            now, first_wait_s=first_wait_s, min_interval_s=interval_s
+            now,
+            first_wait_s=first_wait_s,
+            min_interval_s=interval_s,
+            is_exact=cold_wait is not None,
         )
         for waiting_call, wait_s in list(timeouts):
             waiting_list.leave(waiting_call)
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -18,7 +18,6 @@
 from chivelb_core.forwarding import fetch_plan as fetch_plan_lib
 from chivelb_core.forwarding import subset
 from chivelb_core.kv_cache import parts as parts_lib
-from chivelb_core.targets import table as table_lib
 
 from chivelb_node import context as context_lib
 from chivelb_node.forwarding import source_links
@@ -256,10 +255,6 @@
             interval between calls to all targets together, in seconds; zeros
             if a target has no limit.
         """
-        if self.context.cold_rate_per_s(service):
-            cold = self.context.targets.cold_entries(service, now)
-            if cold:
-                return self._cold_wait(cold, service, now)
         limits = self.context.request_limits
         if not limits.limits:
             return 0.0, 0.0
@@ -268,17 +263,21 @@
             [record.identity for record in records], now
         )
 
-    def _cold_wait(
-        self, cold: list[table_lib.TargetEntry], service: str, now: float
-    ) -> tuple[float, float]:
+    def cold_wait(self, service: str, now: float) -> tuple[float, float] | None:
         """Returns what calls wait at least if all targets are cold.
 
         Returns:
             Time until this instance may send to one of them, or one of them is
             warm, and the mean interval between its requests to all together,
-            in seconds.
+            in seconds; None if a target is warm, or cold ones have no limit.
         """
+        rate_per_s = self.context.cold_rate_per_s(service)
+        if not rate_per_s:
+            return None
         table = self.context.targets
+        cold = table.cold_entries(service, now)
+        if not cold:
+            return None
         opening = [table.opens_at(entry, now) for entry in cold]
         first_s = max(0.0, min(opening) - now)
         warm_s = min(entry.cold_until for entry in cold) - now
@@ -286,7 +285,6 @@
             at < entry.cold_until
             for at, entry in zip(opening, cold, strict=True)
         )
-        rate_per_s = self.context.cold_rate_per_s(service)
         interval_s = cold_targets.send_interval_s(rate_per_s) / max(1, count)
         return first_s, min(interval_s, max(warm_s, MIN_COLD_INTERVAL_S))
 
--- a/packages/chivelb-node/chivelb_node/links/announcement_forwarding.py
+++ b/packages/chivelb-node/chivelb_node/links/announcement_forwarding.py
@@ -14,11 +14,13 @@
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
 from chivelb_node.links import load_sharing
+from chivelb_node.telemetry import logs
 from chivelb_node.wire import messages
 
 BATCH_PERIOD_S = 0.05
 MAX_RECORDS_PER_MESSAGE = 500
 EXPIRY_CHECK_PERIOD_S = 10.0
+_log = logs.get_logger("targets")
 
 
 class AnnouncementForwarder(mode.Service):
@@ -74,8 +76,19 @@
 
     def _apply_announcement(self, record: targets.TargetRecord) -> bool:
         now = context_lib.monotonic()
-        if not self.context.targets.announce(record, now):
+        sound = targets.without_invalid_cold_time(record)
+        if sound is not record:
+            _log.warning(
+                "cold time not understood",
+                target=record.identity,
+                detail=f"{record.cold_s:g} s",
+            )
+        table = self.context.targets
+        cold_s = table.cold_s(record.identity, now)
+        if not table.announce(sound, now):
             return False
+        if (cold_s > 0.0) != (table.cold_s(record.identity, now) > 0.0):
+            self.context.record_cold_change(record.identity, "announcement")
         self.context.load.apply_report(
             record.identity,
             record.running,
@@ -112,4 +125,5 @@
             now = context_lib.monotonic()
             for identity in self.context.targets.remove_expired(now):
                 self.loads.remove_target(identity)
+                self.context.cold_targets.forget(identity)
                 self.context.directory.forget(identity)
