Leave values out of a service that are not set

Change: default values of a service are not encoded. The console and the operators' view of the document still show all fields.

--- a/packages/chivelb-core/chivelb_core/document/model.py
+++ b/packages/chivelb-core/chivelb_core/document/model.py
@@ -57,7 +57,14 @@
     managed: bool = False
 
 
-class Service(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+# Instances of an older release refuse fields that they don't know; values that
+# are not set are left out.
+class Service(
+    msgspec.Struct,
+    forbid_unknown_fields=True,
+    kw_only=True,
+    omit_defaults=True,
+):
     """A service that workspaces may call.
 
     Attributes:
@@ -301,9 +308,20 @@
     return msgspec.json.encode(document, order="deterministic")
 
 
+def to_fields(entry: msgspec.Struct) -> dict:
+    """Returns all fields of an entry as built-in types, also those not set."""
+    return {
+        field.encode_name: msgspec.to_builtins(getattr(entry, field.name))
+        for field in msgspec.structs.fields(entry)
+    }
+
+
 def redact(document: Document) -> dict:
     """Returns the document as built-in types, without its secrets."""
     redacted = msgspec.to_builtins(document)
+    redacted["services"] = {
+        name: to_fields(service) for name, service in document.services.items()
+    }
     for workspace in redacted["workspaces"].values():
         workspace["cache_secret"] = "(secret)"
     return redacted
--- a/packages/chivelb-node/chivelb_node/edge/console_pages.py
+++ b/packages/chivelb-node/chivelb_node/edge/console_pages.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 from chivelb_core import document
+from chivelb_core.document import model as model_lib
 from chivelb_core.document import validation
 import msgspec
 
@@ -65,7 +66,7 @@
 
 def summarize(entry: msgspec.Struct) -> str:
     """Returns the attributes of an entry in one line, without secrets."""
-    fields = msgspec.to_builtins(entry)
+    fields = model_lib.to_fields(entry)
     fields.pop("cache_secret", None)
     fields.pop("key_hashes", None)
     return ", ".join(f"{name}={value}" for name, value in fields.items())
@@ -93,8 +94,8 @@
     collection, _, name = path.partition("/")
     before = getattr(old, collection).get(name)
     after = getattr(new, collection).get(name)
-    old_fields = msgspec.to_builtins(before) if before is not None else {}
-    new_fields = msgspec.to_builtins(after) if after is not None else {}
+    old_fields = model_lib.to_fields(before) if before is not None else {}
+    new_fields = model_lib.to_fields(after) if after is not None else {}
     rows = []
     for field in sorted(old_fields.keys() | new_fields.keys()):
         if old_fields.get(field) == new_fields.get(field):
--- a/tests/test_cold_reports.py
+++ b/tests/test_cold_reports.py
@@ -80,6 +80,13 @@
     assert services["web"].cold_requests_per_s == 2.0
 
 
+# Guards against instances of an older release, which refuse fields that they
+# don't know, and would get no document beside newer voters.
+def test_what_is_not_declared_is_not_sent():
+    encoded = msgspec.msgpack.encode(builders.make_routed_document())
+    assert b"cold_" not in encoded
+
+
 @pytest.mark.parametrize(
     ("fields", "named"),
     [
