Discard what was known of a target that starts again

Cause: load, request limit and cached parts of an identity were kept over a restart, and a request to the earlier process that failed afterwards marked the new one as unreachable, without a check that would end it.

Change: a new incarnation discards them; requests are counted in the load of the incarnation that they were sent to, and failures name theirs.

--- a/packages/chivelb-core/chivelb_core/routing/load.py
+++ b/packages/chivelb-core/chivelb_core/routing/load.py
@@ -221,7 +221,7 @@
 
     def record_send(
         self, identity: str, now: float, pending_tokens: int, kv_tokens: int
-    ) -> None:
+    ) -> TargetLoad:
         """Counts a request sent by this instance.
 
         Args:
@@ -229,6 +229,9 @@
             now: Monotonic time in seconds.
             pending_tokens: Prompt tokens that the target must prefill.
             kv_tokens: KV cache tokens that the request may occupy.
+
+        Returns:
+            The load that counts it; a restart of the target discards it.
         """
         load = self.load(identity)
         load.own_running += 1
@@ -238,14 +241,52 @@
         load.sent_tokens += pending_tokens
         _discard_sends(load, now - SEND_RETENTION_S)
         self.on_change(identity)
+        return load
+
+    def discard(self, identity: str) -> None:
+        """Discards the load of a target that has started again."""
+        if self.loads.pop(identity, None) is not None:
+            self.on_change(identity)
+
+    def _counts(self, identity: str, counted_in: TargetLoad | None) -> bool:
+        """Returns whether a request was sent since the start of its target."""
+        return counted_in is None or self.loads.get(identity) is counted_in
 
-    def record_first_token(self, identity: str, pending_tokens: int) -> None:
-        """Counts the prefill of a request of this instance as completed."""
+    def record_first_token(
+        self,
+        identity: str,
+        pending_tokens: int,
+        *,
+        counted_in: TargetLoad | None = None,
+    ) -> None:
+        """Counts the prefill of a request of this instance as completed.
+
+        Args:
+            identity: Identity of the target.
+            pending_tokens: Prompt tokens that it had to prefill.
+            counted_in: What ``record_send`` returned; None for the load of now.
+        """
+        if not self._counts(identity, counted_in):
+            return
         self.load(identity).own_pending_tokens -= pending_tokens
         self.on_change(identity)
 
-    def record_end(self, identity: str, kv_tokens: int) -> None:
-        """Counts a request of this instance as finished."""
+    def record_end(
+        self,
+        identity: str,
+        kv_tokens: int,
+        *,
+        counted_in: TargetLoad | None = None,
+    ) -> None:
+        """Counts a request of this instance as finished.
+
+        Args:
+            identity: Identity of the target.
+            kv_tokens: KV cache tokens that it may have occupied.
+            counted_in: What ``record_send`` returned; None for the load of now.
+        """
+        if not self._counts(identity, counted_in):
+            return
         load = self.load(identity)
         load.own_running -= 1
         load.own_kv_tokens -= kv_tokens
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -84,6 +84,8 @@
         next_cold_send_at: Returns the monotonic time from which this instance
             may send a request to a cold target, in seconds.
         on_cold: Called with a target that has turned cold.
+        on_restart: Called with the previous record of a target that has started
+            again under its identity.
     """
 
     __slots__ = (
@@ -92,6 +94,7 @@
         "cold_start_s",
         "next_cold_send_at",
         "on_cold",
+        "on_restart",
     )
 
     def __init__(self, max_entries: int = 20_000) -> None:
@@ -105,6 +108,9 @@
         self.on_cold: Callable[[record_lib.TargetRecord], None] = (
             lambda record: None
         )
+        self.on_restart: Callable[[record_lib.TargetRecord], None] = (
+            lambda record: None
+        )
 
     def announce(
         self,
@@ -149,6 +155,8 @@
                 cold_s = self.cold_start_s(record.service)
         self.entries[record.identity] = entry
         self._claim_address(entry)
+        if known and known.record.incarnation != record.incarnation:
+            self.on_restart(known.record)
         if cold_s is not None:
             if not may_end_cold:
                 cold_s = max(cold_s, entry.cold_until - now)
@@ -433,9 +441,26 @@
             if entry.failed_at is not None and entry.failed_at > at:
                 yield identity
 
-    def record_failure(self, identity: str, now: float) -> None:
-        """Records that a request to a target failed."""
-        if identity in self.entries:
+    def _is_current(self, identity: str, incarnation: int | None) -> bool:
+        """Returns whether an incarnation is the known one; None for any."""
+        entry = self.entries.get(identity)
+        return entry is not None and incarnation in (
+            None,
+            entry.record.incarnation,
+        )
+
+    def record_failure(
+        self, identity: str, now: float, *, incarnation: int | None = None
+    ) -> None:
+        """Records that a request to a target failed.
+
+        Args:
+            identity: The target.
+            now: Monotonic time in seconds.
+            incarnation: Incarnation that it was sent to; None for the known
+                one.
+        """
+        if self._is_current(identity, incarnation):
             self.entries[identity].failed_at = now
 
     def record_success(self, identity: str) -> None:
@@ -454,14 +479,23 @@
         entry = self.entries.get(identity)
         return entry is not None and entry.is_unreachable
 
-    def record_unreachable(self, identity: str) -> bool:
+    def record_unreachable(
+        self, identity: str, *, incarnation: int | None = None
+    ) -> bool:
         """Records that no connection could be opened.
 
+        Args:
+            identity: The target.
+            incarnation: Incarnation that was not reached; None for the known
+                one.
+
         Returns:
             True if the target was not known to be unreachable.
         """
-        entry = self.entries.get(identity)
-        if entry is None or entry.is_unreachable:
+        if not self._is_current(identity, incarnation):
+            return False
+        entry = self.entries[identity]
+        if entry.is_unreachable:
             return False
         entry.is_unreachable = True
         return True
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -137,7 +137,8 @@
         self.cold_targets = cold_targets.ColdTargets(settings.instance.name)
         self.targets.cold_start_s = self._cold_start_s
         self.targets.next_cold_send_at = self._next_cold_send_at
-        self.targets.on_cold = self._on_cold
+        self.targets.on_cold = self._discard_cache
+        self.targets.on_restart = self._on_restart
         self.retry_budget = calls.TokenBucketBudget()
         self.queues: dict[str, admission.FairQueue] = {}
         self.policies = policies.make_policies()
@@ -232,8 +233,24 @@
         declared = self.document.services.get(service)
         return 0.0 if declared is None else declared.cold_requests_per_s
 
-    def _on_cold(self, record: targets.TargetRecord) -> None:
-        """Discards what a target has lost that has just turned cold."""
+    def _on_restart(self, record: targets.TargetRecord) -> None:
+        """Discards what was known of a target that has started again.
+
+        The time of the last request while it was cold stays: the interval to
+        the next one holds across a restart.
+        """
+        self._discard_cache(record)
+        self.request_limits.forget([record.identity], monotonic())
+        self.load.discard(record.identity)
+        _log.info(
+            "target restarted",
+            target=record.identity,
+            service=record.service,
+            previous_incarnation=record.incarnation,
+        )
+
+    def _discard_cache(self, record: targets.TargetRecord) -> None:
+        """Discards what was known to be cached at a target."""
         self.directory.forget(record.identity)
         self.forget_parts(record.address)
 
--- a/packages/chivelb-node/chivelb_node/edge/dispatch.py
+++ b/packages/chivelb-node/chivelb_node/edge/dispatch.py
@@ -9,6 +9,7 @@
 from chivelb_core import routing
 from chivelb_core import targets
 from chivelb_core.kv_cache import keys as keys_lib
+from chivelb_core.routing import load as load_lib
 from chivelb_core.routing import policies
 import mode
 
@@ -45,6 +46,7 @@
         total_tokens: KV cache tokens counted against the target's capacity.
         crash_suspect: Whether the call was running on a target that crashed,
             and may have caused the crash.
+        counted_in: Load of the target that counts the call.
     """
 
     record: targets.TargetRecord
@@ -52,6 +54,7 @@
     uncached_tokens: int
     total_tokens: int
     crash_suspect: bool = False
+    counted_in: load_lib.TargetLoad | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -192,12 +195,14 @@
         """
         identity = grant.record.identity
         if grant.crash_suspect:
-            self.context.load.load(identity).own_suspect_requests -= 1
+            grant.counted_in.own_suspect_requests -= 1
         if not first_token_seen:
             self.context.load.record_first_token(
-                identity, grant.uncached_tokens
+                identity, grant.uncached_tokens, counted_in=grant.counted_in
             )
-        self.context.load.record_end(identity, grant.total_tokens)
+        self.context.load.record_end(
+            identity, grant.total_tokens, counted_in=grant.counted_in
+        )
         self.start_waiting_calls(service)
 
     def start_waiting_calls(self, service: str) -> None:
@@ -384,7 +389,7 @@
                 grant.record.identity
             ).own_suspect_requests += 1
         self.context.record_sent(grant.record.identity, now)
-        self.context.load.record_send(
+        grant.counted_in = self.context.load.record_send(
             grant.record.identity,
             now,
             grant.uncached_tokens,
--- a/packages/chivelb-node/chivelb_node/edge/model_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/model_calls.py
@@ -153,7 +153,9 @@
                 if batch.tokens and not first_token_seen:
                     first_token_seen = True
                     self.context.load.record_first_token(
-                        identity, grant.uncached_tokens
+                        identity,
+                        grant.uncached_tokens,
+                        counted_in=grant.counted_in,
                     )
                 # True also of a batch that had only duplicate events.
                 if batch.is_heartbeat:
@@ -272,7 +274,9 @@
         now = context_lib.monotonic()
         record = grant.record
         call.tried.add(record.identity)
-        self.context.targets.record_failure(record.identity, now)
+        self.context.targets.record_failure(
+            record.identity, now, incarnation=record.incarnation
+        )
         _log.warning(
             "attempt failed",
             request_id=call.request_id,
--- a/packages/chivelb-node/chivelb_node/edge/plain_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/plain_calls.py
@@ -186,7 +186,7 @@
             load = self.context.load
             now = context_lib.monotonic()
             self.context.record_sent(record.identity, now)
-            load.record_send(record.identity, now, 0, 0)
+            counted_in = load.record_send(record.identity, now, 0, 0)
             try:
                 response = await services.call_service(
                     self.session,
@@ -203,7 +203,7 @@
             except attempt_lib.AttemptError as error:
                 outcome = error.outcome
             finally:
-                load.record_end(record.identity, 0)
+                load.record_end(record.identity, 0, counted_in=counted_in)
             self._record_failure(call, attempt_id, record, outcome)
             retryable = attempt_lib.may_retry(
                 outcome,
@@ -223,7 +223,9 @@
         outcome: attempt_lib.Outcome,
     ) -> None:
         now = context_lib.monotonic()
-        self.context.targets.record_failure(record.identity, now)
+        self.context.targets.record_failure(
+            record.identity, now, incarnation=record.incarnation
+        )
         _log.warning(
             "attempt failed",
             request_id=call.request_id,
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -13,6 +13,7 @@
 from chivelb_core import targets
 from chivelb_core.forwarding import choice as choice_lib
 from chivelb_core.forwarding import waiting
+from chivelb_core.routing import load as load_lib
 import mode
 
 from chivelb_node import context as context_lib
@@ -45,12 +46,14 @@
             those that the call occupies on average over its run.
         pending_tokens: Prompt tokens counted as awaiting prefill; 0 from the
             first event of the response on.
+        counted_in: Load of the target that counts the call.
     """
 
     placement: choice_lib.Placement
     save_addresses: list[str]
     mean_kv_tokens: int
     pending_tokens: int
+    counted_in: load_lib.TargetLoad | None = None
 
     @property
     def record(self) -> targets.TargetRecord:
@@ -319,7 +322,7 @@
             placement.tokens_to_prefill,
         )
         self.context.record_sent(placement.record.identity, now)
-        self.context.load.record_send(
+        reservation.counted_in = self.context.load.record_send(
             placement.record.identity,
             now,
             reservation.pending_tokens,
@@ -388,7 +391,9 @@
         """
         if reservation.pending_tokens:
             self.context.load.record_first_token(
-                reservation.record.identity, reservation.pending_tokens
+                reservation.record.identity,
+                reservation.pending_tokens,
+                counted_in=reservation.counted_in,
             )
             reservation.pending_tokens = 0
 
@@ -396,7 +401,9 @@
         """Releases a reservation and starts waiting calls."""
         self.record_first_event(reservation)
         self.context.load.record_end(
-            reservation.record.identity, reservation.mean_kv_tokens
+            reservation.record.identity,
+            reservation.mean_kv_tokens,
+            counted_in=reservation.counted_in,
         )
         self.dispatch(service)
 
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -330,7 +330,9 @@
         now = context_lib.monotonic()
         if outcome.target_crashed or outcome.code is codes.TARGET_REFUSED:
             # A target that refuses at once would look idle.
-            self.context.targets.record_failure(record.identity, now)
+            self.context.targets.record_failure(
+                record.identity, now, incarnation=record.incarnation
+            )
         if outcome.code is codes.TARGET_UNREACHABLE:
             self.check_reachability(record)
         if outcome.code is codes.TARGET_REPLACED:
--- a/packages/chivelb-node/chivelb_node/links/reachability.py
+++ b/packages/chivelb-node/chivelb_node/links/reachability.py
@@ -41,7 +41,9 @@
         """Marks a target as unreachable and checks it from now on."""
         if not self.context.settings.decisions.reachability_checks:
             return
-        if self.context.targets.record_unreachable(record.identity):
+        if self.context.targets.record_unreachable(
+            record.identity, incarnation=record.incarnation
+        ):
             _log.warning(
                 "target unreachable",
                 target=record.identity,
