--- a/packages/chivelb-core/chivelb_core/document/model.py
+++ b/packages/chivelb-core/chivelb_core/document/model.py
@@ -62,8 +62,13 @@
     managed: bool = False
 
 
+# Instances of an older release refuse fields that they don't know; values that
+# are not set are left out.
 class Service(
-    msgspec.Struct, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
+    msgspec.Struct,
+    forbid_unknown_fields=True,
+    kw_only=True,
+    omit_defaults=True,
 ):
     """A service that workspaces may call.
 
@@ -82,6 +87,10 @@
             from all instances together.
         engine: Properties of the runners; None for other services.
         store: The store; None for other services.
+        cold_start_s: Time for which a target is cold after its start, in
+            seconds; 0 if its targets have no cold time or report it.
+        cold_requests_per_s: Requests a second that a cold target can handle,
+            from all instances together; 0 for no limit.
     """
 
     kind: Literal["model", "plain", "store"] = "model"
@@ -93,6 +102,8 @@
     max_connections: int = 1_000
     engine: EngineConfig | None = None
     store: StoreConfig | None = None
+    cold_start_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 class Workspace(
--- a/packages/chivelb-node/chivelb_node/edge/plain_calls.py
+++ b/packages/chivelb-node/chivelb_node/edge/plain_calls.py
@@ -188,7 +188,9 @@
             tried.add(record.identity)
             attempt_id = f"{call.request_id}.{secrets.token_hex(4)}"
             load = self.context.load
-            load.record_send(record.identity, context_lib.monotonic(), 0, 0)
+            now = context_lib.monotonic()
+            self.context.record_sent(record.identity, now)
+            counted_in = load.record_send(record.identity, now, 0, 0)
             try:
                 response = await services.call_service(
                     self.session,
@@ -205,7 +207,7 @@
             except attempt_lib.AttemptError as error:
                 outcome = error.outcome
             finally:
-                load.record_end(record.identity, 0)
+                load.record_end(record.identity, 0, counted_in=counted_in)
             self._record_failure(call, attempt_id, record, outcome)
             retryable = attempt_lib.may_retry(
                 outcome,
@@ -225,7 +227,9 @@
         outcome: attempt_lib.Outcome,
     ) -> None:
         now = context_lib.monotonic()
-        self.context.targets.record_failure(record.identity, now)
+        self.context.targets.record_failure(
+            record.identity, now, incarnation=record.incarnation
+        )
         _log.warning(
             "attempt failed",
             request_id=call.request_id,
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -14,6 +14,7 @@
 from chivelb_core import targets
 from chivelb_core.forwarding import choice as choice_lib
 from chivelb_core.forwarding import waiting
+from chivelb_core.routing import load as load_lib
 import mode
 
 from chivelb_node import context as context_lib
@@ -46,12 +47,14 @@
             those that the call occupies on average over its run.
         pending_tokens: Prompt tokens counted as awaiting prefill; 0 from the
             first event of the response on.
+        counted_in: Load of the target that counts the call.
     """
 
     placement: choice_lib.Placement
     save_addresses: list[str]
     mean_kv_tokens: int
     pending_tokens: int
+    counted_in: load_lib.TargetLoad | None = None
 
     @property
     def record(self) -> targets.TargetRecord:
@@ -199,7 +202,10 @@
         rest_ends_at = table.rest_ends_at(
             call.service, now, is_allowed=is_allowed
         )
-        rest_s = rest_ends_at - now
+        cold_opens_at = table.cold_opens_at(
+            call.service, now, without=call.tried, is_allowed=is_allowed
+        )
+        rest_s = min(rest_ends_at, cold_opens_at) - now
         if rest_s <= MAX_REST_SHARE * (call.deadline - now):
             return call.deadline
         backlog_s = 0.0 if math.isinf(rest_s) else rest_s
@@ -259,11 +265,16 @@
         """
         if not self.context.settings.decisions.shedding:
             return
-        first_wait_s, interval_s = self.placement_policy.limited_wait(
+        policy = self.placement_policy
+        cold_wait = policy.cold_wait(service, now)
+        first_wait_s, interval_s = cold_wait or policy.limited_wait(
             service, now
         )
         timeouts = waiting_list.expected_timeouts(
-            now, first_wait_s=first_wait_s, min_interval_s=interval_s
+            now,
+            first_wait_s=first_wait_s,
+            min_interval_s=interval_s,
+            is_exact=cold_wait is not None,
         )
         for waiting_call, wait_s in list(timeouts):
             waiting_list.leave(waiting_call)
@@ -370,8 +381,8 @@
             call.mean_kv_tokens,
             placement.tokens_to_prefill,
         )
-        self.context.request_limits.spend(placement.record.identity)
-        self.context.load.record_send(
+        self.context.record_sent(placement.record.identity, now)
+        reservation.counted_in = self.context.load.record_send(
             placement.record.identity,
             now,
             reservation.pending_tokens,
@@ -440,7 +451,9 @@
         """
         if reservation.pending_tokens:
             self.context.load.record_first_token(
-                reservation.record.identity, reservation.pending_tokens
+                reservation.record.identity,
+                reservation.pending_tokens,
+                counted_in=reservation.counted_in,
             )
             reservation.pending_tokens = 0
 
@@ -448,7 +461,9 @@
         """Releases a reservation and starts waiting calls."""
         self.record_first_event(reservation)
         self.context.load.record_end(
-            reservation.record.identity, reservation.mean_kv_tokens
+            reservation.record.identity,
+            reservation.mean_kv_tokens,
+            counted_in=reservation.counted_in,
         )
         self.dispatch(service)
 
