--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -437,12 +437,29 @@
         *,
         ignores_cold: bool = False,
     ) -> Iterator[record_lib.TargetRecord]:
-        """Yields the records of the targets that may receive new requests."""
+        """Yields the records of the targets that may receive new requests.
+
+        Each placement lists them, so the conditions of ``is_eligible`` that
+        hold for most targets are checked here without further calls.
+        """
+        evacuated_zones = self.evacuated_zones
         for entry in self.entries.values():
             record = entry.record
-            if record.service != service or record.role != role:
-                continue
-            if self._is_eligible(entry, now, ignores_cold):
+            if (
+                record.service == service
+                and record.role == role
+                and entry.resting_until <= now
+                and not entry.is_leaving
+                and not entry.is_replaced
+                and record.state == "ready"
+                and entry.paused_until <= now < entry.expires_at
+                and record.zone not in evacuated_zones
+                and (
+                    entry.cold_until <= now
+                    or ignores_cold
+                    or self.opens_at(entry, now) <= now
+                )
+            ):
                 yield record
 
     def count_in_zone(self, zone: str) -> int:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -1,5 +1,7 @@
 """Leases, incarnations, addresses and validation of targets."""
 
+import math
+
 import builders
 from chivelb_core import targets
 import pytest
@@ -124,3 +126,37 @@
     table.set_weight_version("a", 0, "8")
     assert table.is_eligible("a", 4.0)
     assert table.entries["a"].record.weight_version == "8"
+
+
+def test_listing_and_single_checks_agree_on_who_is_eligible():
+    # Guards against a condition of eligibility that only one of them has.
+    changes = {
+        "usable": {},
+        "resting": {"resting_until": 9.0},
+        "leaving": {"is_leaving": True},
+        "replaced": {"is_replaced": True},
+        "paused": {"paused_until": 9.0},
+        "expired": {"expires_at": 1.0},
+        "cold": {"cold_until": 9.0},
+    }
+    table = targets.TargetTable()
+    table.next_cold_send_at = lambda record, now: math.inf
+    for number, (identity, attributes) in enumerate(changes.items()):
+        record = builders.make_record(
+            identity=identity, address=f"h:{number + 1}", service="lm"
+        )
+        table.announce(record, 0.0)
+        for name, value in attributes.items():
+            setattr(table.entries[identity], name, value)
+    for evacuated in (frozenset(), frozenset({record.zone})):
+        table.evacuated_zones = evacuated
+        for ignores_cold in (False, True):
+            listed = {
+                r.identity
+                for r in table.eligible("lm", 2.0, ignores_cold=ignores_cold)
+            }
+            assert listed == {
+                identity
+                for identity in changes
+                if table.is_eligible(identity, 2.0, ignores_cold=ignores_cold)
+            }
