Part of the targets stopped: no isolation by checks, no rounds through peers

(1) The checks of stopped targets fail once a second each, more often than an instance of 58 sends calls, and three failures in a row let it presume that it reaches no target at all: its calls went through peers. (2) Calls that would be late may take targets that only peers reach; those that nobody reaches look idle while the others are full, and each instance tried them again after a second, through three peers of 0.3 s each.

Change: failures of targets that had failed when another one was last reached don't isolate. Where all peers that were asked have no connection to a target either, it is not sent to through peers for 5 s; the checks of this instance go on each second and end that.

Not measured by itself yet.

--- a/packages/chivelb-core/chivelb_core/forwarding/reach.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/reach.py
@@ -1,7 +1,9 @@
 """Whether an instance reaches the targets of a service by itself."""
 
 # An instance that could open a connection to none of this many targets of a
-# service in a row is presumed to reach no target of it.
+# service in a row is presumed to reach no target of it. Targets that already
+# failed when another one was last reached don't count: checks go on to fail for
+# each target that has stopped.
 ISOLATING_FAILURES = 3
 # A failure counts for this long; checks of unreachable targets renew it.
 FAILURE_TTL_S = 3.0
@@ -17,26 +19,34 @@
     Attributes:
         failures: Monotonic time of the last failure of each target since a
             target of its service was reached, in seconds, by service.
+        stopped: Targets that had failed when a target of their service was
+            last reached, by service.
         reached_at: Monotonic time at which each target was last reached, in
             seconds.
     """
 
-    __slots__ = ("failures", "reached_at")
+    __slots__ = ("failures", "stopped", "reached_at")
 
     def __init__(self) -> None:
         """Creates a table of an instance that reaches all targets."""
         self.failures: dict[str, dict[str, float]] = {}
+        self.stopped: dict[str, set[str]] = {}
         self.reached_at: dict[str, float] = {}
 
     def record_failure(self, service: str, identity: str, now: float) -> None:
         """Records that no connection to a target could be opened."""
-        self.failures.setdefault(service, {})[identity] = now
         self.reached_at.pop(identity, None)
+        if identity not in self.stopped.get(service, ()):
+            self.failures.setdefault(service, {})[identity] = now
 
     def record_reached(self, service: str, identity: str, now: float) -> None:
         """Records that a target was reached."""
-        self.failures.pop(service, None)
+        stopped = self.stopped.setdefault(service, set())
+        stopped.update(self.failures.pop(service, ()))
+        stopped.discard(identity)
         self.reached_at[identity] = now
+        if len(stopped) > MAX_REACHED:
+            stopped.clear()
         if len(self.reached_at) > MAX_REACHED:
             self.reached_at = {
                 name: at
@@ -61,4 +71,5 @@
         if not failures:
             return False
         recent = sum(now - at < FAILURE_TTL_S for at in failures.values())
-        return recent >= max(1, min(ISOLATING_FAILURES, target_count))
+        others = target_count - len(self.stopped.get(service, ()))
+        return recent >= max(1, min(ISOLATING_FAILURES, others))
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -32,6 +32,8 @@
             observed, in seconds; None without one, or after a success.
         is_unreachable: Whether this instance could not open a connection to it
             and has opened none since.
+        no_path_until: Monotonic time until which peers are not asked to send
+            requests to it, because none of them reached it either, in seconds.
         is_replaced: Whether another target has since announced itself at the
             same address.
         paused_until: Monotonic time until which the target receives no new
@@ -52,6 +54,7 @@
     is_leaving: bool = False
     failed_at: float | None = None
     is_unreachable: bool = False
+    no_path_until: float = -math.inf
     is_replaced: bool = False
     paused_until: float = -math.inf
     resting_until: float = -math.inf
@@ -145,6 +148,7 @@
             entry.is_leaving = is_leaving or known.is_leaving
             entry.failed_at = known.failed_at
             entry.is_unreachable = known.is_unreachable
+            entry.no_path_until = known.no_path_until
             entry.paused_until = known.paused_until
             entry.resting_until = known.resting_until
             entry.is_brittle = known.is_brittle
@@ -568,12 +572,23 @@
         if identity in self.entries:
             self.entries[identity].failed_at = None
             self.entries[identity].is_unreachable = False
+            self.entries[identity].no_path_until = -math.inf
 
     def is_unreachable(self, identity: str) -> bool:
         """Returns whether this instance could open no connection to it."""
         entry = self.entries.get(identity)
         return entry is not None and entry.is_unreachable
 
+    def record_no_path(self, identity: str, until: float) -> None:
+        """Records that no peer reached a target, for requests until a time."""
+        if identity in self.entries:
+            self.entries[identity].no_path_until = until
+
+    def has_path(self, identity: str, now: float) -> bool:
+        """Returns whether peers are asked to send requests to a target."""
+        entry = self.entries.get(identity)
+        return entry is not None and entry.no_path_until <= now
+
     def record_unreachable(
         self, identity: str, *, incarnation: int | None = None
     ) -> bool:
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -111,6 +111,7 @@
             record
             for record in self._without_overdue(call, now)
             if table.is_unreachable(record.identity)
+            and table.has_path(record.identity, now)
             and record.identity not in call.tried
             and record.identity not in failed
             and call.may_go_to(record.software_version)
--- a/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
@@ -20,7 +20,6 @@
 MAX_IN_PROGRESS = 256
 # A peer sends its whole request at once.
 REQUEST_TIMEOUT_S = 5.0
-NO_PATH = "no path to the target"
 _log = logs.get_logger("relays")
 
 
@@ -145,9 +144,11 @@
         if not self.context.allows_zone(regions, record.zone):
             return relay_messages.RelayRefusal("region not allowed", "target")
         if self.context.targets.is_unreachable(record.identity):
-            return relay_messages.RelayRefusal(NO_PATH, "target")
+            return relay_messages.RelayRefusal(relay_messages.NO_PATH, "target")
         if self.context.is_unreachable(record, now):
-            return relay_messages.RelayRefusal(NO_PATH, "service")
+            return relay_messages.RelayRefusal(
+                relay_messages.NO_PATH, "service"
+            )
         return None
 
     def _regions(
@@ -187,7 +188,9 @@
                 reach.record_failure(record.service, record.identity, now)
                 self.check_reachability(record)
                 await channel.send(
-                    relay_messages.RelayRefusal(NO_PATH, "target")
+                    relay_messages.RelayRefusal(
+                        relay_messages.NO_PATH, "target"
+                    )
                 )
             else:
                 await channel.send(relay_channel.encode_outcome(error.outcome))
--- a/packages/chivelb-node/chivelb_node/forwarding/target_paths.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/target_paths.py
@@ -19,6 +19,9 @@
 
 # Peers that are asked to make one attempt, one after the other.
 MAX_PEERS_ASKED = 3
+# Time for which a target that none of them reached is not sent to through
+# peers: it has probably stopped. This instance goes on to check it by itself.
+NO_PATH_RETRY_S = 5.0
 _log = logs.get_logger("paths")
 
 
@@ -72,17 +75,27 @@
         names = self._peers_in_order(call.service, now)
         if not names:
             return await self._send_directly(call, message, assignment)
-        for peer in names[:MAX_PEERS_ASKED]:
-            reply = await self._send_through(peer, call, message, assignment)
-            if reply is not None:
-                return reply
-        raise calls.AttemptError(
-            attempt_lib.Outcome(
-                calls.OutcomeKind.NOT_RUN,
-                codes.TARGET_UNREACHABLE,
-                f"no path, and none through {names[:MAX_PEERS_ASKED]}",
-                True,
-            )
+        if not self.context.targets.has_path(record.identity, now):
+            raise _no_path("no path, and none through peers before")
+        asked = names[:MAX_PEERS_ASKED]
+        unreached = 0
+        for peer in asked:
+            answer = await self._send_through(peer, call, message, assignment)
+            if not isinstance(answer, relay_messages.RelayRefusal):
+                return answer
+            unreached += answer.reason == relay_messages.NO_PATH
+        if unreached == len(asked):
+            self._record_no_path(record.identity)
+        raise _no_path(f"no path, and none through {asked}")
+
+    def _record_no_path(self, identity: str) -> None:
+        """Records that no peer that was asked reached a target either."""
+        until = context_lib.monotonic() + NO_PATH_RETRY_S
+        self.context.targets.record_no_path(identity, until)
+        _log.info(
+            "target unreachable for peers too",
+            target=identity,
+            retry_s=NO_PATH_RETRY_S,
         )
 
     async def _send_directly(
@@ -115,12 +128,12 @@
         call: forwarding.Call,
         message: ports.Message,
         assignment: ports.Assignment,
-    ) -> ports.Reply | None:
+    ) -> ports.Reply | relay_messages.RelayRefusal:
         """Lets a peer make an attempt.
 
         Returns:
-            The reply of the target, or None if the peer has sent nothing and
-            another one may be asked.
+            The reply of the target, or the refusal of a peer that has sent
+            nothing, so that another one may be asked.
 
         Raises:
             calls.AttemptError: The attempt has ended.
@@ -144,7 +157,7 @@
             )
         self._record_answer(peer, call, assignment, answer)
         if isinstance(answer, relay_messages.RelayRefusal):
-            return None
+            return answer
         raise relay_channel.failure(peer, answer)
 
     async def _exchange(
@@ -193,5 +206,14 @@
         self.context.metrics.relayed.labels("out", "failed").inc()
 
 
+def _no_path(detail: str) -> calls.AttemptError:
+    """Returns the error of an attempt that nobody can make."""
+    return calls.AttemptError(
+        attempt_lib.Outcome(
+            calls.OutcomeKind.NOT_RUN, codes.TARGET_UNREACHABLE, detail, True
+        )
+    )
+
+
 def _end_exchange(state: relay_peers.PeerState) -> None:
     state.in_progress -= 1
--- a/packages/chivelb-node/chivelb_node/wire/relay_messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/relay_messages.py
@@ -92,6 +92,10 @@
     """The response of the target was received completely."""
 
 
+# Reason of a refusal by a peer that has no connection to the target either.
+NO_PATH = "no path to the target"
+
+
 class RelayRefusal(msgspec.Struct, rename="camel", frozen=True):
     """The peer has sent nothing to the target, and another peer may.
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -312,6 +312,44 @@
     assert outcome.code is codes.TARGET_UNREACHABLE
 
 
+# Guards against calls that are passed from peer to peer for a target that has
+# stopped: it looks idle while the others are full.
+def test_a_target_that_no_peer_reached_is_not_asked_for_at_once():
+    async def run():
+        peer = Instance("peer")
+        peer.context.targets.record_unreachable("a")
+        async with instances(peer) as cut:
+            opened = []
+            open_channel = cut.paths.open_channel
+            cut.paths.open_channel = lambda name: (
+                opened.append(name) or open_channel(name)
+            )
+            for _ in range(2):
+                with pytest.raises(calls.AttemptError) as caught:
+                    await cut.send()
+            assert caught.value.outcome.kind is calls.OutcomeKind.NOT_RUN
+            table = cut.context.targets
+            now = context_lib.monotonic()
+            later = now + target_paths.NO_PATH_RETRY_S
+            return opened, table.has_path("a", now), table.has_path("a", later)
+
+    assert asyncio.run(run()) == (["peer"], False, True)
+
+
+# Guards against a target that stays without a path because a peer could make no
+# attempts for another reason.
+def test_a_peer_that_is_stopping_tells_nothing_of_the_target():
+    async def run():
+        peer = Instance("peer")
+        peer.context.draining = True
+        async with instances(peer) as cut:
+            with pytest.raises(calls.AttemptError):
+                await cut.send()
+            return cut.context.targets.has_path("a", context_lib.monotonic())
+
+    assert asyncio.run(run())
+
+
 def test_a_channel_with_another_key_is_refused(tmp_path):
     key_file = tmp_path / "keys"
     key_file.write_text(f"open = {'ab' * 16}\n")
