Take a status below 100 for an invalid response

Cause: the parser lets 000 and 099 pass. The platform's connection took them for interim responses, so that the call waited until its deadline; the client of chivelbd passed them on as responses of services, and took them for failures of runners.

Tested: tests/test_cut_uploads.py replays the bytes over sockets on both interfaces and through a peer.

--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -197,6 +197,14 @@
             self._unanswered.append(data)
         heads_received = self._heads_received
         for message, payload in messages:
+            if message.code < parser_errors.MIN_STATUS:
+                # It would be taken for that of an interim response.
+                self._end(
+                    IncompleteResponseError(
+                        f"impossible status {message.code:03}"
+                    )
+                )
+                return
             if self._has_second_head(message):
                 self._log_status_line(message.code)
                 self._end(
--- a/packages/chivelb-node/chivelb_node/links/parser_errors.py
+++ b/packages/chivelb-node/chivelb_node/links/parser_errors.py
@@ -10,6 +10,10 @@
 # Separates the parser's reason, if there is one, from the bytes.
 _REASON_END = ":\n\n"
 
+# Statuses of interim responses are above, those of others from 200.
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
+
 
 def describe(error: Exception) -> str:
     """Returns why a request failed, without any bytes of the response.
--- a/packages/chivelb-node/chivelb_node/links/runners.py
+++ b/packages/chivelb-node/chivelb_node/links/runners.py
@@ -201,6 +201,9 @@
 def _check_response(
     response: aiohttp.ClientResponse, attempt: RunnerAttempt
 ) -> None:
+    if response.status < parser_errors.MIN_FINAL_STATUS:
+        response.close()
+        raise events.StreamError(f"impossible status {response.status:03}")
     if response.status != 200:
         if response.headers.get("X-Not-Run") == attempt.attempt_id:
             raise _attempt_error(
--- a/packages/chivelb-node/chivelb_node/links/services.py
+++ b/packages/chivelb-node/chivelb_node/links/services.py
@@ -11,6 +11,7 @@
 from chivelb_core import targets
 from chivelb_core.calls import attempt as attempt_lib
 
+from chivelb_node.links import limited_bodies
 from chivelb_node.links import parser_errors
 from chivelb_node.links import runners
 
@@ -130,6 +131,13 @@
 async def _read_response(
     response: aiohttp.ClientResponse, attempt_id: str
 ) -> ServiceResponse:
+    if response.status < parser_errors.MIN_FINAL_STATUS:
+        response.close()
+        raise _attempt_error(
+            _KIND.UNKNOWN,
+            codes.OUTCOME_UNKNOWN,
+            f"impossible status {response.status:03}",
+        )
     if response.headers.get("X-Not-Run") == attempt_id:
         raise _attempt_error(
             _KIND.NOT_RUN,
@@ -144,7 +152,7 @@
             f"response lacks the id of attempt {attempt_id}",
         )
     # Read before the body, whose end releases the connection.
-    protocol = response.connection and response.connection.protocol
+    protocol = limited_bodies.protocol_of(response)
     chunks = []
     size = 0
     async for chunk in response.content.iter_any():
@@ -157,9 +165,7 @@
                 f"response exceeds {MAX_RESPONSE_BYTES} bytes",
             )
         chunks.append(chunk)
-    # aiohttp takes any end of the connection for the end of a response without
-    # a length; after a reset the error of the connection is one of the system.
-    if protocol is not None and isinstance(protocol.exception(), OSError):
+    if limited_bodies.was_reset(protocol):
         raise _attempt_error(
             _KIND.UNKNOWN,
             codes.OUTCOME_UNKNOWN,
