Tests: the crowd that does not read its answers names its requests

Cause: a request without an id is sent to the target without one, and an answer without an id on a new connection is taken for one to another request. The crowd therefore never got an answer to leave unread: its 192 MB were answers that the entry gathered before it gave up the attempt.

The test now has both crowds, with and without an id, and the same bound.

--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -351,8 +351,11 @@
 
 
 # Guards against answers that are read ahead of callers that do not read them.
-def test_answers_that_callers_do_not_read_have_a_budget(tmp_path):
-    request = crowds.post_head(b"/large/x", b"Content-Length: 0")
+# Without an id, a large answer is taken for one to another request; it must not
+# be gathered without end either.
+@pytest.mark.parametrize("headers", [[b"X-Request-Id: r1"], []])
+def test_answers_that_callers_do_not_read_have_a_budget(tmp_path, headers):
+    request = crowds.post_head(b"/large/x", b"Content-Length: 0", *headers)
     run_platform(
         tmp_path,
         "entry",
