Limits for untrusted clients: memory, connections, heads and bodies

Cause: a process ran out of memory. Heads were limited by line only (8 MB a connection), bodies one by one, connections not at all; chivelbd, the control API, readiness and metrics had none of the limits of callers.

Change: all ports use one connection class (edge/connections.py) with the limits of their port (edge/port_limits.py): a number of connections, of which idle ones give way first; bytes of a head while it is received, empty lines included; the time of a head, also of one behind a request; bytes of chunk framing and trailers without a byte of the body; reading held back behind a request in progress; a time for clients that read nothing of a response. Bodies, heads, answers that are not read and relayed bodies are charged to one budget. Beyond it new requests get code 2015 (503, not run, Retry-After), and bodies in reception without progress give way; a request that runs is not ended. A body that can't be parsed is refused with 400 at once; before, it waited for its time limit. Bodies are gathered in one buffer. Answers are written in pieces, and read ahead less (64 KiB instead of 256 KiB); bytes before a response are limited to 256 KiB instead of 1 MiB, because they are kept for each call of a client that names no request.

The limits follow from Limits.MemoryMb and Limits.MaxFds of the platform's settings, or from the [http] section; metrics are open_connections, refused_clients_total, buffered_bytes and buffer_limit_bytes.

--- a/packages/chivelb-core/chivelb_core/codes.py
+++ b/packages/chivelb-core/chivelb_core/codes.py
@@ -254,6 +254,15 @@
     RetryAdvice.LATER,
     "No target can continue this stream.",
 )
+# Bodies and answers of other requests use up the memory for buffers.
+BUFFERS_FULL = _result_code(
+    2015,
+    "buffers_full",
+    503,
+    _NOT_RUN,
+    RetryAdvice.LATER,
+    "This instance buffers too much for other requests.",
+)
 CALLER_LEFT = _result_code(
     3004,
     "caller_left",
--- a/packages/chivelb-core/chivelb_core/forwarding/retry_delay.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/retry_delay.py
@@ -15,6 +15,8 @@
 TARGET_RECOVERY_DELAY_S = 0.5
 # Minimum delay while a queue is full, so that it can drain before the retry.
 FULL_QUEUE_DELAY_S = 0.3
+# A body that makes no progress gives way to others after about this time.
+BUFFERS_FULL_DELAY_S = 1.0
 # Random extension of a delay, as a fraction of it, so that clients refused
 # at the same time do not retry at the same time.
 JITTER = 1.0
@@ -25,6 +27,7 @@
     codes.NO_TARGET.number: TARGET_RECOVERY_DELAY_S,
     codes.TARGET_UNREACHABLE.number: TARGET_RECOVERY_DELAY_S,
     codes.TARGET_REFUSED.number: FULL_QUEUE_DELAY_S,
+    codes.BUFFERS_FULL.number: BUFFERS_FULL_DELAY_S,
     codes.TARGET_REPLACED.number: IMMEDIATE_RETRY_DELAY_S,
 }
 
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -7,6 +7,7 @@
 import time
 
 from chivelb_core import admission
+from chivelb_core import byte_budget
 from chivelb_core import calls
 from chivelb_core import document as document_lib
 from chivelb_core import kv_cache
@@ -91,6 +92,7 @@
         queues: Fair queues by service name.
         policies: Routing policies by name.
         metrics: Prometheus metrics.
+        buffers: Budget for what is buffered for clients and peers.
         draining: Whether a shutdown was requested.
         stop: When requests may begin and must end during a shutdown.
         startup_ends_at: Monotonic time from which the first document and the
@@ -131,6 +133,13 @@
         self.queues: dict[str, admission.FairQueue] = {}
         self.policies = policies.make_policies()
         self.metrics = metrics_lib.Metrics()
+        self.buffers = byte_budget.ByteBudget(
+            settings.http.buffer_bytes, stalled_s=settings.http.stalled_body_s
+        )
+        self.metrics.buffered_bytes.set_function(
+            lambda: self.buffers.used_bytes
+        )
+        self.metrics.buffer_limit.set(settings.http.buffer_bytes)
         self.draining = False
         self.stop = stopping.Stop(lambda: monotonic())
         self.startup_ends_at = monotonic()
--- a/packages/chivelb-node/chivelb_node/edge/announcements.py
+++ b/packages/chivelb-node/chivelb_node/edge/announcements.py
@@ -65,12 +65,14 @@
         """Serves ``POST /targets/announce``."""
         try:
             self._authenticate(request)
-            body = await request_bodies.read_body(
-                request,
-                max_bytes=MAX_ANNOUNCEMENT_BYTES,
-                timeout_s=self.context.settings.http.body_timeout_s,
-            )
-            announcement = decode_announcement(body)
+            with self.context.buffers.open() as charge:
+                body = await request_bodies.read_body(
+                    request,
+                    max_bytes=MAX_ANNOUNCEMENT_BYTES,
+                    timeout_s=self.context.settings.http.body_timeout_s,
+                    charge=charge,
+                )
+                announcement = decode_announcement(body)
         except responses.RequestError as error:
             return responses.error_response(
                 error.error_detail, "", self.context.rng
--- a/packages/chivelb-node/chivelb_node/edge/callers.py
+++ b/packages/chivelb-node/chivelb_node/edge/callers.py
@@ -5,11 +5,13 @@
 import contextlib
 
 from aiohttp import web
+from chivelb_core import byte_budget
 from chivelb_core import codes
 import msgspec
 
 from chivelb_node import context as context_lib
 from chivelb_node.edge import claimed_calls
+from chivelb_node.edge import connections
 from chivelb_node.edge import model_calls
 from chivelb_node.edge import parsing
 from chivelb_node.edge import plain_calls
@@ -19,7 +21,6 @@
 from chivelb_node.links import events
 from chivelb_node.telemetry import logs
 
-MAX_HEADER_BYTES = 16_384
 _log = logs.get_logger("edge")
 
 
@@ -65,18 +66,20 @@
 
     async def plain(self, request: web.Request) -> web.StreamResponse:
         """Serves ``/s/SERVICE/PATH`` for all methods."""
-        with self._track_in_progress():
+        with self._track_in_progress() as charge:
             return await self._with_error_response(
-                request, self._plain(request)
+                request, self._plain(request, charge)
             )
 
     @contextlib.contextmanager
     def _track_in_progress(self):
         self.context.in_progress += 1
         self.context.metrics.in_progress.inc()
+        charge = self.context.buffers.open()
         try:
-            yield
+            yield charge
         finally:
+            charge.close()
             self.context.in_progress -= 1
             self.context.metrics.in_progress.dec()
 
@@ -101,8 +104,14 @@
                 response.force_close()
             return response
 
-    async def _read(self, request: web.Request) -> bytes:
+    async def _read(
+        self, request: web.Request, charge: byte_budget.Charge
+    ) -> bytes:
         http = self.context.settings.http
+        head_bytes = connections.check_head_size(
+            request, self.context.document.limits.max_header_bytes
+        )
+        charge.add(head_bytes)
         if len(request.headers) > http.max_headers:
             raise responses.RequestError(
                 codes.BAD_HEADERS,
@@ -115,31 +124,34 @@
                 request,
                 max_bytes=self.context.document.limits.max_body_bytes,
                 timeout_s=http.body_timeout_s,
+                charge=charge,
             )
 
-    async def _plain(self, request: web.Request) -> web.StreamResponse:
+    async def _plain(
+        self, request: web.Request, charge: byte_budget.Charge
+    ) -> web.StreamResponse:
         name, workspace = parsing.authenticate(
             self.context, request.headers.get("Authorization", "")
         )
-        body = await self._read(request)
+        body = await self._read(request, charge)
         async with self.context.stop.until_end():
             return await self.plain_calls.run(request, name, workspace, body)
 
     async def _model(
         self, request: web.Request, *, chat: bool
     ) -> web.StreamResponse:
-        with self._track_in_progress():
+        with self._track_in_progress() as charge:
             return await self._with_error_response(
-                request, self._model_call(request, chat)
+                request, self._model_call(request, chat, charge)
             )
 
     async def _model_call(
-        self, request: web.Request, chat: bool
+        self, request: web.Request, chat: bool, charge: byte_budget.Charge
     ) -> web.StreamResponse:
         name, workspace = parsing.authenticate(
             self.context, request.headers.get("Authorization", "")
         )
-        body = request_bodies.decode_json(await self._read(request))
+        body = request_bodies.decode_json(await self._read(request, charge))
         call = parsing.parse_model_call(self.context, name, body, chat=chat)
         request["request_id"] = call.request_id
         last_event_id = request.headers.get("Last-Event-ID")
@@ -154,29 +166,33 @@
             key = request.headers.get("Idempotency-Key", "")
             answer = self.claimed_calls.run(call, key, progress)
         if call.stream:
-            return await self._stream(request, call, answer, progress)
-        return await self._respond_complete(call, answer, progress)
+            return await self._stream(request, call, answer, progress, charge)
+        return await self._respond_complete(call, answer, progress, charge)
 
     async def _respond_complete(
         self,
         call: parsing.ModelCall,
         answer: AsyncIterator[events.Batch],
         progress: model_calls.Progress,
+        charge: byte_budget.Charge,
     ) -> web.Response:
         code = codes.DONE
+        received = []
         try:
             async with (
                 self.context.stop.until_end(),
                 contextlib.aclosing(answer) as batches,
             ):
-                data = b"".join([batch.data async for batch in batches])
+                async for batch in batches:
+                    charge.add(len(batch.data))
+                    received.append(batch.data)
         except responses.RequestError as error:
             code = error.error_detail.code
             raise
         finally:
             self.model_calls.observe(call, progress, code)
         return web.Response(
-            body=build_completion(call, data),
+            body=build_completion(call, b"".join(received)),
             content_type="application/json",
             headers={"X-Request-Id": call.request_id},
         )
@@ -187,6 +203,7 @@
         call: parsing.ModelCall,
         answer: AsyncIterator[events.Batch],
         progress: model_calls.Progress,
+        charge: byte_budget.Charge,
     ) -> web.StreamResponse:
         code = codes.OUTCOME_UNKNOWN
         response = None
@@ -198,6 +215,8 @@
                 async for batch in batches:
                     if response is None:
                         response = await self._start_stream(request, call)
+                    # Kept to the end, to continue a stream that breaks off.
+                    charge.add(len(batch.data))
                     await response.write(batch.data)
             code = codes.DONE
         except responses.RequestError as error:
--- a/packages/chivelb-node/chivelb_node/edge/console.py
+++ b/packages/chivelb-node/chivelb_node/edge/console.py
@@ -119,11 +119,14 @@
     async def _read_form(
         self, request: web.Request, *, csrf: bool = True
     ) -> Form:
-        body = await request_bodies.read_body(
-            request,
-            max_bytes=MAX_FORM_BYTES,
-            timeout_s=self.context.settings.http.body_timeout_s,
-        )
+        with self.context.buffers.open() as charge:
+            body = await request_bodies.read_body(
+                request,
+                max_bytes=MAX_FORM_BYTES,
+                timeout_s=self.context.settings.http.body_timeout_s,
+                charge=charge,
+                copies=1,
+            )
         form = parse_form(body)
         token = form.pop("csrf", "")
         if csrf and not hmac.compare_digest(
--- a/packages/chivelb-node/chivelb_node/edge/operators.py
+++ b/packages/chivelb-node/chivelb_node/edge/operators.py
@@ -112,11 +112,14 @@
             )
 
     async def _read_body(self, request: web.Request) -> bytes:
-        return await request_bodies.read_body(
-            request,
-            max_bytes=MAX_DOCUMENT_BYTES,
-            timeout_s=self.context.settings.http.body_timeout_s,
-        )
+        with self.context.buffers.open() as charge:
+            return await request_bodies.read_body(
+                request,
+                max_bytes=MAX_DOCUMENT_BYTES,
+                timeout_s=self.context.settings.http.body_timeout_s,
+                charge=charge,
+                copies=1,
+            )
 
     async def show(self, request: web.Request) -> web.Response:
         """Serves the document in force.
--- a/packages/chivelb-node/chivelb_node/edge/request_bodies.py
+++ b/packages/chivelb-node/chivelb_node/edge/request_bodies.py
@@ -1,16 +1,26 @@
-"""Reads request bodies with limits on size and time."""
+"""Reads request bodies with limits on size, time and memory."""
 
 import asyncio
 
 from aiohttp import web
+from chivelb_core import byte_budget
 from chivelb_core import codes
 import msgspec
 
 from chivelb_node.edge import responses
 
+# How often a body is held while its request runs: as received, and once more
+# in the write buffer of the connection to a target that does not read it.
+FORWARDED_COPIES = 2
+
 
 async def read_body(
-    request: web.Request, *, max_bytes: int, timeout_s: float
+    request: web.BaseRequest,
+    *,
+    max_bytes: int,
+    timeout_s: float,
+    charge: byte_budget.Charge,
+    copies: int = FORWARDED_COPIES,
 ) -> bytes:
     """Reads a complete request body.
 
@@ -18,36 +28,97 @@
         request: The request.
         max_bytes: Maximum size of the body, in bytes.
         timeout_s: Maximum time to receive the body, in seconds.
+        charge: Charged with the body; the caller closes it once the body is
+            not needed any more.
+        copies: How often the body is held at most.
 
     Returns:
         The body.
 
     Raises:
-        responses.RequestError: The body is too large, too slow or truncated.
+        responses.RequestError: The body is too large, too slow or truncated,
+            or the process buffers too much.
     """
     content_length = request.content_length
     if content_length is not None and content_length > max_bytes:
         raise _too_large(content_length, max_bytes)
+    loop = asyncio.get_running_loop()
+    content = request.content
+    if content.is_eof():
+        # Most bodies come together with their head.
+        body = content.read_nowait()
+        _charge_bytes(charge, len(body), max_bytes, copies, loop.time())
+        return body
     try:
-        async with asyncio.timeout(timeout_s):
-            return await _read_bounded(request, max_bytes)
+        async with asyncio.timeout(timeout_s) as limit:
+
+            def give_way() -> None:
+                if not limit.expired():
+                    limit.reschedule(loop.time())
+
+            charge.begin_receiving(give_way, loop.time())
+            try:
+                return await _read_bounded(
+                    request, max_bytes, charge, copies, loop
+                )
+            finally:
+                charge.end_receiving()
     except TimeoutError:
+        if charge.is_revoked:
+            raise _no_room("the body made no progress") from None
         raise responses.RequestError(
             codes.BODY_TOO_SLOW, f"request body incomplete after {timeout_s} s"
         ) from None
+    except web.RequestPayloadError as error:
+        raise responses.RequestError(codes.UNREADABLE, str(error)) from None
     except web.HTTPException as error:
         raise responses.RequestError(codes.BAD_FIELD, error.reason) from None
 
 
-async def _read_bounded(request: web.Request, max_bytes: int) -> bytes:
-    chunks = []
-    size = 0
+async def _read_bounded(
+    request: web.BaseRequest,
+    max_bytes: int,
+    charge: byte_budget.Charge,
+    copies: int,
+    loop: asyncio.AbstractEventLoop,
+) -> bytes:
+    # One buffer: an object for each small chunk takes many times its bytes.
+    body = bytearray()
     async for chunk in request.content.iter_any():
-        size += len(chunk)
-        if size > max_bytes:
-            raise _too_large(size, max_bytes)
-        chunks.append(chunk)
-    return b"".join(chunks)
+        _charge_bytes(
+            charge,
+            len(chunk),
+            max_bytes,
+            copies,
+            loop.time(),
+            received=len(body),
+        )
+        body += chunk
+    return bytes(body)
+
+
+def _charge_bytes(
+    charge: byte_budget.Charge,
+    size: int,
+    max_bytes: int,
+    copies: int,
+    now: float,
+    *,
+    received: int = 0,
+) -> None:
+    """Charges bytes of a body.
+
+    Raises:
+        responses.RequestError: The body is too large, or there is no room.
+    """
+    if received + size > max_bytes:
+        raise _too_large(received + size, max_bytes)
+    if not charge.try_add(size * copies, now):
+        raise _no_room("too much is buffered for other requests")
+
+
+def _no_room(reason: str) -> responses.RequestError:
+    return responses.RequestError(codes.BUFFERS_FULL, reason)
 
 
 def _too_large(size: int, max_bytes: int) -> responses.RequestError:
--- a/packages/chivelb-node/chivelb_node/edge/server.py
+++ b/packages/chivelb-node/chivelb_node/edge/server.py
@@ -6,13 +6,15 @@
 import mode
 
 from chivelb_node import context as context_lib
-from chivelb_node import settings as settings_lib
+from chivelb_node.edge import connections
+from chivelb_node.edge import port_limits
 from chivelb_node.forwarding import draining
 from chivelb_node.telemetry import logs
 
 # Maximum size of the request line and of each header field, for ``chivelbd``.
 MAX_LINE_BYTES = 8_190
 KEEPALIVE_S = 75.0
+SHUTDOWN_TIMEOUT_S = 0.5
 _log = logs.get_logger("server")
 
 
@@ -47,7 +49,7 @@
             handler.add_routes(self.app)
         self.port = 0
         self._runner: web.AppRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._listener: asyncio.Server | None = None
 
     @web.middleware
     async def _close_when_draining(self, request, handler):
@@ -80,23 +82,25 @@
             self.app,
             access_log=None,
             handle_signals=False,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-            keepalive_timeout=KEEPALIVE_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
         self.context.list_transports = lambda: [
             connection.transport
             for connection in self._runner.server.connections
         ]
-        host, port = settings_lib.split_address(
-            self.context.settings.http.listen
+        self._listener = await port_limits.listen(
+            connections.limit_server(
+                self._runner.server,
+                port_limits.make_port_limits(self.context, "http"),
+                auto_decompress=True,
+                max_line_size=MAX_LINE_BYTES,
+                max_field_size=MAX_LINE_BYTES,
+                keepalive_timeout=KEEPALIVE_S,
+            ),
+            self.context.settings.http.listen,
         )
-        self._site = web.TCPSite(
-            self._runner, host, port, backlog=1024, shutdown_timeout=0.5
-        )
-        await self._site.start()
-        self.port = self._site._server.sockets[0].getsockname()[1]
+        self.port = self._listener.sockets[0].getsockname()[1]
         _log.info("listening", port=self.port)
 
     async def drain(self) -> None:
@@ -114,11 +118,13 @@
         _log.info("draining", in_progress=self.context.in_progress)
         starts_until = self.context.stop.starts_until
         await asyncio.sleep(starts_until - context_lib.monotonic())
-        await self._site.stop()
+        self._listener.close()
         await draining.wait_for_requests(self.context)
         _log.info("drained")
 
     async def on_stop(self) -> None:
         """Closes the remaining connections."""
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -198,6 +198,9 @@
                 size += len(chunk)
                 if size > MAX_BUFFERED_BYTES:
                     data = b"".join(buffered)
+                    # Not kept twice while the caller reads slowly.
+                    buffered.clear()
+                    del chunk
                     held = self._check_unframed(reply, data)
                     await self._send_head(reply)
                     await self.caller.send_body(data[: len(data) - held])
--- a/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay_server.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
+from chivelb_core import byte_budget
 from chivelb_core import calls
 from chivelb_core import codes
 from chivelb_core import targets
 from chivelb_core.document import model as model_lib
 
 from chivelb_node import context as context_lib
+from chivelb_node.edge import request_bodies
 from chivelb_node.forwarding import ports
 from chivelb_node.forwarding import relay_channel
 from chivelb_node.telemetry import logs
@@ -58,16 +60,18 @@
         """
         self.context.in_progress += 1
         self.in_progress += 1
+        charge = self.context.buffers.open()
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 request = await channel.receive()
             if isinstance(request, relay_messages.RelayRequest):
-                await self._serve_request(channel, request)
+                await self._serve_request(channel, request, charge)
         except (OSError, TimeoutError):
             # The peer has gone or is silent; there is nobody to answer.
             pass
         finally:
             channel.close()
+            charge.close()
             self.in_progress -= 1
             self.context.in_progress -= 1
 
@@ -75,11 +79,17 @@
         self,
         channel: relay_channel.ChannelPort,
         request: relay_messages.RelayRequest,
+        charge: byte_budget.Charge,
     ) -> None:
         route = self.context.document.routes.get(request.route)
         entry = self.context.targets.entries.get(request.identity)
         record = None if entry is None else entry.record
         refusal = self._refusal(request, route, record)
+        if refusal is None and not charge.try_add(
+            request.body_bytes * request_bodies.FORWARDED_COPIES,
+            context_lib.monotonic(),
+        ):
+            refusal = relay_messages.RelayRefusal("buffers full", "all")
         if refusal is not None:
             self._log_end(channel, request, refusal.reason)
             await channel.send(refusal)
--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -41,8 +41,8 @@
 # Limit for bytes received before the head of the response to a request:
 # responses to other requests, which are discarded. What arrives together with
 # the head counts too, up to the buffer of a response.
-MAX_BYTES_BEFORE_RESPONSE = 1_048_576
-READ_BUFFER_BYTES = 262_144
+MAX_BYTES_BEFORE_RESPONSE = 262_144
+READ_BUFFER_BYTES = 65_536
 # Ids of the newest requests that a connection has carried.
 MAX_CARRIED_IDS = 64
 
@@ -161,6 +161,7 @@
     def connection_made(self, transport) -> None:
         """Sets the socket options; called by asyncio."""
         super().connection_made(transport)
+        transport.max_size = READ_BUFFER_BYTES
         sockets.set_keepalive(
             transport.get_extra_info("socket"),
             idle_s=KEEPALIVE_IDLE_S,
--- a/packages/chivelb-node/chivelb_node/links/sockets.py
+++ b/packages/chivelb-node/chivelb_node/links/sockets.py
@@ -8,6 +8,7 @@
 
 # Value of SO_LINGER: on, with a time of 0 s.
 _NO_LINGER_OPTION = struct.pack("ii", 1, 0)
+MS_PER_S = 1_000
 _CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -40,6 +41,26 @@
         sock.setsockopt(level, option, value)
 
 
+def set_user_timeout(transport: asyncio.Transport, timeout_s: float) -> None:
+    """Has the kernel close a connection whose peer takes no more bytes.
+
+    Args:
+        transport: Transport of the connection; other ones than those of TCP
+            stay as they are.
+        timeout_s: Time without an acknowledgement of sent bytes, or without
+            room at the peer for more, in seconds.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(timeout_s * MS_PER_S),
+        )
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Closes a connection with a reset.
 
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -14,6 +14,9 @@
 import expression
 import msgspec
 
+# Two bodies of 4 MiB, each held twice.
+MIN_BUFFER_BYTES = 16_777_216
+
 
 class Instance(msgspec.Struct, kw_only=True):
     """Identity of this instance.
@@ -47,6 +50,14 @@
             before are answered with an unknown outcome.
         body_timeout_s: Maximum time to receive a request body, in seconds.
         max_headers: Maximum number of header lines in a request.
+        max_connections: Maximum number of connections of callers, targets and
+            operators; 0 for half of the descriptors that the process may open.
+        buffer_bytes: Bytes of heads, bodies and responses that the process
+            buffers for others before it refuses new requests.
+        stalled_body_s: Time in which a body must make progress while others
+            need its share of ``buffer_bytes``, in seconds.
+        unread_response_s: Time after which a connection closes whose client
+            reads nothing of a response, in seconds.
     """
 
     listen: str = "127.0.0.1:8080"
@@ -54,6 +65,10 @@
     stop_grace_s: float = 30.0
     body_timeout_s: float = 10.0
     max_headers: int = 64
+    max_connections: int = 0
+    buffer_bytes: int = 67_108_864
+    stalled_body_s: float = 1.0
+    unread_response_s: float = 60.0
 
 
 class Peers(msgspec.Struct, kw_only=True):
@@ -401,6 +416,7 @@
                 )
     if not settings.forwarding.weights_apply_s > 0:
         errors.append("[forwarding] weights_apply_s: must be above 0")
+    errors += _find_wrong_limits(settings.http)
     control = settings.control
     if control.heartbeat_s * 3 > control.election_timeout_s:
         errors.append(
@@ -410,6 +426,20 @@
     return errors
 
 
+def _find_wrong_limits(http: Http) -> list[str]:
+    errors = []
+    if http.max_connections < 0:
+        errors.append("[http] max_connections: must be 0 or above")
+    if http.buffer_bytes < MIN_BUFFER_BYTES:
+        errors.append(
+            f"[http] buffer_bytes: must be at least {MIN_BUFFER_BYTES}"
+        )
+    for key in ("stalled_body_s", "unread_response_s"):
+        if not getattr(http, key) > 0:
+            errors.append(f"[http] {key}: must be above 0")
+    return errors
+
+
 def render_example() -> str:
     """Returns an example settings file with the default of every key."""
     lines = []
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -175,6 +175,27 @@
             "Attempts through another instance",
             ("direction", "result"),
         )
+        self.open_connections = prometheus_client.Gauge(
+            "chivelb_open_connections",
+            "Connections of clients",
+            ("port",),
+            registry=self.registry,
+        )
+        self.refused_clients = self._counter(
+            "refused_clients",
+            "Connections and requests refused because of a limit",
+            ("port", "reason"),
+        )
+        self.buffered_bytes = prometheus_client.Gauge(
+            "chivelb_buffered_bytes",
+            "Bytes that are buffered for clients and peers",
+            registry=self.registry,
+        )
+        self.buffer_limit = prometheus_client.Gauge(
+            "chivelb_buffer_limit_bytes",
+            "Buffered bytes from which on new requests are refused",
+            registry=self.registry,
+        )
         self.in_progress = prometheus_client.Gauge(
             "chivelb_requests_in_progress",
             "Requests in progress",
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics_server.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics_server.py
@@ -5,10 +5,12 @@
 from aiohttp import web
 import mode
 
-from chivelb_node import settings as settings_lib
+from chivelb_node.edge import connections
+from chivelb_node.edge import port_limits
 from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import metrics as metrics_lib
 
+PORT_NAME = "metrics"
 CONTENT_TYPE = "text/plain; version=0.0.4"
 _log = logs.get_logger("exposition")
 
@@ -19,12 +21,28 @@
     Attributes:
         metrics: Metrics to serve.
         listen: ``host:port``.
+        limits: Limits of its connections.
         port: Port that it listens on; 0 before the start.
     """
 
-    def __init__(self, metrics: metrics_lib.Metrics, *, listen: str) -> None:
-        """Creates the service."""
+    def __init__(
+        self,
+        metrics: metrics_lib.Metrics,
+        *,
+        listen: str,
+        limits: port_limits.PortLimits | None = None,
+    ) -> None:
+        """Creates the service.
+
+        Args:
+            metrics: Metrics to serve.
+            listen: ``host:port``.
+            limits: Limits of its connections; None for the default ones.
+        """
         super().__init__()
+        self.limits = limits or port_limits.make_detached_limits(
+            metrics, PORT_NAME
+        )
         self.metrics = metrics
         self.listen = listen
         self.port = 0
@@ -32,11 +50,13 @@
 
     async def on_start(self) -> None:
         """Starts listening; a failure to bind is logged, not raised."""
-        host, port = settings_lib.split_address(self.listen)
-        loop = asyncio.get_running_loop()
-        server = web.Server(self.render, access_log=None)
+        factory = connections.limit_server(
+            web.Server(self.render, access_log=None),
+            self.limits,
+            keepalive_timeout=port_limits.MONITOR_IDLE_S,
+        )
         try:
-            self._server = await loop.create_server(server, host, port)
+            self._server = await port_limits.listen(factory, self.listen)
         except OSError as error:
             _log.error(
                 "cannot serve metrics", listen=self.listen, error=str(error)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -84,6 +84,12 @@
             json.dumps({**PLATFORM_SETTINGS, "InternalPorts": [1]}).encode(),
             "InternalPorts",
         ),
+        (
+            json.dumps(
+                {**PLATFORM_SETTINGS, "Limits": {"MemoryMb": -1}}
+            ).encode(),
+            "MemoryMb",
+        ),
         (b"{", "truncated"),
         (b"\xff\xfe\x00", "malformed"),
         (b"", "truncated"),
@@ -96,6 +102,28 @@
     assert "boot.json" in result.error
 
 
+@pytest.mark.parametrize(
+    ("limits", "buffer_bytes", "max_connections"),
+    [
+        # Four bodies of 4 MiB, each held twice, even on a small machine.
+        ({"MemoryMb": 128, "MaxFds": 4100}, 32_000_000, 1_953),
+        ({"MemoryMb": 152, "MaxFds": 1535}, 38_000_000, 767),
+        ({"MemoryMb": 20}, 16_777_216, 305),
+        ({"MaxFds": 100}, 67_108_864, 50),
+        ({"MemoryMb": None, "Other": 1}, 67_108_864, 0),
+        (None, 67_108_864, 0),
+    ],
+)
+def test_limits_for_clients_follow_from_those_of_the_machine(
+    tmp_path, limits, buffer_bytes, max_connections
+):
+    content = {**PLATFORM_SETTINGS, "Limits": limits}
+    result = read_settings_file(tmp_path, json.dumps(content).encode())
+    http = boot.make_settings(result.ok).http
+    assert http.buffer_bytes == buffer_bytes
+    assert http.max_connections == max_connections
+
+
 def test_a_missing_settings_file_is_an_error(tmp_path):
     assert boot.read_platform_settings(str(tmp_path / "none")).is_error()
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -241,8 +241,16 @@
             "lm", "a", context_lib.monotonic()
         ),
         lambda peer: setattr(peer.relays, "in_progress", 10**6),
+        lambda peer: peer.context.buffers.add(10**9),
+    ],
+    ids=[
+        "stopping",
+        "unknown target",
+        "unknown route",
+        "cut off",
+        "full",
+        "buffers full",
     ],
-    ids=["stopping", "unknown target", "unknown route", "cut off", "full"],
 )
 def test_a_peer_that_refuses_is_followed_by_another_one(prepare):
     async def run():
@@ -257,6 +265,20 @@
     assert asyncio.run(run()) == (b"ok", [])
 
 
+# Guards against bodies from peers that are part of no budget.
+def test_a_relayed_body_is_part_of_the_budget_until_its_attempt_ends():
+    async def run():
+        peer = Instance("peer", fake_ports.FakeReply(b"ok", 0.2, b"end"))
+        buffers = peer.context.buffers
+        async with instances(peer) as cut:
+            reply = await cut.send(body=b"b" * 1_000_000)
+            assert buffers.used_bytes >= 1_000_000
+            assert await body_of(reply) == b"okend"
+            await until(lambda: buffers.used_bytes == 0)
+
+    asyncio.run(run())
+
+
 def test_without_a_willing_peer_the_request_provably_did_not_run():
     outcome = outcome_of(
         prepare=lambda peer: setattr(peer.context, "draining", True)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -39,6 +39,16 @@
         BASE + "[forwarding]\nweights_apply_s = 0\n",
         ["[forwarding] weights_apply_s", "above 0"],
     ),
+    (
+        BASE + "[http]\nbuffer_bytes = 1000\n",
+        ["[http] buffer_bytes", "at least 16777216"],
+    ),
+    (
+        BASE + "[http]\nmax_connections = -1\n",
+        ["[http] max_connections", "0 or above"],
+    ),
+    (BASE + "[http]\nstalled_body_s = 0\n", ["[http] stalled_body_s"]),
+    (BASE + "[http]\nunread_response_s = 0\n", ["[http] unread_response_s"]),
     ("[http]\n", ["[instance]: section is missing"]),
     ("no section\n", ["x.ini"]),
     (BASE + BASE, ["x.ini"]),
