--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -8,6 +8,7 @@
 import time
 
 from chivelb_core import admission
+from chivelb_core import byte_budget
 from chivelb_core import calls
 from chivelb_core import document as document_lib
 from chivelb_core import kv_cache
@@ -98,6 +99,7 @@
         queues: Fair queues by service name.
         policies: Routing policies by name.
         metrics: Prometheus metrics.
+        buffers: Budget for what is buffered for clients and peers.
         draining: Whether a shutdown was requested.
         stop: When requests may begin and must end during a shutdown.
         startup_ends_at: Monotonic time from which the first document and the
@@ -149,6 +151,13 @@
         self.metrics.cold_targets.set_function(
             lambda: self.targets.count_cold(monotonic())
         )
+        self.buffers = byte_budget.ByteBudget(
+            settings.http.buffer_bytes, stalled_s=settings.http.stalled_body_s
+        )
+        self.metrics.buffered_bytes.set_function(
+            lambda: self.buffers.used_bytes
+        )
+        self.metrics.buffer_limit.set(settings.http.buffer_bytes)
         self.draining = False
         self.stop = stopping.Stop(lambda: monotonic())
         self.startup_ends_at = monotonic()
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -727,7 +727,7 @@
 
     async def run():
         await api.on_start()
-        host, port = api._runner.addresses[0]
+        host, port = api._server.sockets[0].getsockname()
         replies = []
         try:
             async with aiohttp.ClientSession() as session:
