Refuse calls at once that no cold target will take

Cause: a call that may only go to targets of another software version waited until its deadline while a cold target of the service had a turn open, or would soon: the time of the next turn did not consider what the call may use, and counted turns that are open already.

Tested: tests/test_cold_reports.py, both cases failed before the change.

--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -1,7 +1,6 @@
 """Table of the known targets and the leases of their announcements."""
 
 from collections.abc import Callable
-from collections.abc import Container
 from collections.abc import Iterator
 import dataclasses
 import math
@@ -303,31 +302,35 @@
         return min(entry.cold_until, self.next_cold_send_at(entry.record, now))
 
     def cold_opens_at(
-        self, service: str, now: float, *, without: Container[str] = ()
+        self,
+        service: str,
+        now: float,
+        *,
+        is_usable: Callable[[record_lib.TargetRecord], bool] = lambda record: (
+            True
+        ),
     ) -> float:
         """Returns when the first cold target of a service may get a request.
 
         Args:
             service: The service.
             now: Monotonic time in seconds.
-            without: Identities of targets that do not count.
+            is_usable: Returns whether a target counts.
 
         Returns:
-            Monotonic time in seconds, which may be past; infinite without a
-            target that is cold and otherwise usable.
+            Monotonic time in seconds; infinite if no target gets none only
+            because it is cold.
         """
-        return min(
-            (
-                self.opens_at(entry, now)
-                for identity, entry in self.entries.items()
-                if entry.record.service == service
-                and entry.cold_until > now
-                and identity not in without
-                and entry.resting_until <= now
-                and self._may_serve(entry, now)
-            ),
-            default=math.inf,
+        opening = (
+            self.opens_at(entry, now)
+            for entry in self.entries.values()
+            if entry.record.service == service
+            and entry.cold_until > now
+            and entry.resting_until <= now
+            and self._may_serve(entry, now)
+            and is_usable(entry.record)
         )
+        return min((at for at in opening if at > now), default=math.inf)
 
     def cold_entries(self, service: str, now: float) -> list[TargetEntry]:
         """Returns the targets of a service that are cold and otherwise usable.
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -191,7 +191,14 @@
         table = self.context.targets
         rest_s = min(
             table.rest_ends_at(call.service, now),
-            table.cold_opens_at(call.service, now, without=call.tried),
+            table.cold_opens_at(
+                call.service,
+                now,
+                is_usable=lambda record: (
+                    record.identity not in call.tried
+                    and call.may_go_to(record.software_version)
+                ),
+            ),
         )
         rest_s -= now
         if rest_s <= MAX_REST_SHARE * (call.deadline - now):
--- a/tests/test_cold_reports.py
+++ b/tests/test_cold_reports.py
@@ -8,6 +8,7 @@
 from chivelb_core import targets
 from chivelb_core.kv_cache import parts as parts_lib
 from chivelb_node import context as context_lib
+from chivelb_node.edge import responses
 from chivelb_node.forwarding import ports
 from chivelb_node.forwarding import relay_server
 from chivelb_node.links import target_replication
@@ -333,6 +334,29 @@
     assert caller.error_detail.retry_after_s >= 0.9 - took_s
 
 
+# Guards against calls that wait for a target that takes requests, but not
+# theirs.
+@pytest.mark.parametrize("is_open", [False, True])
+def test_a_call_does_not_wait_for_a_cold_target_of_another_version(is_open):
+    context = test_cold_targets.make_cold_context(
+        t={"service": "lm", "weight_version": "1", "software_version": "v1"}
+    )
+    harness = fake_ports.ForwardingHarness(context)
+
+    async def run():
+        now = context_lib.monotonic()
+        context.targets.set_cold("t", 1, 30.0, now)
+        if not is_open:
+            context.record_sent("t", now - 0.9)
+        call = builders.make_call(arrived_at=now, deadline=now + 4.0)
+        call.software_version = "v2"
+        async with asyncio.timeout(1.0):
+            await harness.admission_queue.reserve(call)
+
+    with pytest.raises(responses.RequestError):
+        asyncio.run(run())
+
+
 # Guards against calls that wait in a line of which only some are served.
 def test_calls_behind_others_are_refused_at_once():
     context = test_cold_targets.make_cold_context(
