--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -203,7 +203,13 @@
             call.service, now, is_allowed=is_allowed
         )
         cold_opens_at = table.cold_opens_at(
-            call.service, now, without=call.tried, is_allowed=is_allowed
+            call.service,
+            now,
+            is_usable=lambda record: (
+                record.identity not in call.tried
+                and call.may_go_to(record.software_version)
+                and is_allowed(record.zone)
+            ),
         )
         rest_s = min(rest_ends_at, cold_opens_at) - now
         if rest_s <= MAX_REST_SHARE * (call.deadline - now):
