Evacuation over the platform's calls, between two processes

Cause: the two calls were tested with a stand-in for the voters only.

Change: test_programs runs an entry and a control instance with `Zones` and a target: order, refusals, a new document, the end of the order, and a document with an unknown region. Without zones in the settings a change is no longer applied to a copy of the document to look for names of regions.

--- a/packages/chivelb-node/chivelb_node/edge/operators.py
+++ b/packages/chivelb-node/chivelb_node/edge/operators.py
@@ -252,6 +252,8 @@
         self, change: document.Change
     ) -> list[validation.Problem]:
         """Returns problems of the parts that a change puts."""
+        if not self.context.zone_regions:
+            return []
         changed, problems = changes_lib.apply_operations(
             self.context.document, change.operations, check=False
         )
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -9,6 +9,7 @@
 import sys
 
 import aiohttp
+from aiohttp import web
 from chivelb_cli import fleet
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -38,6 +39,7 @@
         self.front, self.ready, self.control, self.metrics, self.peer = ports
         self.seed = f"{CONTROL_IP}:{self.control}"
         self.bounds = {"GraceS": 2}
+        self.zones = {}
 
     def settings(self, ip, listen, **fields):
         content = {
@@ -50,6 +52,7 @@
             "Seeds": [self.seed],
             "Bootstrap": True,
             "Bounds": self.bounds,
+            "Zones": self.zones,
             **fields,
         }
         path = self.directory / f"{ip}.json"
@@ -174,6 +177,96 @@
     asyncio.run(scenario())
 
 
+@contextlib.asynccontextmanager
+async def running_target(session, pair, zone):
+    """Runs a target that has announced itself; yields its requests."""
+    requests = []
+
+    async def respond(request):
+        requests.append(request.path)
+        request_id = request.headers.get("X-Request-Id", "")
+        return web.Response(headers={"X-Request-Id": request_id})
+
+    app = web.Application()
+    app.router.add_get("/{path:.*}", respond)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    port = fleet.free_port()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    heartbeat = {
+        "Service": "s",
+        "Address": f"127.0.0.1:{port}",
+        "Zone": zone,
+        "Slots": 4,
+        "State": "ready",
+        "Sequence": 1,
+        "born": 1,
+    }
+    try:
+        url = f"http://{pair.seed}/instances/t-1/heartbeat"
+        await request_until(session, "POST", url, 200, json=heartbeat)
+        yield requests
+    finally:
+        await runner.cleanup()
+
+
+# Guards against orders of the platform's operator that do not reach the entry
+# instance, or that a new document ends.
+def test_a_zone_is_evacuated_by_the_platforms_calls(tmp_path):
+    async def scenario():
+        pair = InstancePair(tmp_path)
+        pair.zones = {"z1": "r1", "z2": "r1"}
+        front = f"http://{ENTRY_IP}:{pair.front}/a/x"
+        options = {"headers": {"Host": "h.example", "X-Request-Id": "r-1"}}
+        replace = f"http://{pair.seed}/configuration/replace"
+        orders = f"http://{pair.seed}/evacuations"
+        timeout = aiohttp.ClientTimeout(total=5)
+        async with (
+            pair.running() as processes,
+            aiohttp.ClientSession(timeout=timeout) as session,
+        ):
+            await request_until(session, "POST", replace, 200, json=DOCUMENT)
+            async with running_target(session, pair, "z2") as requests:
+                await request_until(session, "GET", front, 200, **options)
+                order = f"{orders}/z2/start"
+                await request_until(session, "POST", order, 200)
+                response, _ = await request_until(
+                    session, "GET", front, 503, **options
+                )
+                assert response.headers["X-Result-Code"] == "2003"
+                count = len(requests)
+                newer = {**DOCUMENT, "Version": 2}
+                await request_until(session, "POST", replace, 200, json=newer)
+                order = f"{orders}/z9/start"
+                _, text = await request_until(session, "POST", order, 400)
+                assert "z1, z2" in text
+                for _ in range(20):
+                    await request_until(session, "GET", front, 503, **options)
+                assert len(requests) == count
+                url = f"http://{ENTRY_IP}:{pair.metrics}/metrics"
+                _, text = await request_until(session, "GET", url, 200)
+                assert 'chivelb_evacuated_zone{zone="z2"} 1.0' in text
+                order = f"{orders}/z2/stop"
+                await request_until(session, "POST", order, 200)
+                await request_until(session, "GET", front, 200, **options)
+            route = {**DOCUMENT["Routes"][0], "AllowedRegions": ["r9"]}
+            newer = {**DOCUMENT, "Version": 3, "Routes": [route]}
+            _, text = await request_until(
+                session, "POST", replace, 400, json=newer
+            )
+            assert "'r9'" in text and "r1" in text
+            # A process writes its last lines before it ends.
+            for process in processes:
+                process.send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(process.wait(), 15) == 0
+        expected = {"zone evacuated", "evacuation of zone ended"}
+        assert expected <= set(pair.events(ENTRY_IP))
+        expected = {"evacuation order submitted", "evacuation order refused"}
+        assert expected <= set(pair.events(CONTROL_IP))
+
+    asyncio.run(scenario())
+
+
 def test_invalid_settings_exit_with_an_error_that_names_the_field(tmp_path):
     async def scenario():
         pair = InstancePair(tmp_path)
