Order waiting calls by fair shares and refuse at once what can't be served

Cause: waiting calls started by priority and arrival alone. One workspace could take all capacity of its priority, lower priorities could wait without bound, a large call held up small ones of its priority, an urgent call joined the queue whenever any call waited, and calls that could not be served were refused late. Each pass sorted all waiting calls.

Change: lanes by priority and retry; within a lane, on-time before late, start-time fair queueing of workspaces over tokens of KV cache, then arrival; heaps and a Fenwick tree, so that a start and a pass cost the same in a long queue. A new call whose wait exceeds its objective goes behind those that can be in time; one whose wait exceeds its deadline is refused when it comes, with the expected wait. Expected waits follow from the rate of starts, the arrivals of higher priorities and the share of the workspace. A priority of which calls wait starts one at least each 1, 2 or 4 s. Small calls overtake a large one of their priority at targets other than the one that is left to it. A call that precedes all waiting ones is placed at once. Metrics and a log line for each refusal. [decisions] fair_order = false gives the order before.

--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -5,6 +5,7 @@
 from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Iterator
+import contextlib
 import dataclasses
 import math
 
@@ -12,6 +13,7 @@
 from chivelb_core import forwarding
 from chivelb_core import targets
 from chivelb_core.forwarding import choice as choice_lib
+from chivelb_core.forwarding import lanes
 from chivelb_core.forwarding import waiting
 import mode
 
@@ -68,6 +70,8 @@
             target any more, at a monotonic time in seconds.
         owners: Owners of targets, which are asked for their load if there are
             many instances; None to go by what peers report.
+        first_event_s: Returns the expected time from the start of a call to
+            its first event, in seconds.
         waiting_lists: Waiting calls by service.
     """
 
@@ -78,9 +82,13 @@
         *,
         is_refused: Callable[[forwarding.Call, float], bool],
         owners: ports.LoadPort | None = None,
+        first_event_s: Callable[[forwarding.Call], float] = lambda call: (
+            waiting.FIRST_BYTE_LATENCY_S
+        ),
     ) -> None:
         """Creates an empty admission queue."""
         super().__init__()
+        self.first_event_s = first_event_s
         self.owners = owners
         self._owners_asked_at = float("-inf")
         self.context = context
@@ -103,15 +111,15 @@
                 be reserved in time. The attempt was not sent to a target.
         """
         now = context_lib.monotonic()
-        waiting_list = self.waiting_lists.setdefault(
-            call.service, waiting.WaitingList()
-        )
-        if not waiting_list.calls:
+        waiting_list = self._waiting_list(call.service)
+        if self._may_go_first(call, waiting_list):
             reservation = await self._reserve_at_once(call, now)
+            now = context_lib.monotonic()
             if reservation is not None:
-                waiting_list.record_start(now)
+                waiting_list.record_start(
+                    now, call, weight=self._weight(call.workspace)
+                )
                 return reservation
-            now = context_lib.monotonic()
         # The waiting time of a retry starts now, not at the arrival.
         since = now if call.attempts else call.arrived_at
         deadline = call.next_byte_deadline(since)
@@ -119,11 +127,16 @@
             deadline = min(deadline, self._wait_for_targets(call, now))
         future = asyncio.get_running_loop().create_future()
         waiting_call = waiting_list.join(
-            call, wait_started_at=since, item=future
+            call,
+            wait_started_at=since,
+            item=future,
+            now=now,
+            weight=self._weight(call.workspace),
+            first_event_s=self.first_event_s(call),
         )
         self._has_waiting_calls.set()
         self.dispatch(call.service)
-        self._shed_calls(call.service, waiting_list, now)
+        self._shed_calls(call.service, waiting_list, now, joined=waiting_call)
         try:
             async with asyncio.timeout(max(0.0, deadline - now)):
                 return await future
@@ -131,14 +144,38 @@
             self._release_if_granted(future, call.service)
             now = context_lib.monotonic()
             if self.placement_policy.eligible(call, now):
-                raise responses.RequestError(codes.QUEUE_DEADLINE) from None
-            raise responses.RequestError(codes.NO_TARGET) from None
+                code, reason = codes.QUEUE_DEADLINE, "deadline"
+            else:
+                code, reason = codes.NO_TARGET, "no target"
+            self._record_refusal(call, now, reason)
+            raise responses.RequestError(code) from None
         except asyncio.CancelledError:
             self._release_if_granted(future, call.service)
             raise
         finally:
             waiting_list.leave(waiting_call)
 
+    def _waiting_list(self, service: str) -> waiting.WaitingList:
+        """Returns the waiting calls of a service, creating the list if new."""
+        waiting_list = self.waiting_lists.get(service)
+        if waiting_list is None:
+            is_fair = self.context.settings.decisions.fair_order
+            waiting_list = waiting.WaitingList(is_fair=is_fair)
+            self.waiting_lists[service] = waiting_list
+        return waiting_list
+
+    def _may_go_first(
+        self, call: forwarding.Call, waiting_list: waiting.WaitingList
+    ) -> bool:
+        """Returns whether a new call need not join the waiting ones."""
+        if waiting_list.is_fair:
+            return waiting_list.has_precedence(call)
+        return not waiting_list.calls
+
+    def _weight(self, workspace: str | None) -> float:
+        known = self.context.document.workspaces.get(workspace)
+        return 1.0 if known is None else known.weight
+
     def _asks_owners(self) -> bool:
         return self.owners is not None and self.owners.is_active
 
@@ -151,18 +188,21 @@
         others nothing is known but the requests of this instance.
         """
         if not self._asks_owners():
-            return self._try_reserve(call, now)
+            among = self._unreserved_targets(call, None, now)
+            return self._try_reserve(call, now, among=among)
         for _ in range(MAX_QUERY_ROUNDS):
             names = self.placement_policy.shortlist(call, now)
             has_news = await self.owners.refresh(names)
             now = context_lib.monotonic()
-            reservation = self._try_reserve(call, now, among=names)
+            among = self._unreserved_targets(call, set(names), now)
+            reservation = self._try_reserve(call, now, among=among)
             if reservation is not None:
                 return reservation
             if not has_news:
                 break
         known = self._known_targets(call.service, now)
-        return self._try_reserve(call, now, among=known)
+        among = self._unreserved_targets(call, known, now)
+        return self._try_reserve(call, now, among=among)
 
     async def _ask_for_waiting_calls(self) -> None:
         """Asks for the load of targets that may have capacity by now."""
@@ -172,8 +212,10 @@
         self._owners_asked_at = now
         names = set()
         for waiting_list in self.waiting_lists.values():
-            for call in _first_of_each_version(waiting_list.in_order(now)):
+            heads = waiting_list.heads(now)
+            for call in list(_first_of_each_version(heads)):
                 names.update(self.placement_policy.shortlist(call, now))
+            names.update(waiting_list.reservations)
         await self.owners.refresh(names)
 
     def _wait_for_targets(self, call: forwarding.Call, now: float) -> float:
@@ -190,6 +232,7 @@
         if rest_s <= MAX_REST_SHARE * (call.deadline - now):
             return call.deadline
         backlog_s = 0.0 if math.isinf(rest_s) else rest_s
+        self._record_refusal(call, now, "no target", wait_s=backlog_s)
         raise responses.RequestError(codes.NO_TARGET, backlog_s=backlog_s)
 
     def _release_if_granted(self, future: asyncio.Future, service: str) -> None:
@@ -199,25 +242,54 @@
             self.release(future.result(), service)
 
     def _shed_calls(
-        self, service: str, waiting_list: waiting.WaitingList, now: float
+        self,
+        service: str,
+        waiting_list: waiting.WaitingList,
+        now: float,
+        *,
+        joined: lanes.WaitingCall | None = None,
     ) -> None:
         """Rejects calls whose callers would leave before their turn.
 
         The expected wait of a call is the backlog ahead of it, in seconds; it
         is added to the retry delay that the caller is told.
+
+        Args:
+            service: The service.
+            waiting_list: Its waiting calls.
+            now: Monotonic time in seconds.
+            joined: The only call to check; None for a regular pass.
         """
         if not self.context.settings.decisions.shedding:
             return
         first_wait_s, interval_s = self.placement_policy.limited_wait(
             service, now
         )
-        timeouts = waiting_list.expected_timeouts(
-            now, first_wait_s=first_wait_s, min_interval_s=interval_s
-        )
+        waits = {"first_wait_s": first_wait_s, "min_interval_s": interval_s}
+        if not waiting_list.is_fair:
+            timeouts = waiting_list.expected_timeouts(now, **waits)
+        elif joined is None:
+            timeouts = waiting_list.review(now, **waits)
+        elif joined.queue is None:
+            return
+        else:
+            wait_s = waiting_list.admit(joined, now, **waits)
+            if not waiting.would_time_out(joined, wait_s=wait_s, now=now):
+                return
+            timeouts = [(joined, wait_s)]
         for waiting_call, wait_s in list(timeouts):
-            waiting_list.leave(waiting_call)
             if waiting_call.item.done():
+                waiting_list.leave(waiting_call)
                 continue
+            position = waiting_list.position(waiting_call)
+            waiting_list.leave(waiting_call)
+            self._record_refusal(
+                waiting_call.call,
+                now,
+                "expected wait",
+                position=position,
+                wait_s=wait_s,
+            )
             error = responses.RequestError(
                 codes.OVERLOADED,
                 f"{len(waiting_list.calls)} calls queued, "
@@ -226,6 +298,47 @@
             )
             waiting_call.item.set_exception(error)
 
+    def _record_refusal(
+        self,
+        call: forwarding.Call,
+        now: float,
+        reason: str,
+        *,
+        position: int | None = None,
+        wait_s: float | None = None,
+    ) -> None:
+        """Logs and counts the refusal of a call that was not sent.
+
+        ``position`` is about the number of calls that would have started
+        first, ``waits_for`` what most targets lack; see ``shortage``.
+        """
+        self.context.metrics.refusals.labels(call.route_name, reason).inc()
+        waiting_list = self.waiting_lists.get(call.service)
+        _log.info(
+            "waiting call refused",
+            request_id=call.request_id,
+            route=call.route_name,
+            workspace=call.workspace,
+            priority=call.priority,
+            reason=reason,
+            position=position,
+            queued=0 if waiting_list is None else len(waiting_list.calls),
+            expected_wait_ms=None if wait_s is None else round(wait_s * 1000),
+            waited_ms=round((now - call.arrived_at) * 1000),
+            left_ms=round((call.deadline - now) * 1000),
+            waits_for=self.placement_policy.shortage(call, now),
+        )
+
+    def _update_gauges(self, now: float) -> None:
+        """Sets the metrics of waiting calls."""
+        metrics = self.context.metrics
+        for waiting_list in self.waiting_lists.values():
+            for route_name, calls in waiting_list.calls_by_route.items():
+                oldest = next(iter(calls.values()), None)
+                age_s = 0.0 if oldest is None else now - oldest.wait_started_at
+                metrics.waiting_calls.labels(route_name).set(len(calls))
+                metrics.waiting_age.labels(route_name).set(age_s)
+
     def _reject_refused_calls(
         self, waiting_list: waiting.WaitingList, now: float
     ) -> None:
@@ -235,6 +348,7 @@
                 continue
             if self.is_refused(waiting_call.call, now):
                 waiting_list.leave(waiting_call)
+                self._record_refusal(waiting_call.call, now, "suspect")
                 waiting_call.item.set_exception(
                     responses.RequestError(codes.SUSPECT)
                 )
@@ -246,26 +360,156 @@
             return
         now = context_lib.monotonic()
         known = self._known_targets(service, now)
-        for waiting_call in list(waiting_list.in_order(now)):
-            if waiting_call.item.done():
-                waiting_list.leave(waiting_call)
-                continue
-            reservation = self._try_reserve(
-                waiting_call.call,
-                now,
-                waiting_calls=len(waiting_list.calls),
-                among=known,
-            )
-            if (
-                reservation is None
-                and waiting_call.call.software_version is not None
-            ):
+        overdue = waiting_list.overdue(now)
+        if overdue is not None:
+            self._start(overdue, waiting_list, known, now)
+        while self._start_next(waiting_list, known, now):
+            pass
+
+    def _start_next(
+        self,
+        waiting_list: waiting.WaitingList,
+        known: set[str] | None,
+        now: float,
+    ) -> bool:
+        """Starts the next call; returns whether one has left the queue."""
+        with contextlib.closing(waiting_list.heads(now)) as heads:
+            for waiting_call in heads:
+                reservation = self._reserve_for(
+                    waiting_call, waiting_list, known, now
+                )
+                if (
+                    waiting_call.item.done()
+                    or reservation is not None
+                    or waiting_call.call.software_version is None
+                ):
+                    break
                 # Targets of other versions may have capacity for others.
-                continue
-            if reservation is None:
-                return
+            else:
+                return False
+        if waiting_call.item.done():
+            waiting_list.leave(waiting_call)
+            return True
+        if reservation is not None:
             waiting_list.start(waiting_call, now)
             waiting_call.item.set_result(reservation)
+            return True
+        return self._start_smaller(waiting_call, waiting_list, known, now)
+
+    def _start(
+        self,
+        waiting_call: lanes.WaitingCall,
+        waiting_list: waiting.WaitingList,
+        known: set[str] | None,
+        now: float,
+    ) -> bool:
+        """Starts one call, or reserves a target for it.
+
+        Returns:
+            Whether it has left the queue.
+        """
+        reservation = self._reserve_for(waiting_call, waiting_list, known, now)
+        if reservation is not None:
+            waiting_list.start(waiting_call, now)
+            waiting_call.item.set_result(reservation)
+        elif waiting_call.item.done():
+            waiting_list.leave(waiting_call)
+        else:
+            self._reserve_target(waiting_call, waiting_list, now)
+            return False
+        return True
+
+    def _start_smaller(
+        self,
+        blocked: lanes.WaitingCall,
+        waiting_list: waiting.WaitingList,
+        known: set[str] | None,
+        now: float,
+    ) -> bool:
+        """Starts a small call before one for which no target has room.
+
+        The target that is expected to have room first is left to that one, so
+        that the small call can't delay it.
+
+        Returns:
+            Whether a call has left the queue.
+        """
+        overtakers = waiting_list.overtakers(blocked)
+        if not overtakers:
+            return False
+        if not self._reserve_target(blocked, waiting_list, now):
+            return False
+        for waiting_call in overtakers:
+            if waiting_call.item.done():
+                waiting_list.leave(waiting_call)
+                return True
+            reservation = self._reserve_for(
+                waiting_call, waiting_list, known, now
+            )
+            if reservation is not None:
+                waiting_list.start(waiting_call, now)
+                waiting_call.item.set_result(reservation)
+                return True
+        return False
+
+    def _reserve_for(
+        self,
+        waiting_call: lanes.WaitingCall,
+        waiting_list: waiting.WaitingList,
+        known: set[str] | None,
+        now: float,
+    ) -> Reservation | None:
+        """Reserves capacity at a target that is left to no other call."""
+        if waiting_call.item.done():
+            return None
+        call = waiting_call.call
+        return self._try_reserve(
+            call,
+            now,
+            waiting_calls=len(waiting_list.calls),
+            among=self._unreserved_targets(call, known, now),
+        )
+
+    def _reserve_target(
+        self,
+        waiting_call: lanes.WaitingCall,
+        waiting_list: waiting.WaitingList,
+        now: float,
+    ) -> bool:
+        """Leaves a target to a call; returns whether there is one."""
+        call = waiting_call.call
+        if waiting_call.reserved_target:
+            records = self.placement_policy.eligible(call, now)
+            if any(r.identity == waiting_call.reserved_target for r in records):
+                return True
+        identity = self.placement_policy.roomiest_runner(
+            call, now, without=waiting_list.reservations
+        )
+        if identity is None:
+            return False
+        waiting_list.reserve_target(identity, waiting_call)
+        return True
+
+    def _unreserved_targets(
+        self, call: forwarding.Call, among: set[str] | None, now: float
+    ) -> set[str] | None:
+        """Returns the targets that are not left to other calls; None for all.
+
+        Args:
+            call: The call.
+            among: Targets to choose from; all if None.
+            now: Monotonic time in seconds.
+        """
+        waiting_list = self.waiting_lists[call.service]
+        reserved = waiting_list.reserved_for_others(call)
+        if not reserved:
+            return among
+        if among is None:
+            among = {
+                record.identity
+                for record in self.context.targets.eligible(call.service, now)
+            }
+        return among - reserved
 
     def _known_targets(self, service: str, now: float) -> set[str] | None:
         """Returns the targets at which waiting calls may start; None for all.
@@ -398,6 +642,7 @@
             self._reject_refused_calls(waiting_list, now)
             self.dispatch(service)
             self._shed_calls(service, waiting_list, now)
+        self._update_gauges(context_lib.monotonic())
 
     @mode.Service.task
     async def _dispatch_periodically(self) -> None:
@@ -412,7 +657,7 @@
 
 
 def _first_of_each_version(
-    waiting_calls: Iterable[waiting.WaitingCall],
+    waiting_calls: Iterable[lanes.WaitingCall],
 ) -> Iterator[forwarding.Call]:
     """Yields the first call that may go to targets of each software version.
 
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -15,6 +15,7 @@
 from chivelb_core import targets
 from chivelb_core.forwarding import choice as choice_lib
 from chivelb_core.forwarding import fetch_plan as fetch_plan_lib
+from chivelb_core.forwarding import shortage
 from chivelb_core.forwarding import subset
 from chivelb_core.kv_cache import parts as parts_lib
 
@@ -307,6 +308,45 @@
                 return self.context.rng.random()
         return cost
 
+    def shortage(self, call: forwarding.Call, now: float) -> str:
+        """Returns what most targets lack for a call; see ``shortage``."""
+        service = self.context.document.services.get(call.service)
+        return shortage.main_shortage(
+            call,
+            (self._snapshot_load(r, now) for r in self.eligible(call, now)),
+            None if service is None else service.engine,
+        )
+
+    def roomiest_runner(
+        self, call: forwarding.Call, now: float, *, without: Container[str]
+    ) -> str | None:
+        """Returns the runner that is expected to have room for a call first.
+
+        Args:
+            call: The call.
+            now: Monotonic time in seconds.
+            without: Identities of runners to leave out.
+
+        Returns:
+            Identity of the runner of which running requests occupy least; None
+            for plain services, and if none is left.
+        """
+        service = self.context.document.services.get(call.service)
+        if service is None or service.engine is None or call.prompt is None:
+            return None
+        load = self.context.load
+        return min(
+            (
+                record.identity
+                for record in self.eligible(call, now)
+                if record.identity not in without
+            ),
+            key=lambda identity: (
+                load.used_kv_tokens(identity, now) + load.pending(identity, now)
+            ),
+            default=None,
+        )
+
     def _snapshot_load(
         self, record: targets.TargetRecord, now: float
     ) -> choice_lib.TargetCandidate:
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -147,6 +147,10 @@
             a connection to it opens.
         shedding: Whether calls are rejected that are expected to time out
             before their turn.
+        fair_order: Whether workspaces get shares of the capacity while calls
+            wait, small calls may overtake large ones that have to wait, and no
+            priority starves; otherwise waiting calls start by priority and
+            arrival.
     """
 
     placement: typing.Literal["cost", "least_loaded", "random"] = "cost"
@@ -157,6 +161,7 @@
     startup_wait: bool = True
     reachability_checks: bool = True
     shedding: bool = True
+    fair_order: bool = True
 
 
 class DocumentFile(msgspec.Struct, kw_only=True):
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -121,6 +121,23 @@
             call_labels,
             LATENCY_BUCKETS_S,
         )
+        self.refusals = self._counter(
+            "waiting_refusals",
+            "Calls refused before they were sent to a target",
+            ("class_name", "reason"),
+        )
+        self.waiting_calls = prometheus_client.Gauge(
+            "chivelb_waiting_calls",
+            "Calls that wait for capacity at a target",
+            ("class_name",),
+            registry=self.registry,
+        )
+        self.waiting_age = prometheus_client.Gauge(
+            "chivelb_oldest_waiting_call_seconds",
+            "Time for which the oldest waiting call has waited",
+            ("class_name",),
+            registry=self.registry,
+        )
         self.recomputed = self._histogram(
             "recomputed_share",
             "Share of prompt tokens computed again",
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,11 +1,22 @@
 """Start order and expected time-outs of waiting calls.
 
 Load patterns covered: a burst that misses its latency objective, calls of
-high and low priority together, and a long queue that is always late.
+high and low priority together, and a long queue that is always late. Each test
+runs with and without fair shares of workspaces: these are one workspace's.
 """
 
+import contextlib
+import functools
+
 import builders
 from chivelb_core.forwarding import waiting
+import pytest
+
+
+@pytest.fixture(autouse=True, params=[True, False], ids=["fair", "arrival"])
+def _order(request, monkeypatch):
+    waiting_list = functools.partial(waiting.WaitingList, is_fair=request.param)
+    monkeypatch.setattr(waiting, "WaitingList", waiting_list)
 
 
 def make_waiting_list(*calls):
@@ -19,10 +30,10 @@
 
 
 def start_order(waiting_list, now):
-    return [
-        waiting_call.call.request_id
-        for waiting_call in waiting_list.in_order(now)
-    ]
+    order = list(waiting_list.in_order(now))
+    with contextlib.closing(waiting_list.heads(now)) as heads:
+        assert next(heads) is order[0]
+    return [waiting_call.call.request_id for waiting_call in order]
 
 
 def test_calls_start_in_arrival_order():
@@ -77,10 +88,11 @@
 
 
 def expected_timeouts(waiting_list, now):
-    return [
-        waiting_call.call.request_id
-        for waiting_call, _ in waiting_list.expected_timeouts(now)
-    ]
+    if waiting_list.is_fair:
+        timeouts = waiting_list.review(now, limit=1_000)
+    else:
+        timeouts = waiting_list.expected_timeouts(now)
+    return [waiting_call.call.request_id for waiting_call, _ in timeouts]
 
 
 def test_calls_that_cannot_start_in_time_are_expected_to_time_out():
