Leave room at runners to the urgent calls that are expected

Cause: a less urgent call was placed wherever fixed fractions of the KV cache and of pending prompt tokens allowed it. In a burst of large calls each runner had one of them to prefill, and calls of higher priority found no runner within their own limit of pending tokens: they waited at their instances, while other instances filled each runner that became free with the next large call.

Change: forwarding/headroom.py learns the rate, KV cache, prefill and objectives of the calls that an instance sends, by priority. A less urgent call leaves two standard deviations of the KV cache of more urgent ones, is not placed behind prompts with which it would make an urgent call late, and, if its own prefill is long and half of the prefill capacity is in use, is not sent to a few targets that all instances choose alike by rendezvous hashing. Today's limits hold as before; without more urgent calls nothing changes. [decisions] headroom = false turns it off. The rate of prefill and the occupancy are functions of PlacementPolicy with today's constants.

--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -89,6 +89,8 @@
         origin_recorded: Whether the origin of the stream was recorded.
         attempts: Number of times the request was sent to a target.
         tried: Identities of the targets that the request was sent to.
+        is_overdue: Whether no call of its priority has started for too long,
+            so that it leaves no room to more urgent ones.
     """
 
     request_id: str
@@ -109,6 +111,7 @@
     origin_recorded: bool = False
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
+    is_overdue: bool = False
 
     @property
     def shared_part_ids(self) -> list[str]:
--- a/packages/chivelb-core/chivelb_core/forwarding/lanes.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/lanes.py
@@ -51,7 +51,6 @@
         position: Its position in the index of the queue.
         reserved_target: Identity of the target that others leave to it; empty
             for none.
-        is_overdue: Whether its priority has started no call for too long.
     """
 
     call: call_lib.Call
@@ -65,7 +64,6 @@
     queue: "FlowQueue | None" = None
     position: int = 0
     reserved_target: str = ""
-    is_overdue: bool = False
 
     @property
     def latest_start_at(self) -> float:
--- a/packages/chivelb-core/chivelb_core/forwarding/waiting.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/waiting.py
@@ -30,7 +30,7 @@
 # objective: a small error of the estimate would make it so.
 ON_TIME_MARGIN = 1.25
 # Calls that are checked in one pass for whether they can be served in time.
-REVIEWS_PER_PASS = 32
+REVIEWS_PER_PASS = 16
 # Calls that are looked at when one that needs much room has to wait.
 MAX_OVERTAKERS = 4
 # A call overtakes one that costs this many times as much.
@@ -232,7 +232,7 @@
             for identity, waiting_call in self.reservations.items()
             if waiting_call.call is not call
             and (
-                waiting_call.is_overdue
+                waiting_call.call.is_overdue
                 or waiting_call.call.priority <= call.priority
             )
         }
@@ -298,7 +298,7 @@
             with contextlib.closing(heads):
                 first = next(heads, None)
             if first is not None:
-                first.is_overdue = True
+                first.call.is_overdue = True
                 return first
         return None
 
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -15,9 +15,11 @@
 from chivelb_core import targets
 from chivelb_core.forwarding import choice as choice_lib
 from chivelb_core.forwarding import fetch_plan as fetch_plan_lib
+from chivelb_core.forwarding import headroom as headroom_lib
 from chivelb_core.forwarding import shortage
 from chivelb_core.forwarding import subset
 from chivelb_core.kv_cache import parts as parts_lib
+from chivelb_core.routing import cost
 
 from chivelb_node import context as context_lib
 from chivelb_node.forwarding import source_links
@@ -28,6 +30,9 @@
 EXPECTED_PART_TTL_S = 2.0
 # Targets whose owners are asked for their load before a call is placed.
 SHORTLIST_SIZE = 3
+# Time for which the number of instances and targets is taken as unchanged.
+FLEET_MAX_AGE_S = 0.1
+_NO_FLEET = (float("-inf"), None, ())
 
 
 class PlacementPolicy:
@@ -40,6 +45,11 @@
         count_zone_instances: Returns the number of entry instances of this
             zone, including this one.
         count_instances: Returns the number of entry instances of the region.
+        headroom: What was observed of calls that were sent, by service.
+        prefill_tokens_per_s: Returns the prompt tokens that a runner of a
+            service prefills in a second.
+        occupancy_s: Returns the time for which a request occupies a runner of
+            a service, in seconds.
     """
 
     def __init__(
@@ -56,6 +66,16 @@
         self.count_zone_instances = count_zone_instances
         self.count_instances = count_instances
         self._preferred_by_service: dict[str, tuple[tuple, frozenset[str]]] = {}
+        self.headroom: dict[str, headroom_lib.Headroom] = {}
+        # Targets that are kept free, and what they follow from.
+        self._kept_by_service: dict[str, tuple[tuple, frozenset[str]]] = {}
+        self._fleets: dict[str, tuple] = {}
+        self.prefill_tokens_per_s: Callable[[str], float] = lambda service: (
+            choice_lib.PREFILL_TOKENS_PER_S
+        )
+        self.occupancy_s: Callable[[str], float] = lambda service: (
+            cost.RUNNER_SLOT_OCCUPANCY_S
+        )
         self.sources = source_links.SourceLinks(context, directory)
 
     def eligible(
@@ -423,12 +443,18 @@
         These are a random sample and the runners that hold the largest
         shared part of the prompt.
         """
+        reserve = self._reserve(call, now)
+        if reserve.kept_share:
+            kept = self._kept_targets(call.service, reserve.kept_share, now)
+            records = [r for r in records if r.identity not in kept]
 
         def candidate_with_capacity(record):
             candidate = self._snapshot_load(record, now)
-            if choice_lib.has_capacity(call, candidate, engine):
-                return candidate
-            return None
+            if not choice_lib.has_capacity(call, candidate, engine):
+                return None
+            if not headroom_lib.has_headroom(call, candidate, engine, reserve):
+                return None
+            return candidate
 
         return choice_lib.sample_runners(
             records,
@@ -438,6 +464,50 @@
             rng=self.context.rng,
         )
 
+    def _reserve(
+        self, call: forwarding.Call, now: float
+    ) -> headroom_lib.Reserve:
+        """Returns what a call leaves to more urgent ones at the runners."""
+        observed = self.headroom.get(call.service)
+        if observed is None or call.is_overdue:
+            return headroom_lib.NOTHING
+        if not self.context.settings.decisions.headroom:
+            return headroom_lib.NOTHING
+        fleet, _ = self._fleet(call.service, now)
+        return observed.reserve(call, fleet, now)
+
+    def _fleet(
+        self, service: str, now: float
+    ) -> tuple[headroom_lib.Fleet, tuple[str, ...]]:
+        """Returns the size of a service and the identities of its targets."""
+        at, fleet, identities = self._fleets.get(service, _NO_FLEET)
+        if now - at < FLEET_MAX_AGE_S:
+            return fleet, identities
+        eligible = self.context.targets.eligible(service, now)
+        found = tuple(sorted(record.identity for record in eligible))
+        if found != identities:
+            identities = found
+        fleet = headroom_lib.Fleet(
+            self.count_instances(),
+            len(identities),
+            prefill_tokens_per_s=self.prefill_tokens_per_s(service),
+            occupancy_s=self.occupancy_s(service),
+        )
+        self._fleets[service] = now, fleet, identities
+        return fleet, identities
+
+    def _kept_targets(
+        self, service: str, share: float, now: float
+    ) -> frozenset[str]:
+        """Returns the runners that long prompts of a service leave free."""
+        _, identities = self._fleet(service, now)
+        key = identities, int(share * len(identities))
+        cached = self._kept_by_service.get(service)
+        if cached is None or cached[0] != key:
+            kept = headroom_lib.kept_targets(service, identities, share)
+            cached = self._kept_by_service[service] = (key, kept)
+        return cached[1]
+
     def _preferred_runners(
         self, service: str, records: list[targets.TargetRecord]
     ) -> frozenset[str]:
@@ -512,6 +582,10 @@
         """
         if placement.fetch_plan is None:
             return []
+        observed = self.headroom.get(call.service)
+        if observed is None:
+            observed = self.headroom[call.service] = headroom_lib.Headroom()
+        observed.record_start(call, placement.tokens_to_prefill, now)
         for part in call.prompt.parts:
             self.directory.add_expected(
                 placement.record.address,
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -151,6 +151,8 @@
             wait, small calls may overtake large ones that have to wait, and no
             priority starves; otherwise waiting calls start by priority and
             arrival.
+        headroom: Whether less urgent calls leave room at runners to the more
+            urgent ones that are expected.
     """
 
     placement: typing.Literal["cost", "least_loaded", "random"] = "cost"
@@ -162,6 +164,7 @@
     reachability_checks: bool = True
     shedding: bool = True
     fair_order: bool = True
+    headroom: bool = True
 
 
 class DocumentFile(msgspec.Struct, kw_only=True):
