--- a/packages/chivelb-cli/chivelb_cli/bench/scaling_forwarding.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/scaling_forwarding.py
@@ -79,7 +79,7 @@
         waiting_list.record_start(0.9 + number / 200)
     start_time = time.perf_counter()
     for _ in range(50):
-        list(waiting_list.expected_timeouts(1.0))
+        list(waiting_list.review(1.0))
     return {"pass_us": (time.perf_counter() - start_time) / 50 * 1e6}
 
 
--- a/packages/chivelb-core/chivelb_core/forwarding/headroom.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/headroom.py
@@ -25,6 +25,9 @@
 # Age of what is known of a target's load when a request is placed there: others
 # may have placed prompts since.
 LOAD_AGE_S = 0.1
+# Prefill that may always be ahead of a call: a runner must not run out of it
+# before instances are told that a prompt was read.
+MIN_PENDING_S = 0.05
 # A prompt holds up urgent calls if its prefill takes this share of the time
 # that they can wait.
 LONG_PREFILL_SHARE = 0.25
@@ -104,7 +107,7 @@
     Attributes:
         kv_tokens: KV cache to leave free at a target, in tokens.
         max_pending_tokens: Maximum prompt tokens that await prefill at the
-            target before the call. A target without any is never too busy.
+            target before the call.
         kept_share: Share of the targets that the call is not sent to.
     """
 
@@ -174,7 +177,7 @@
             o.prefill_tokens for o in self.observed.values()
         )
         unseen_s = LOAD_AGE_S * total
-        pending_s = max(0.0, slack_s - prefill_s - unseen_s)
+        pending_s = max(MIN_PENDING_S, slack_s - prefill_s - unseen_s)
         kept_share = 0.0
         if (
             prefill_s >= LONG_PREFILL_SHARE * slack_s
@@ -221,10 +224,7 @@
     """Returns whether a runner has room beyond what a call must leave."""
     if not candidate.used_kv_tokens:
         return True
-    if (
-        candidate.pending_tokens
-        and candidate.pending_tokens > reserve.max_pending_tokens
-    ):
+    if candidate.pending_tokens > reserve.max_pending_tokens:
         return False
     reserved = min(reserve.kv_tokens, MAX_KV_SHARE * engine.kv_tokens)
     needed = candidate.used_kv_tokens + call.mean_kv_tokens + reserved
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -16,6 +16,7 @@
 from chivelb_core.forwarding import choice as choice_lib
 from chivelb_core.forwarding import fetch_plan as fetch_plan_lib
 from chivelb_core.forwarding import headroom as headroom_lib
+from chivelb_core.forwarding import lanes
 from chivelb_core.forwarding import shortage
 from chivelb_core.forwarding import subset
 from chivelb_core.kv_cache import parts as parts_lib
@@ -30,6 +31,8 @@
 EXPECTED_PART_TTL_S = 2.0
 # Targets whose owners are asked for their load before a call is placed.
 SHORTLIST_SIZE = 3
+# Targets that are looked at to tell what a refused call waited for.
+SHORTAGE_SAMPLE_SIZE = 12
 # Time for which the number of instances and targets is taken as unchanged.
 FLEET_MAX_AGE_S = 0.1
 _NO_FLEET = (float("-inf"), None, ())
@@ -50,6 +53,8 @@
             service prefills in a second.
         occupancy_s: Returns the time for which a request occupies a runner of
             a service, in seconds.
+        first_event_s: Returns the time from a send to the first event of a
+            call with nothing to prefill, in seconds.
     """
 
     def __init__(
@@ -76,6 +81,9 @@
         self.occupancy_s: Callable[[str], float] = lambda service: (
             cost.RUNNER_SLOT_OCCUPANCY_S
         )
+        self.first_event_s: Callable[[str], float] = lambda service: (
+            lanes.FIRST_BYTE_LATENCY_S
+        )
         self.sources = source_links.SourceLinks(context, directory)
 
     def eligible(
@@ -329,12 +337,19 @@
         return cost
 
     def shortage(self, call: forwarding.Call, now: float) -> str:
-        """Returns what most targets lack for a call; see ``shortage``."""
+        """Returns what most of some targets lack for a call."""
         service = self.context.document.services.get(call.service)
+        records = self.eligible(call, now)
+        if len(records) > SHORTAGE_SAMPLE_SIZE:
+            records = self.context.rng.sample(records, SHORTAGE_SAMPLE_SIZE)
+        reserve = self._reserve(call, now)
+        kept = self._kept_targets(call.service, reserve.kept_share, now)
         return shortage.main_shortage(
             call,
-            (self._snapshot_load(r, now) for r in self.eligible(call, now)),
+            (self._snapshot_load(record, now) for record in records),
             None if service is None else service.engine,
+            reserve=reserve,
+            kept=kept,
         )
 
     def roomiest_runner(
@@ -492,6 +507,7 @@
             len(identities),
             prefill_tokens_per_s=self.prefill_tokens_per_s(service),
             occupancy_s=self.occupancy_s(service),
+            first_event_s=self.first_event_s(service),
         )
         self._fleets[service] = now, fleet, identities
         return fleet, identities
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -11,6 +11,7 @@
 import builders
 from chivelb_core.forwarding import choice
 from chivelb_core.forwarding import headroom
+from chivelb_core.forwarding import shortage
 from chivelb_node import settings as settings_lib
 import overload_fleet
 import pytest
@@ -145,6 +146,31 @@
     assert headroom.kept_targets("lm", ["t1"], 1.0) == frozenset()
 
 
+# Load: runners that are full in different ways. Guards against an account of a
+# refusal that names another cause.
+@pytest.mark.parametrize(
+    ("candidate", "expected"),
+    [
+        (make_candidate(), shortage.TURN),
+        (make_candidate(used=80_000), shortage.HEADROOM),
+        (make_candidate(used=90_000), shortage.KV_CACHE),
+        (make_candidate(pending=12_000), shortage.PREFILL),
+        (choice.TargetCandidate(builders.make_record(), 16), shortage.SLOTS),
+        (choice.TargetCandidate(builders.make_record("kept")), "headroom"),
+    ],
+)
+def test_the_shortage_is_what_most_runners_lack(candidate, expected):
+    lacking = shortage.main_shortage(
+        LARGE_CALL,
+        [candidate],
+        ENGINE,
+        reserve=headroom.Reserve(kv_tokens=5_000.0),
+        kept={"kept"},
+    )
+    assert lacking == expected
+    assert shortage.main_shortage(LARGE_CALL, [], ENGINE) == shortage.NO_TARGET
+
+
 @pytest.fixture
 def run_fleet(monkeypatch):
     """Runs a fleet of which a quarter of the runners is missing."""
