--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -90,6 +90,8 @@
         attempts: Number of times the request was sent to a target.
         tried: Identities of the targets that the request was sent to.
         regions: Regions whose targets it may use; None for all.
+        is_overdue: Whether no call of its priority has started for too long,
+            so that it leaves no room to more urgent ones.
     """
 
     request_id: str
@@ -111,6 +113,7 @@
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     regions: frozenset[str] | None = None
+    is_overdue: bool = False
 
     @property
     def shared_part_ids(self) -> list[str]:
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -166,6 +166,12 @@
             a connection to it opens.
         shedding: Whether calls are rejected that are expected to time out
             before their turn.
+        fair_order: Whether workspaces get shares of the capacity while calls
+            wait, small calls may overtake large ones that have to wait, and no
+            priority starves; otherwise waiting calls start by priority and
+            arrival.
+        headroom: Whether less urgent calls leave room at runners to the more
+            urgent ones that are expected.
     """
 
     placement: typing.Literal["cost", "least_loaded", "random"] = "cost"
@@ -176,6 +182,8 @@
     startup_wait: bool = True
     reachability_checks: bool = True
     shedding: bool = True
+    fair_order: bool = True
+    headroom: bool = True
 
 
 class DocumentFile(msgspec.Struct, kw_only=True):
