Bodies without room, or that gave way, are counted and logged

Cause: at chivelbd and the control API a refusal with code 2015 had neither a metric nor a line; only calls of the platform had their outcome counted.

Change: chivelb_refused_clients_total has the limits buffers and stalled_body, and `client refused` names them.

Tested: tests/test_client_limits.py, test_entrance.py, test_repository.py.

--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -264,7 +264,7 @@
     def _count_framing(self, size: int) -> None:
         self._framing_bytes += size
         if self._framing_bytes > MAX_FRAMING_BYTES:
-            self._record_refusal(
+            self.record_refusal(
                 "framing_bytes",
                 f"over {MAX_FRAMING_BYTES} bytes without a byte of the body",
             )
@@ -350,7 +350,7 @@
             return
         limit_s = self.limits.get_limits().header_timeout_s
         _log.warning("request head timed out", after_s=limit_s)
-        self._record_refusal("head_time", f"incomplete after {limit_s} s")
+        self.record_refusal("head_time", f"incomplete after {limit_s} s")
         self.transport.write(
             b"HTTP/1.1 408 Request Timeout\r\n"
             b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -373,7 +373,7 @@
             detail: What exceeded it.
             is_sending: Whether the client is sending more.
         """
-        self._record_refusal(reason, detail)
+        self.record_refusal(reason, detail)
         if self.transport is None:
             return
         body = responses.error_body(codes.ErrorDetail(code, detail), "")
@@ -400,7 +400,8 @@
             LINGER_S, self.force_close
         )
 
-    def _record_refusal(self, reason: str, detail: str) -> None:
+    def record_refusal(self, reason: str, detail: str) -> None:
+        """Counts a refusal; see ``PortLimits.record_refusal``."""
         peer = self.peername
         source = str(peer[0]) if isinstance(peer, tuple) else ""
         self.limits.record_refusal(source, reason, detail)
--- a/packages/chivelb-node/chivelb_node/edge/request_bodies.py
+++ b/packages/chivelb-node/chivelb_node/edge/request_bodies.py
@@ -47,7 +47,9 @@
     if content.is_eof():
         # Most bodies come together with their head.
         body = content.read_nowait()
-        _charge_bytes(charge, len(body), max_bytes, copies, loop.time())
+        _charge_bytes(
+            request, charge, len(body), max_bytes, copies, loop.time()
+        )
         return body
     try:
         async with asyncio.timeout(timeout_s) as limit:
@@ -65,7 +67,9 @@
                 charge.end_receiving()
     except TimeoutError:
         if charge.is_revoked:
-            raise _no_room("the body made no progress") from None
+            raise _no_room(
+                request, "stalled_body", "the body made no progress"
+            ) from None
         raise responses.RequestError(
             codes.BODY_TOO_SLOW, f"request body incomplete after {timeout_s} s"
         ) from None
@@ -86,6 +90,7 @@
     body = bytearray()
     async for chunk in request.content.iter_any():
         _charge_bytes(
+            request,
             charge,
             len(chunk),
             max_bytes,
@@ -98,6 +103,7 @@
 
 
 def _charge_bytes(
+    request: web.BaseRequest,
     charge: byte_budget.Charge,
     size: int,
     max_bytes: int,
@@ -114,11 +120,16 @@
     if received + size > max_bytes:
         raise _too_large(received + size, max_bytes)
     if not charge.try_add(size * copies, now):
-        raise _no_room("too much is buffered for other requests")
+        raise _no_room(
+            request, "buffers", "too much is buffered for other requests"
+        )
 
 
-def _no_room(reason: str) -> responses.RequestError:
-    return responses.RequestError(codes.BUFFERS_FULL, reason)
+def _no_room(
+    request: web.BaseRequest, limit: str, detail: str
+) -> responses.RequestError:
+    request.protocol.record_refusal(limit, detail)
+    return responses.RequestError(codes.BUFFERS_FULL, detail)
 
 
 def _too_large(size: int, max_bytes: int) -> responses.RequestError:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -316,12 +316,29 @@
         (refused,) = [task.result() for task in ended]
         assert refused.startswith(b"HTTP/1.1 503")
         assert b"X-Result-Code: 2015" in refused
+        assert port.refused("stalled_body") == 1
         for task in others:
             task.cancel()
 
     run(scenario, buffer_bytes=1_700_000)
 
 
+# Guards against a full budget that has requests wait, or run half-way.
+def test_a_body_without_room_is_refused_at_once():
+    async def scenario(port):
+        port.context.buffers.add(100_000_000)
+        reader, writer = await port.open()
+        writer.write(CHUNKED + b"5\r\nhello\r\n")
+        answer = await read_all(reader)
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"Retry-After: " in answer
+        assert port.refused("buffers") == 1
+        assert not port.served
+        port.context.buffers.release(100_000_000)
+
+    run(scenario)
+
+
 # Guards against a budget that does not count answers until they are read.
 def test_an_answer_that_is_not_read_is_part_of_the_budget():
     async def scenario(port):
