Estimate the cost of requests and the speed of targets

Cause: placement, waiting and refusals go by the figures of one engine.

Change: chivelb_core/forwarding/work_estimates.py learns them by service and target; InstanceContext.work_estimates holds it, [decisions] work_estimates turns it off. Nothing feeds or uses it yet.

Stable for other parts: WorkEstimates.first_event_s(service), prefill_tokens_per_s(service, identity=None), occupancy_s(service), wait_s(service, identity, pending_tokens, running, slots) and advance(now), which a caller calls once before a series of estimates. All start at the figures that they replace: 0.1 s, 100,000 tokens/s, 2.0 s (runners) and 0.05 s (plain targets); none is ever zero or infinite.

--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -16,6 +16,7 @@
 from chivelb_core.document import sharing_leases
 from chivelb_core.forwarding import reach as reach_lib
 from chivelb_core.forwarding import request_limits
+from chivelb_core.forwarding import work_estimates
 from chivelb_core.routing import policies
 
 from chivelb_node import settings as settings_lib
@@ -79,6 +80,7 @@
         confirmed_versions: Services and software versions of targets that a
             majority of the control instances knows to serve.
         load: Load of each target.
+        work_estimates: What requests cost, and how fast targets work.
         directory: This instance's shard of the KV cache directory.
         crash_suspects: Crash-suspect prompts and requests, which were running
             on a target when it crashed and may have caused the crash.
@@ -122,6 +124,9 @@
         self.targets = targets.TargetTable()
         self.confirmed_versions: set[tuple[str, str]] = set()
         self.load = routing.LoadView()
+        self.work_estimates = work_estimates.WorkEstimates(
+            is_enabled=settings.decisions.work_estimates
+        )
         self.directory = kv_cache.Directory()
         self.crash_suspects = calls.SuspectTable()
         self.part_suspects = calls.PartSuspects()
@@ -245,6 +250,12 @@
         self.keys = KeyTable(self.document)
         self.routes = document_lib.RouteTable(self.document)
         self.metrics.version.set(self.version)
+        self.work_estimates.update_services(
+            {
+                name: service.engine is not None
+                for name, service in self.document.services.items()
+            }
+        )
         for queue in self.queues.values():
             self._apply_limits(queue)
 
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -154,6 +154,7 @@
             group.sent.pop(identity, None)
             group.changed_targets.discard(identity)
         self.context.load.loads.pop(identity, None)
+        self.context.work_estimates.remove_target(identity)
 
     def _on_load_report(self, peer: str, report: messages.LoadReport) -> None:
         try:
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -147,6 +147,8 @@
             a connection to it opens.
         shedding: Whether calls are rejected that are expected to time out
             before their turn.
+        work_estimates: Whether the cost of requests and the speed of targets
+            are learned; otherwise fixed figures are assumed.
     """
 
     placement: typing.Literal["cost", "least_loaded", "random"] = "cost"
@@ -157,6 +159,7 @@
     startup_wait: bool = True
     reachability_checks: bool = True
     shedding: bool = True
+    work_estimates: bool = True
 
 
 class DocumentFile(msgspec.Struct, kw_only=True):
