Place calls by the observed speed of services and targets

Cause: placement assumes 100,000 prefill tokens a second, 0.05 s a plain request and 20 ms between zones for all engines and targets; calls of the highest priority wait at their instance once 16,000 tokens are pending, and at 95% load runners idle while they do.

Change: the admission queue and the forwarder record times to the first event and durations (forwarding/work_observer.py); placement_cost, has_capacity and choose_plain_target use the estimates. A target's slowness passes through its owner: SendEntry gets logRatio and observed (0 from and for older releases). Pending limits are seconds of prefill at the learned rate, start at the present token counts and never fall below them at a usual target. New log fields of 'call placed': first_event_ms, slowness, observed; new metrics first_event_ratio, prefill_tokens_per_second, slow_targets.

Tried and dropped: 0.16, 0.10 and 0.06 s at the learned rate as the only limit.

Tested: test_work_estimates, test_wire, test_decisions, test_document_numbers.

--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -18,6 +18,7 @@
 from chivelb_core.forwarding import call as call_lib
 from chivelb_core.forwarding import fetch_plan as fetch_plan_lib
 from chivelb_core.forwarding import subset
+from chivelb_core.forwarding import work_estimates
 
 # Fraction of a runner's KV cache that running requests may occupy by
 # estimate, by priority. The margin is reserved for higher priorities.
@@ -25,26 +26,31 @@
 # Fraction of the slots and of the KV cache of a target that must not have to
 # turn requests away: the estimate of its load lags behind.
 CAREFUL_FRACTION = 0.85
-# Maximum prompt tokens awaiting prefill at a runner when a call is placed
-# there, by priority. Further calls wait at the instance that received them:
-# KV cache that a runner fetches for a call in its own queue may be evicted
-# before it is used.
-PENDING_TOKEN_LIMITS = (16_000, 10_000, 6_000)
+# Maximum time that a runner needs for the prompt tokens that await prefill
+# there when a call is placed, by priority. Further calls wait at the instance
+# that received them: KV cache that a runner fetches for a call in its own queue
+# may be evicted before it is used.
+PENDING_LIMITS_S = (0.16, 0.10, 0.06)
+# Once the service was observed, it may be this share of what the first-event
+# latency leaves of the latency objective of the call, by priority: the calls
+# that are behind have a higher priority only if this one has not the highest.
+PENDING_OBJECTIVE_SHARES = (0.75, 0.25, 0.1)
+# Tokens that may always await prefill at a runner that is as fast as others of
+# its service. With fewer, runners idle until the instances where calls wait are
+# told that a prefill has ended: at 95% load the wait of 1 in 100 calls is three
+# times as long, and calls are refused.
+MIN_PENDING_TOKENS = (16_000, 10_000, 6_000)
 # Runners sampled for a call, besides those that hold part of its prompt. If
 # all instances chose the best of all runners, they would overload that one.
 SAMPLE_SIZE = 4
 # Maximum number of runners evaluated among the holders of the prompt's
 # largest shared part.
 HOLDER_SAMPLE_SIZE = 16
-PREFILL_TOKENS_PER_S = 100_000.0
-CROSS_ZONE_LATENCY_S = 0.02
 # Cost of placing a call on a runner whose KV cache is full, in seconds of time
 # to first token; proportionally less for a partly used one.
 FULL_CACHE_COST_S = 0.1
 # A path through a peer must save this much time to first token.
 PEER_PATH_COST_S = 0.1
-# Assumed mean time that a request occupies a slot of a plain target.
-PLAIN_SLOT_OCCUPANCY_S = 0.05
 # Cost of each token to prefill or to fetch, in seconds of time to first token,
 # in addition to its expected duration. Fetches are far cheaper than prefill.
 PREFILL_COST_S_PER_TOKEN = 50e-6
@@ -125,8 +131,17 @@
     call: call_lib.Call,
     candidate: TargetCandidate,
     engine: model_lib.EngineConfig,
+    *,
+    estimates: work_estimates.WorkEstimates = work_estimates.START_VALUES,
 ) -> bool:
-    """Returns whether a runner is estimated to have capacity for a call."""
+    """Returns whether a runner is estimated to have capacity for a call.
+
+    Args:
+        call: The call.
+        candidate: The runner and its load.
+        engine: Capacity of the runner.
+        estimates: How fast runners work.
+    """
     if engine.kv_tokens <= 0:
         return False
     if candidate.free_share is not None and candidate.running:
@@ -141,28 +156,67 @@
     if not candidate.used_kv_tokens:
         return True
     level = min(max(call.priority, 0), len(MEMORY_FRACTIONS) - 1)
-    if candidate.pending_tokens > PENDING_TOKEN_LIMITS[level]:
+    if candidate.pending_tokens > pending_token_limit(
+        call, candidate.record, estimates
+    ):
         return False
     limit = MEMORY_FRACTIONS[level] * engine.kv_tokens
     return candidate.used_kv_tokens + call.mean_kv_tokens <= limit
 
 
+def pending_token_limit(
+    call: call_lib.Call,
+    record: targets.TargetRecord,
+    estimates: work_estimates.WorkEstimates,
+) -> float:
+    """Returns how many tokens may await prefill where a call is placed."""
+    level = min(max(call.priority, 0), len(PENDING_LIMITS_S) - 1)
+    limit_s = PENDING_LIMITS_S[level]
+    if estimates.is_learned(record.service):
+        left_s = call.route.target_latency_s - estimates.first_event_s(
+            record.service
+        )
+        limit_s = max(limit_s, PENDING_OBJECTIVE_SHARES[level] * left_s)
+    rate = estimates.prefill_tokens_per_s(record.service)
+    limit = max(limit_s * rate, MIN_PENDING_TOKENS[level])
+    return limit / estimates.slowness(record.identity)
+
+
 def placement_cost(
-    placement: Placement, *, zone: str, engine: model_lib.EngineConfig
+    placement: Placement,
+    *,
+    zone: str,
+    engine: model_lib.EngineConfig,
+    estimates: work_estimates.WorkEstimates = work_estimates.START_VALUES,
 ) -> float:
     """Returns the cost of a placement; the lowest wins.
 
     The cost is in seconds of time to first token: that time itself plus the
     cost of prefill, fetches and KV cache usage.
 
-    Also sets the placement's ``time_to_first_token_s``.
+    Also sets the placement's ``time_to_first_token_s``, which does not include
+    the time to the first event that all requests of the service take.
+
+    Args:
+        placement: The placement.
+        zone: Availability zone of this instance.
+        engine: Capacity of the runner.
+        estimates: How fast runners work.
     """
     plan = placement.fetch_plan
     candidate = placement.candidate
-    prefill_tokens = candidate.pending_tokens + plan.tokens_to_prefill
-    expected = prefill_tokens / PREFILL_TOKENS_PER_S + plan.fetch_s
-    if candidate.record.zone != zone:
-        expected += CROSS_ZONE_LATENCY_S
+    record = candidate.record
+    rate = estimates.prefill_tokens_per_s(record.service, record.identity)
+    expected = (
+        estimates.prefill_wait_s(
+            record.service, record.identity, candidate.pending_tokens
+        )
+        + plan.tokens_to_prefill / rate
+        + plan.fetch_s
+        + estimates.excess_first_event_s(record.service, record.identity)
+    )
+    if record.zone != zone:
+        expected += estimates.cross_zone_s(record.service)
     placement.time_to_first_token_s = expected
     # Tokens fetched from another zone count twice.
     weighted_fetch_tokens = plan.fetch_tokens + plan.cross_zone_tokens
@@ -234,6 +288,7 @@
     free_share: Callable[
         [targets.TargetRecord, float], int | None
     ] = lambda record, now: None,
+    estimates: work_estimates.WorkEstimates = work_estimates.PLAIN_START_VALUES,
 ) -> Placement | None:
     """Selects the least loaded target of a plain service.
 
@@ -248,6 +303,7 @@
         rng: Random number generator that breaks ties.
         free_share: Returns ``TargetCandidate.free_share`` of a target at a
             monotonic time, in seconds.
+        estimates: How fast targets work.
 
     Returns:
         The placement, or None if there is no target with room.
@@ -263,19 +319,17 @@
             share <= 0 or running >= CAREFUL_FRACTION * record.slots
         ):
             continue
-        # Half a request breaks ties between zones in favor of this one.
-        key = (
-            running >= record.slots,
-            running + (0.5 if record.zone != zone else 0.0),
-            rng.random(),
-        )
+        # Half a request breaks ties between zones in favor of this one. A
+        # target that is slow counts as if it had more requests.
+        occupied = running + 1 + (0.5 if record.zone != zone else 0.0)
+        slowness = estimates.unusual_slowness(record.identity)
+        key = (running >= record.slots, occupied * slowness, rng.random())
         if best_key is None or key < best_key:
-            waiting = max(0, running + 1 - record.slots)
+            wait_s = estimates.wait_s(
+                record.service, record.identity, 0, running, record.slots
+            )
             best = Placement(
-                TargetCandidate(record, running),
-                time_to_first_token_s=waiting
-                * PLAIN_SLOT_OCCUPANCY_S
-                / record.slots,
+                TargetCandidate(record, running), time_to_first_token_s=wait_s
             )
             best_key = key
     return best
--- a/packages/chivelb-core/chivelb_core/forwarding/work_estimates.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/work_estimates.py
@@ -3,13 +3,13 @@
 They are learned from the requests of this instance, and from the observations
 that others pass on. There is no clock here: callers pass monotonic times.
 
-Two figures describe the prefill of a service: the time to the first event of
-a request with nothing to prefill, and the time for each token that is ahead of
-it or its own. They are the coefficients of a regression over the service's
-requests. A target has one figure, its slowness: the ratio of its times to
-those that its service's figures give. An instance sees few requests of each
-target, so the estimate of a ratio counts as if some requests of ratio one had
-been observed as well, and a single request can't move it far.
+Three figures describe the prefill of a service: the time to the first event of
+a request with nothing to prefill, and the time for each own token and for each
+that is ahead of it. They are the coefficients of a regression over the
+service's requests. A target has one figure, its slowness: the ratio of its
+times to those that its service's figures give. An instance sees few requests
+of each target, so the estimate of a ratio counts as if some requests of ratio
+one had been observed as well, and a single request can't move it far.
 """
 
 from collections.abc import Mapping
@@ -21,6 +21,7 @@
 START_PREFILL_TOKENS_PER_S = 100_000.0
 START_RUNNER_OCCUPANCY_S = 2.0
 START_PLAIN_OCCUPANCY_S = 0.05
+START_CROSS_ZONE_S = 0.02
 # Bounds of all estimates.
 MIN_TIME_S = 1e-4
 MAX_TIME_S = 600.0
@@ -29,15 +30,20 @@
 MIN_SLOWNESS = 0.25
 MAX_SLOWNESS = 20.0
 # Time after which an observation has half of its weight.
-HALF_LIFE_S = 4.0
+HALF_LIFE_S = 3.0
 # Weight that the observations of a service keep while nothing is observed: an
 # engine does not change because it is not used. Those of a target lose all
 # their weight, so that one that was slow is tried again.
 RETAINED_WEIGHT = 8.0
-# Weight of the start values, in observations.
-START_WEIGHT = 2.0
+# Weight of the start values, or of the present ones of a regression, in
+# observations.
+START_WEIGHT = 0.5
+# Coefficients count as at least this share of their start values when changes
+# of them are compared.
+MIN_COEFFICIENT_SHARE = 0.1
+MIN_PIVOT = 1e-12
 # Weight of the assumption that a target is like its service, in observations.
-SERVICE_WEIGHT = 3.0
+SERVICE_WEIGHT = 2.0
 # Observed times count as at most this many times as long or as short as they
 # were expected, so that an outlier has a bounded effect.
 MAX_RATIO = 3.0
@@ -45,6 +51,12 @@
 CONFIDENT_WEIGHT = 5.0
 # Targets up to this ratio slower than their service count as usual.
 USUAL_SLOWNESS = 1.25
+# Weight of the start value of the latency between zones, and bounds of what
+# one observation adds to it: it is small beside the times that it is a part of.
+CROSS_ZONE_START_WEIGHT = 20.0
+MAX_CROSS_ZONE_S = 0.2
+# Observations of a target that one message passes on at most.
+MAX_PASSED_WEIGHT = 1_000
 # A slowness is computed again after this time without observations.
 SLOWNESS_PERIOD_S = 0.25
 _LOG_MAX_RATIO = math.log(MAX_RATIO)
@@ -98,67 +110,142 @@
     return 0.5 ** (max(0.0, elapsed_s) / HALF_LIFE_S)
 
 
-@dataclasses.dataclass(slots=True)
+_START_COEFFICIENTS = (
+    START_FIRST_EVENT_S,
+    1.0 / START_PREFILL_TOKENS_PER_S,
+    1.0 / START_PREFILL_TOKENS_PER_S,
+)
+
+
 class PrefillFit:
     """Regression of the time to the first event over the tokens to prefill.
 
+    The tokens of a request itself and those ahead of it have coefficients of
+    their own: what is ahead is known late, and was partly prefilled by the
+    time of the send, so that a token ahead takes less time than an own one.
+
     It minimizes the squares of relative errors, since the errors of long
-    prefills are larger. The start values count as observations.
+    prefills are larger.
 
     Attributes:
         first_event_s: Time to the first event with nothing to prefill.
-        s_per_token: Additional time for each token.
+        s_per_token: Additional time for each token of the request.
+        s_per_token_ahead: Additional time for each token ahead of it.
         weight: Weight of the observations.
-        sums: Weighted sums of 1, x, x², y and x y, each divided by the square
-            of the expected time; x is the number of tokens and y the time.
         updated_at: Monotonic time to which the weights have decayed.
     """
 
-    first_event_s: float = START_FIRST_EVENT_S
-    s_per_token: float = 1.0 / START_PREFILL_TOKENS_PER_S
-    weight: float = 0.0
-    sums: list[float] = dataclasses.field(default_factory=lambda: [0.0] * 5)
-    updated_at: float = 0.0
+    __slots__ = (
+        "first_event_s",
+        "s_per_token",
+        "s_per_token_ahead",
+        "weight",
+        "updated_at",
+        "_products",
+        "_moments",
+    )
+
+    def __init__(self) -> None:
+        """Creates a regression without observations."""
+        self.first_event_s, self.s_per_token, self.s_per_token_ahead = (
+            _START_COEFFICIENTS
+        )
+        self.weight = 0.0
+        self.updated_at = 0.0
+        # Weighted sums over the observations: products of each two of
+        # (1, tokens, tokens ahead), and products of these with the time.
+        self._products = [0.0] * 6
+        self._moments = [0.0] * 3
+
+    @property
+    def tokens_per_s(self) -> float:
+        """Prefill throughput, in tokens per second."""
+        if not self.weight:
+            return START_PREFILL_TOKENS_PER_S
+        return 1.0 / self.s_per_token
+
+    @property
+    def tokens_ahead_per_s(self) -> float:
+        """Rate at which tokens ahead are worked off, in tokens per second."""
+        if not self.weight:
+            return START_PREFILL_TOKENS_PER_S
+        return 1.0 / self.s_per_token_ahead
 
-    def expected_s(self, tokens: int) -> float:
+    def expected_s(self, tokens: int, tokens_ahead: int) -> float:
         """Returns the expected time to the first event."""
-        return self.first_event_s + self.s_per_token * tokens
+        return (
+            self.first_event_s
+            + self.s_per_token * tokens
+            + self.s_per_token_ahead * tokens_ahead
+        )
 
-    def add(self, tokens: int, observed_s: float, now: float) -> None:
+    def add(
+        self, tokens: int, tokens_ahead: int, observed_s: float, now: float
+    ) -> None:
         """Adds an observation and updates the coefficients."""
         factor = decay_factor(now - self.updated_at)
         self.updated_at = max(now, self.updated_at)
         if self.weight * factor < RETAINED_WEIGHT:
             factor = min(1.0, RETAINED_WEIGHT / max(self.weight, 1e-9))
-        expected_s = self.expected_s(tokens)
+        expected_s = self.expected_s(tokens, tokens_ahead)
         observed_s = min(
             max(observed_s, expected_s / MAX_RATIO), expected_s * MAX_RATIO
         )
-        w = 1.0 / expected_s**2
-        terms = (w, w * tokens, w * tokens**2, w * observed_s)
-        terms += (w * tokens * observed_s,)
-        self.sums = [
+        w = 1.0 / (expected_s * observed_s)
+        x, z = tokens, tokens_ahead
+        products = (w, w * x, w * z, w * x * x, w * x * z, w * z * z)
+        moments = (w * observed_s, w * x * observed_s, w * z * observed_s)
+        self._products = [
+            factor * total + term
+            for total, term in zip(self._products, products, strict=True)
+        ]
+        self._moments = [
             factor * total + term
-            for total, term in zip(self.sums, terms, strict=True)
+            for total, term in zip(self._moments, moments, strict=True)
         ]
         self.weight = factor * self.weight + 1.0
         self._solve()
 
     def _solve(self) -> None:
-        n, sx, sxx, sy, sxy = self.sums
-        start_a = START_FIRST_EVENT_S
-        start_b = 1.0 / START_PREFILL_TOKENS_PER_S
-        weight_a = START_WEIGHT / start_a**2
-        weight_b = START_WEIGHT / start_b**2
-        n, sy = n + weight_a, sy + weight_a * start_a
-        sxx, sxy = sxx + weight_b, sxy + weight_b * start_b
-        determinant = n * sxx - sx * sx
-        if determinant <= 0.0:
-            return
-        b = (n * sxy - sx * sy) / determinant
-        b = min(max(b, 1.0 / MAX_TOKENS_PER_S), 1.0 / MIN_TOKENS_PER_S)
-        self.s_per_token = b
-        self.first_event_s = min(max((sy - b * sx) / n, MIN_TIME_S), MAX_TIME_S)
+        """Solves the normal equations for the coefficients.
+
+        ``START_WEIGHT`` is the weight of the present coefficients, in units of
+        themselves. It makes the matrix positive definite, also if all requests
+        have the same number of tokens.
+        """
+        present = (self.first_event_s, self.s_per_token, self.s_per_token_ahead)
+        a0, b0, c0 = (
+            max(value, MIN_COEFFICIENT_SHARE * start)
+            for value, start in zip(present, _START_COEFFICIENTS, strict=True)
+        )
+        n, nx, nz, xx, xz, zz = self._products
+        ny, xy, zy = self._moments
+        s11 = n * a0 * a0 + START_WEIGHT
+        s12, s13 = nx * a0 * b0, nz * a0 * c0
+        s22, s23 = xx * b0 * b0 + START_WEIGHT, xz * b0 * c0
+        s33 = zz * c0 * c0 + START_WEIGHT
+        y1 = ny * a0 + START_WEIGHT * present[0] / a0
+        y2 = xy * b0 + START_WEIGHT * present[1] / b0
+        y3 = zy * c0 + START_WEIGHT * present[2] / c0
+        # Cholesky factors.
+        l11 = math.sqrt(s11)
+        l21, l31 = s12 / l11, s13 / l11
+        l22 = math.sqrt(max(s22 - l21 * l21, MIN_PIVOT))
+        l32 = (s23 - l31 * l21) / l22
+        l33 = math.sqrt(max(s33 - l31 * l31 - l32 * l32, MIN_PIVOT))
+        u1 = y1 / l11
+        u2 = (y2 - l21 * u1) / l22
+        u3 = (y3 - l31 * u1 - l32 * u2) / l33
+        c = u3 / l33
+        b = (u2 - l32 * c) / l22
+        a = (u1 - l21 * b - l31 * c) / l11
+        self.first_event_s = min(max(a * a0, MIN_TIME_S), MAX_TIME_S)
+        self.s_per_token = _bounded_s_per_token(b * b0)
+        self.s_per_token_ahead = _bounded_s_per_token(c * c0)
+
+
+def _bounded_s_per_token(value: float) -> float:
+    return min(max(value, 1.0 / MAX_TOKENS_PER_S), 1.0 / MIN_TOKENS_PER_S)
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,6 +254,8 @@
 
     Attributes:
         runs_model: Whether its targets are runners.
+        cross_zone: Additional time to the first event at a target of another
+            zone, in seconds.
         prefill: Time to the first event of its requests.
         occupancy: Logarithm of the time that a request holds a slot.
         occupancy_s: Mean time that a request holds a slot.
@@ -186,6 +275,17 @@
     error: DecayingMean = dataclasses.field(
         default_factory=lambda: DecayingMean(retained_weight=RETAINED_WEIGHT)
     )
+    cross_zone: DecayingMean = dataclasses.field(
+        default_factory=lambda: DecayingMean(retained_weight=RETAINED_WEIGHT)
+    )
+
+    @property
+    def cross_zone_s(self) -> float:
+        """Additional time at a target of another zone, in seconds."""
+        mean_s = self.cross_zone.mean(
+            START_CROSS_ZONE_S, CROSS_ZONE_START_WEIGHT
+        )
+        return min(max(mean_s, 0.0), MAX_CROSS_ZONE_S)
 
     @property
     def start_occupancy_s(self) -> float:
@@ -209,11 +309,16 @@
         log_ratio: Logarithm of the ratio of its times to those of its service.
         slowness: The ratio, as computed last.
         computed_at: Monotonic time when it was computed, in seconds.
+        unsent_total: Sum of the logarithms that were observed here and not
+            passed on yet.
+        unsent_weight: Number of these observations.
     """
 
     log_ratio: DecayingMean = dataclasses.field(default_factory=DecayingMean)
     slowness: float = 1.0
     computed_at: float = -math.inf
+    unsent_total: float = 0.0
+    unsent_weight: int = 0
 
     def compute(self, now: float) -> None:
         """Computes the slowness."""
@@ -232,13 +337,17 @@
         services: Observations by service.
         targets: Observations of targets, by identity.
         now: Monotonic time of the estimates, in seconds.
+        runs_model: Whether the targets of other services are runners.
     """
 
-    __slots__ = ("is_enabled", "services", "targets", "now")
+    __slots__ = ("is_enabled", "services", "targets", "now", "runs_model")
 
-    def __init__(self, *, is_enabled: bool = True) -> None:
+    def __init__(
+        self, *, is_enabled: bool = True, runs_model: bool = True
+    ) -> None:
         """Creates estimates without observations."""
         self.is_enabled = is_enabled
+        self.runs_model = runs_model
         self.services: dict[str, ServiceWork] = {}
         self.targets: dict[str, TargetWork] = {}
         self.now = 0.0
@@ -266,7 +375,7 @@
     def _service(self, service: str) -> ServiceWork:
         work = self.services.get(service)
         if work is None:
-            work = self.services[service] = ServiceWork()
+            work = self.services[service] = ServiceWork(self.runs_model)
         return work
 
     def remove_target(self, identity: str) -> None:
@@ -275,6 +384,15 @@
 
     # Estimates.
 
+    def is_learned(self, service: str) -> bool:
+        """Returns whether the prefill of a service was observed enough."""
+        work = self.services.get(service)
+        return (
+            self.is_enabled
+            and work is not None
+            and work.prefill.weight >= CONFIDENT_WEIGHT
+        )
+
     def first_event_s(self, service: str) -> float:
         """Returns the time from a send to the first event, in seconds.
 
@@ -298,13 +416,61 @@
         work = self.services.get(service)
         if work is None or not self.is_enabled:
             return START_PREFILL_TOKENS_PER_S
-        return 1.0 / (work.prefill.s_per_token * self.slowness(identity))
+        return work.prefill.tokens_per_s / self.slowness(identity)
+
+    def prefill_wait_s(
+        self, service: str, identity: str, pending_tokens: int
+    ) -> float:
+        """Returns the time until a target has prefilled what it has, in s."""
+        work = self.services.get(service)
+        if work is None or not self.is_enabled:
+            return pending_tokens / START_PREFILL_TOKENS_PER_S
+        rate = work.prefill.tokens_ahead_per_s
+        return pending_tokens / rate * self.slowness(identity)
+
+    def expected_first_event_s(
+        self, service: str, identity: str, *, tokens: int, tokens_ahead: int
+    ) -> float:
+        """Returns the expected time from a send to the first event, in s.
+
+        Args:
+            service: Name of the service.
+            identity: Identity of the target.
+            tokens: Prompt tokens to prefill.
+            tokens_ahead: Prompt tokens that await prefill at the target.
+        """
+        work = self.services.get(service)
+        if work is None or not self.is_enabled:
+            expected_s = (
+                START_FIRST_EVENT_S
+                + (tokens + tokens_ahead) / START_PREFILL_TOKENS_PER_S
+            )
+        else:
+            expected_s = work.prefill.expected_s(tokens, tokens_ahead)
+        return expected_s * self.slowness(identity)
+
+    def excess_first_event_s(self, service: str, identity: str) -> float:
+        """Returns by how much later a target's first events are, in seconds.
+
+        That is the difference to the service's time with nothing to prefill.
+        """
+        slowness = self.slowness(identity)
+        if slowness == 1.0:
+            return 0.0
+        return (slowness - 1.0) * self.first_event_s(service)
+
+    def cross_zone_s(self, service: str) -> float:
+        """Returns the additional time at a target of another zone."""
+        work = self.services.get(service)
+        if work is None or not self.is_enabled:
+            return START_CROSS_ZONE_S
+        return work.cross_zone_s
 
     def occupancy_s(self, service: str) -> float:
         """Returns the mean time that a request holds a slot, in seconds."""
         work = self.services.get(service)
         if work is None:
-            return START_RUNNER_OCCUPANCY_S
+            work = ServiceWork(self.runs_model)
         return work.occupancy_s if self.is_enabled else work.start_occupancy_s
 
     def slowness(self, identity: str | None) -> float:
@@ -319,6 +485,15 @@
             work.compute(self.now)
         return work.slowness
 
+    def unusual_slowness(self, identity: str) -> float:
+        """Returns the slowness of a target that is far from usual, else 1.
+
+        Small differences are noise, and would send all instances to the
+        same target.
+        """
+        slowness = self.slowness(identity)
+        return slowness if slowness > USUAL_SLOWNESS else 1.0
+
     def confidence(self, identity: str) -> float:
         """Returns the weight of what was observed of a target."""
         work = self.targets.get(identity)
@@ -344,7 +519,7 @@
             running: Requests in progress there.
             slots: Maximum number of concurrent requests.
         """
-        wait_s = pending_tokens / self.prefill_tokens_per_s(service, identity)
+        wait_s = self.prefill_wait_s(service, identity, pending_tokens)
         excess = running - slots
         if excess >= 0:
             slot_s = self.occupancy_s(service) * self.slowness(identity)
@@ -359,46 +534,63 @@
         identity: str,
         *,
         tokens: int,
+        tokens_ahead: int,
         observed_s: float,
         now: float,
+        crosses_zones: bool = False,
     ) -> None:
         """Records the time to the first event of a request.
 
         Args:
             service: Name of the service.
             identity: Identity of the target.
-            tokens: Prompt tokens that were ahead of it when it was sent, and
-                its own to prefill.
+            tokens: Prompt tokens to prefill.
+            tokens_ahead: Prompt tokens that awaited prefill at the target when
+                it was sent.
             observed_s: Time from the send to the first event, without the
                 expected time of fetches, in seconds.
             now: Monotonic time in seconds.
+            crosses_zones: Whether the target is in another zone.
         """
         if not 0.0 < observed_s < math.inf:
             return
         work = self._service(service)
-        expected_s = work.prefill.expected_s(tokens)
+        expected_s = work.prefill.expected_s(tokens, tokens_ahead)
         is_confident = work.prefill.weight >= CONFIDENT_WEIGHT
-        work.prefill.add(tokens, observed_s, now)
+        if crosses_zones:
+            extra_s = observed_s - expected_s
+            observed_s -= work.cross_zone_s
+            if is_confident:
+                work.cross_zone.add(
+                    min(max(extra_s, -MAX_CROSS_ZONE_S), MAX_CROSS_ZONE_S), now
+                )
+        observed_s = max(observed_s, MIN_TIME_S)
+        work.prefill.add(tokens, tokens_ahead, observed_s, now)
         if is_confident:
             ratio = math.log(observed_s / expected_s)
             work.error.add(abs(ratio), now)
-            self.record_ratio(identity, ratio, now)
+            self._record_own_ratio(identity, ratio, now)
 
-    def record_ratio(
-        self,
-        identity: str,
-        log_ratio: float,
-        now: float,
-        *,
-        weight: float = 1.0,
+    def _record_own_ratio(
+        self, identity: str, log_ratio: float, now: float
     ) -> None:
-        """Records observed times of a target in relation to its service's.
+        """Records an observation of this instance, to be passed on."""
+        log_ratio = self._record_ratio(identity, log_ratio, now)
+        work = self.targets[identity]
+        if work.unsent_weight < MAX_PASSED_WEIGHT:
+            work.unsent_total += log_ratio
+            work.unsent_weight += 1
+
+    def _record_ratio(
+        self, identity: str, log_ratio: float, now: float, *, weight: float = 1
+    ) -> float:
+        """Records observations of a target; returns what they count as.
 
         Args:
             identity: Identity of the target.
-            log_ratio: Logarithm of observed by expected time.
+            log_ratio: Mean logarithm of observed by expected times.
             now: Monotonic time in seconds.
-            weight: Number of observations that it is the mean of.
+            weight: Number of observations.
         """
         self.advance(now)
         work = self.targets.get(identity)
@@ -412,6 +604,73 @@
         )
         observed.add(log_ratio, now, weight=weight)
         work.compute(now)
+        return log_ratio
+
+    # Observations of other instances, by way of the owner of a target.
+
+    def take_unsent(self, identity: str) -> tuple[float, int]:
+        """Returns what was observed of a target and not passed on yet.
+
+        Returns:
+            Sum of the logarithms of its ratios, and their number.
+        """
+        work = self.targets.get(identity)
+        if work is None:
+            return 0.0, 0
+        unsent = work.unsent_total, work.unsent_weight
+        work.unsent_total, work.unsent_weight = 0.0, 0
+        return unsent
+
+    def apply_passed_on(
+        self, identity: str, total: float, weight: int, now: float
+    ) -> None:
+        """Records what another instance observed of a target.
+
+        Args:
+            identity: Identity of the target.
+            total: Sum of the logarithms of its ratios.
+            weight: Their number.
+            now: Monotonic time in seconds.
+        """
+        if 0 < weight <= MAX_PASSED_WEIGHT and math.isfinite(total):
+            self._record_ratio(identity, total / weight, now, weight=weight)
+
+    def known_ratio(self, identity: str, now: float) -> tuple[float, float]:
+        """Returns the mean logarithm of a target's ratio and its weight."""
+        work = self.targets.get(identity)
+        if work is None:
+            return 0.0, 0.0
+        observed = work.log_ratio
+        observed.decay(now)
+        return observed.mean(0.0, 0.0), observed.weight
+
+    def apply_told(
+        self, identity: str, mean: float, weight: float, now: float
+    ) -> None:
+        """Replaces what is known of a target by what its owner knows.
+
+        The owner knows the observations of all instances. One that has just
+        taken over knows fewer, and is ignored.
+
+        Args:
+            identity: Identity of the target.
+            mean: Mean logarithm of its ratios.
+            weight: Weight of the observations.
+            now: Monotonic time in seconds.
+        """
+        if not (0.0 < weight < math.inf and math.isfinite(mean)):
+            return
+        self.advance(now)
+        work = self.targets.get(identity)
+        if work is None:
+            work = self.targets[identity] = TargetWork()
+        observed = work.log_ratio
+        observed.decay(now)
+        if weight < observed.weight:
+            return
+        observed.weight = weight
+        observed.total = mean * weight
+        work.compute(now)
 
     def record_end(
         self, service: str, identity: str, *, duration_s: float, now: float
@@ -427,7 +686,7 @@
         if is_confident and not work.runs_model:
             ratio = math.log(duration_s / expected_s)
             work.error.add(abs(ratio), now)
-            self.record_ratio(identity, ratio, now)
+            self._record_own_ratio(identity, ratio, now)
 
     def record_output(
         self, service: str, *, generated: int, expected: int, now: float
@@ -443,3 +702,8 @@
         if generated > 0 and expected > 0:
             ratio = math.log(generated / expected)
             self._service(service).output.add(ratio, now)
+
+
+# Estimates without observations, for callers that have none.
+START_VALUES = WorkEstimates(is_enabled=False)
+PLAIN_START_VALUES = WorkEstimates(is_enabled=False, runs_model=False)
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -19,6 +19,7 @@
 from chivelb_node.edge import responses
 from chivelb_node.forwarding import placement as placement_lib
 from chivelb_node.forwarding import ports
+from chivelb_node.forwarding import work_observer
 from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import metrics as metrics_lib
 
@@ -45,12 +46,22 @@
             those that the call occupies on average over its run.
         pending_tokens: Prompt tokens counted as awaiting prefill; 0 from the
             first event of the response on.
+        reserved_at: Monotonic time when it was made, in seconds; the call is
+            sent at once.
+        first_event_at: Monotonic time of the first event, in seconds, or None.
+        answered_at: Monotonic time of the head of the response, in seconds, or
+            None.
+        is_complete: Whether the response was received to its end.
     """
 
     placement: choice_lib.Placement
     save_addresses: list[str]
     mean_kv_tokens: int
     pending_tokens: int
+    reserved_at: float = 0.0
+    first_event_at: float | None = None
+    answered_at: float | None = None
+    is_complete: bool = False
 
     @property
     def record(self) -> targets.TargetRecord:
@@ -68,6 +79,7 @@
             target any more, at a monotonic time in seconds.
         owners: Owners of targets, which are asked for their load if there are
             many instances; None to go by what peers report.
+        work_observer: Records what requests cost and how fast targets work.
         waiting_lists: Waiting calls by service.
     """
 
@@ -86,6 +98,7 @@
         self.context = context
         self.placement_policy = placement_policy
         self.is_refused = is_refused
+        self.work_observer = work_observer.WorkObserver(context)
         self.waiting_lists: dict[str, waiting.WaitingList] = {}
         self._has_waiting_calls = asyncio.Event()
 
@@ -308,6 +321,7 @@
             save_addresses,
             call.mean_kv_tokens,
             placement.tokens_to_prefill,
+            now,
         )
         self.context.request_limits.spend(placement.record.identity)
         self.context.load.record_send(
@@ -347,7 +361,19 @@
         # are tokens of the call: counted against the KV cache, held by the
         # target, fetched from other sources, and left to prefill.
         # ``document`` is the number of the document version in force.
+        # ``first_event_ms`` is the expected time from now to the first event,
+        # to compare with ``first_ms`` less ``waited_ms``; ``slowness`` is the
+        # ratio of the target's times to those of its service, and ``observed``
+        # the weight of the requests that show it.
         plan = placement.fetch_plan
+        estimates = self.context.work_estimates
+        record = placement.record
+        expected_s = estimates.expected_first_event_s(
+            record.service,
+            record.identity,
+            tokens=placement.tokens_to_prefill,
+            tokens_ahead=placement.candidate.pending_tokens,
+        )
         load = self.context.load.load(placement.record.identity)
         age_s = load.told_age_s(now)
         _log.info(
@@ -364,6 +390,9 @@
             ahead=placement.candidate.pending_tokens,
             load_age_ms=None if math.isinf(age_s) else round(age_s * 1000),
             expected_ms=round(placement.time_to_first_token_s * 1000),
+            first_event_ms=None if plan is None else round(expected_s * 1000),
+            slowness=round(estimates.slowness(record.identity), 2),
+            observed=round(estimates.confidence(record.identity), 1),
             fill=call.mean_kv_tokens,
             held=0 if plan is None else plan.held_tokens,
             fetch=0 if plan is None else plan.fetch_tokens,
@@ -377,6 +406,12 @@
         The first event of a stream has the first token, which shows that
         prefill has ended.
         """
+        if reservation.first_event_at is None:
+            reservation.first_event_at = context_lib.monotonic()
+            self.work_observer.observe_first_event(reservation)
+        self._end_prefill(reservation)
+
+    def _end_prefill(self, reservation: Reservation) -> None:
         if reservation.pending_tokens:
             self.context.load.record_first_token(
                 reservation.record.identity, reservation.pending_tokens
@@ -385,7 +420,8 @@
 
     def release(self, reservation: Reservation, service: str) -> None:
         """Releases a reservation and starts waiting calls."""
-        self.record_first_event(reservation)
+        self.work_observer.observe_end(reservation)
+        self._end_prefill(reservation)
         self.context.load.record_end(
             reservation.record.identity, reservation.mean_kv_tokens
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -140,6 +140,7 @@
                 return
             except calls.AttemptError as failure:
                 last_outcome = failure.outcome
+                self.admission_queue.work_observer.observe_failure(reservation)
             finally:
                 self.admission_queue.release(reservation, call.service)
             self._record_failure(
@@ -241,6 +242,7 @@
         call.attempts += 1
         relay.delivery.target_events = 0
         reply = await self.target_port.send(call, message, assignment)
+        reservation.answered_at = context_lib.monotonic()
         relay.delivery.framing = reply.framing
         try:
             if reply.is_stream and reply.status == 200:
@@ -259,6 +261,7 @@
                     self.crash_policy.record_answer(call)
         finally:
             reply.close()
+        reservation.is_complete = reply.status < 400
         self.context.targets.record_success(record.identity)
 
     def _record_events(
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -39,6 +39,7 @@
         count_zone_instances: Returns the number of entry instances of this
             zone, including this one.
         count_instances: Returns the number of entry instances of the region.
+        estimates: What requests cost, and how fast targets work.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self.count_instances = count_instances
         self._preferred_by_service: dict[str, tuple[tuple, frozenset[str]]] = {}
         self.sources = source_links.SourceLinks(context, directory)
+        self.estimates = context.work_estimates
 
     def eligible(
         self, call: forwarding.Call, now: float
@@ -140,6 +142,7 @@
         service = self.context.document.services.get(call.service)
         if service is None:
             return []
+        self.estimates.advance(now)
         limits = self.context.request_limits
         free, granted, _ = limits.partition(self.eligible(call, now), now)
         records = granted + free
@@ -169,7 +172,12 @@
         """Returns the sort key of plain targets, the least loaded first."""
         load = self.context.load
         rng = self.context.rng
-        return lambda record: (load.running(record.identity, now), rng.random())
+        slowness = self.estimates.unusual_slowness
+        return lambda record: (
+            (load.running(record.identity, now) + 1)
+            * slowness(record.identity),
+            rng.random(),
+        )
 
     def place(
         self,
@@ -190,6 +198,7 @@
         service = self.context.document.services.get(call.service)
         if service is None:
             return None
+        self.estimates.advance(now)
         limits = self.context.request_limits
         records = self.eligible(call, now)
         if among is not None:
@@ -241,6 +250,7 @@
                 now=now,
                 rng=self.context.rng,
                 free_share=self._free_share,
+                estimates=self.estimates,
             )
         return self._place_on_runner(call, records, service.engine, now)
 
@@ -298,7 +308,10 @@
         """Returns the cost by the configured policy; the lowest wins."""
         settings = self.context.settings
         cost = choice_lib.placement_cost(
-            placement, zone=settings.instance.zone, engine=engine
+            placement,
+            zone=settings.instance.zone,
+            engine=engine,
+            estimates=self.estimates,
         )
         match settings.decisions.placement:
             case "least_loaded":
@@ -386,7 +399,9 @@
 
         def candidate_with_capacity(record):
             candidate = self._snapshot_load(record, now)
-            if choice_lib.has_capacity(call, candidate, engine):
+            if choice_lib.has_capacity(
+                call, candidate, engine, estimates=self.estimates
+            ):
                 return candidate
             return None
 
--- a/packages/chivelb-node/chivelb_node/links/load_owners.py
+++ b/packages/chivelb-node/chivelb_node/links/load_owners.py
@@ -174,6 +174,9 @@
             self.context.load.apply_told_load(
                 entry.identity, _peer_load(entry, now)
             )
+            self.context.work_estimates.apply_told(
+                entry.identity, entry.log_ratio, entry.observed, now
+            )
         return True
 
     def _pass_over(self, owner: str, now: float) -> None:
@@ -191,10 +194,15 @@
         self, peer: str, query: messages.LoadQuery
     ) -> messages.LoadUpdate:
         load = self.context.load
+        estimates = self.context.work_estimates
         now = context_lib.monotonic()
         return messages.LoadUpdate(
             [
-                messages.SendEntry(i, *load.load_of_others(i, peer, now))
+                messages.SendEntry(
+                    i,
+                    *load.load_of_others(i, peer, now),
+                    *estimates.known_ratio(i, now),
+                )
                 for i in query.identities
                 if i in self.context.targets.entries
             ]
@@ -228,8 +236,9 @@
             elif self.sent.pop(identity, None) is None:
                 continue
             owner = self.owner(identity)
+            unsent = self.context.work_estimates.take_unsent(identity)
             if owner is not None and owner != self.hub.local_name:
-                entry = messages.SendEntry(identity, *load)
+                entry = messages.SendEntry(identity, *load, *unsent)
                 by_owner.setdefault(owner, []).append(entry)
         self._changed_targets.clear()
         for owner, entries in by_owner.items():
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -189,6 +189,9 @@
                     entry.suspects,
                 ),
             )
+            self.context.work_estimates.apply_passed_on(
+                entry.identity, entry.log_ratio, int(entry.observed), now
+            )
 
     def _tells_all(self) -> bool:
         """Returns whether all peers are told, and not owners of targets."""
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -11,6 +11,7 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.48, 0.7, 1, 2, 5, 10, 30,
 )  # fmt: skip
 TOKEN_BUCKETS_S = (0.001, 0.005, 0.01, 0.02, 0.04, 0.079, 0.15, 0.5, 2)
+RATIO_BUCKETS = (0.1, 0.25, 0.5, 0.67, 0.8, 1.0, 1.25, 1.5, 2, 4, 10)
 SHARE_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0)
 
 
@@ -170,6 +171,24 @@
         self.rests = self._counter(
             "target_rests", "Rests of targets that began here", ("reason",)
         )
+        self.first_event_ratio = self._histogram(
+            "first_event_ratio",
+            "Observed by expected time from a send to the first event",
+            ("service",),
+            RATIO_BUCKETS,
+        )
+        self.prefill_rate = prometheus_client.Gauge(
+            "chivelb_prefill_tokens_per_second",
+            "Prefill throughput of a usual target, as observed",
+            ("service",),
+            registry=self.registry,
+        )
+        self.slow_targets = prometheus_client.Gauge(
+            "chivelb_slow_targets",
+            "Targets that are far slower than others of their service",
+            ("service",),
+            registry=self.registry,
+        )
         self.relayed = self._counter(
             "relayed_attempts",
             "Attempts through another instance",
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -473,6 +473,8 @@
   pending @2 :Int64;
   tokens @3 :Int64;
   suspects @4 :Int64;
+  logRatio @5 :Float64;
+  observed @6 :Float64;
 }
 
 struct Sends {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -274,6 +274,10 @@
         pending: Prompt tokens that await a first token.
         tokens: KV cache tokens that the requests may fill.
         suspects: Requests that may crash the target.
+        log_ratio: Logarithm of the ratio of the target's times to those that
+            are usual for its service: in a report to its owner the sum over
+            new observations, in the reply of the owner the mean.
+        observed: Number or weight of these observations; 0 for none.
     """
 
     identity: str
@@ -281,6 +285,8 @@
     pending: int
     tokens: int
     suspects: int
+    log_ratio: float = 0.0
+    observed: float = 0.0
 
 
 class LoadUpdate(msgspec.Struct, rename="camel", frozen=True):
