--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -156,14 +156,32 @@
     if not candidate.used_kv_tokens:
         return True
     level = min(max(call.priority, 0), len(MEMORY_FRACTIONS) - 1)
-    if candidate.pending_tokens > pending_token_limit(
-        call, candidate.record, estimates
+    if candidate.pending_tokens and _has_too_much_pending(
+        call, candidate, estimates
     ):
         return False
     limit = MEMORY_FRACTIONS[level] * engine.kv_tokens
     return candidate.used_kv_tokens + call.mean_kv_tokens <= limit
 
 
+def _has_too_much_pending(
+    call: call_lib.Call,
+    candidate: TargetCandidate,
+    estimates: work_estimates.WorkEstimates,
+) -> bool:
+    """Returns whether too many tokens await prefill for a call."""
+    record = candidate.record
+    level = min(max(call.priority, 0), len(PENDING_LIMITS_S) - 1)
+    weighted_tokens = candidate.pending_tokens * estimates.slowness(
+        record.identity
+    )
+    if weighted_tokens <= MIN_PENDING_TOKENS[level]:
+        return False
+    return candidate.pending_tokens > pending_token_limit(
+        call, record, estimates
+    )
+
+
 def pending_token_limit(
     call: call_lib.Call,
     record: targets.TargetRecord,
@@ -206,14 +224,11 @@
     plan = placement.fetch_plan
     candidate = placement.candidate
     record = candidate.record
-    rate = estimates.prefill_tokens_per_s(record.service, record.identity)
-    expected = (
-        estimates.prefill_wait_s(
-            record.service, record.identity, candidate.pending_tokens
-        )
-        + plan.tokens_to_prefill / rate
-        + plan.fetch_s
-        + estimates.excess_first_event_s(record.service, record.identity)
+    expected = plan.fetch_s + estimates.prefill_s(
+        record.service,
+        record.identity,
+        tokens=plan.tokens_to_prefill,
+        tokens_ahead=candidate.pending_tokens,
     )
     if record.zone != zone:
         expected += estimates.cross_zone_s(record.service)
--- a/packages/chivelb-core/chivelb_core/forwarding/work_estimates.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/work_estimates.py
@@ -428,10 +428,13 @@
         rate = work.prefill.tokens_ahead_per_s
         return pending_tokens / rate * self.slowness(identity)
 
-    def expected_first_event_s(
+    def prefill_s(
         self, service: str, identity: str, *, tokens: int, tokens_ahead: int
     ) -> float:
-        """Returns the expected time from a send to the first event, in s.
+        """Returns the expected time of a prefill and of what is ahead, in s.
+
+        It includes by how much later the first events of a slow target are
+        than those of others with nothing to prefill.
 
         Args:
             service: Name of the service.
@@ -441,23 +444,21 @@
         """
         work = self.services.get(service)
         if work is None or not self.is_enabled:
-            expected_s = (
-                START_FIRST_EVENT_S
-                + (tokens + tokens_ahead) / START_PREFILL_TOKENS_PER_S
-            )
-        else:
-            expected_s = work.prefill.expected_s(tokens, tokens_ahead)
-        return expected_s * self.slowness(identity)
-
-    def excess_first_event_s(self, service: str, identity: str) -> float:
-        """Returns by how much later a target's first events are, in seconds.
-
-        That is the difference to the service's time with nothing to prefill.
-        """
+            return (tokens + tokens_ahead) / START_PREFILL_TOKENS_PER_S
+        fit = work.prefill
         slowness = self.slowness(identity)
-        if slowness == 1.0:
-            return 0.0
-        return (slowness - 1.0) * self.first_event_s(service)
+        usual_s = (
+            fit.s_per_token * tokens + fit.s_per_token_ahead * tokens_ahead
+        )
+        return slowness * usual_s + (slowness - 1.0) * fit.first_event_s
+
+    def expected_first_event_s(
+        self, service: str, identity: str, *, tokens: int, tokens_ahead: int
+    ) -> float:
+        """Returns the expected time from a send to the first event, in s."""
+        return self.first_event_s(service) + self.prefill_s(
+            service, identity, tokens=tokens, tokens_ahead=tokens_ahead
+        )
 
     def cross_zone_s(self, service: str) -> float:
         """Returns the additional time at a target of another zone."""
