Count what targets have worked off before their first events arrive

Cause: the tokens of a request count as pending until its first event is known, although the target works on them: a runner with one long prompt almost done looks as busy as one that begins it.

Change: the owner of a target lets pending tokens shrink at the learned rate, to a half at most, and tells those that are left. Observations lose half of their weight in 4 s; a ratio counts with 3 observations of 1.

Tested: test_work_estimates, test_wire, test_decisions.

--- a/packages/chivelb-core/chivelb_core/forwarding/work_estimates.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/work_estimates.py
@@ -30,7 +30,7 @@
 MIN_SLOWNESS = 0.25
 MAX_SLOWNESS = 20.0
 # Time after which an observation has half of its weight.
-HALF_LIFE_S = 3.0
+HALF_LIFE_S = 4.0
 # Weight that the observations of a service keep while nothing is observed: an
 # engine does not change because it is not used. Those of a target lose all
 # their weight, so that one that was slow is tried again.
@@ -43,7 +43,7 @@
 MIN_COEFFICIENT_SHARE = 0.1
 MIN_PIVOT = 1e-12
 # Weight of the assumption that a target is like its service, in observations.
-SERVICE_WEIGHT = 2.0
+SERVICE_WEIGHT = 3.0
 # Observed times count as at most this many times as long or as short as they
 # were expected, so that an outlier has a bounded effect.
 MAX_RATIO = 3.0
@@ -55,6 +55,9 @@
 # one observation adds to it: it is small beside the times that it is a part of.
 CROSS_ZONE_START_WEIGHT = 20.0
 MAX_CROSS_ZONE_S = 0.2
+# Share of the pending tokens that counts as left to do at least: the rate at
+# which they are worked off is an estimate.
+MIN_OUTSTANDING_SHARE = 0.5
 # Observations of a target that one message passes on at most.
 MAX_PASSED_WEIGHT = 1_000
 # A slowness is computed again after this time without observations.
@@ -312,6 +315,9 @@
         unsent_total: Sum of the logarithms that were observed here and not
             passed on yet.
         unsent_weight: Number of these observations.
+        pending_tokens: Prompt tokens without a first event, as known last.
+        outstanding_tokens: Those of them that were not prefilled by then.
+        outstanding_at: Monotonic time when they were known, in seconds.
     """
 
     log_ratio: DecayingMean = dataclasses.field(default_factory=DecayingMean)
@@ -319,6 +325,9 @@
     computed_at: float = -math.inf
     unsent_total: float = 0.0
     unsent_weight: int = 0
+    pending_tokens: int = 0
+    outstanding_tokens: float = 0.0
+    outstanding_at: float = -math.inf
 
     def compute(self, now: float) -> None:
         """Computes the slowness."""
@@ -378,6 +387,12 @@
             work = self.services[service] = ServiceWork(self.runs_model)
         return work
 
+    def _target(self, identity: str) -> TargetWork:
+        work = self.targets.get(identity)
+        if work is None:
+            work = self.targets[identity] = TargetWork()
+        return work
+
     def remove_target(self, identity: str) -> None:
         """Discards what was observed of a target."""
         self.targets.pop(identity, None)
@@ -527,6 +542,34 @@
             wait_s += (excess + 1) * slot_s / max(1, slots)
         return wait_s
 
+    def outstanding_tokens(
+        self, service: str, identity: str, pending_tokens: int, now: float
+    ) -> int:
+        """Returns how many of the pending tokens of a target are left to do.
+
+        Tokens count as pending until the first event of their request is
+        known. Meanwhile the target works on them, at its rate. This is to be
+        called whenever the pending tokens may have changed.
+
+        Args:
+            service: Name of the service.
+            identity: Identity of the target.
+            pending_tokens: Prompt tokens of the requests without a first event.
+            now: Monotonic time in seconds.
+        """
+        if not self.is_learned(service):
+            return pending_tokens
+        work = self._target(identity)
+        rate = self.prefill_tokens_per_s(service, identity)
+        done = rate * max(0.0, now - work.outstanding_at)
+        left = max(0.0, work.outstanding_tokens - done)
+        left += max(0, pending_tokens - work.pending_tokens)
+        left = max(left, MIN_OUTSTANDING_SHARE * pending_tokens)
+        work.outstanding_tokens = min(left, pending_tokens)
+        work.pending_tokens = pending_tokens
+        work.outstanding_at = now
+        return int(work.outstanding_tokens)
+
     # Observations.
 
     def record_first_event(
@@ -594,9 +637,7 @@
             weight: Number of observations.
         """
         self.advance(now)
-        work = self.targets.get(identity)
-        if work is None:
-            work = self.targets[identity] = TargetWork()
+        work = self._target(identity)
         observed = work.log_ratio
         observed.decay(now)
         mean = observed.mean(0.0, SERVICE_WEIGHT)
@@ -662,9 +703,7 @@
         if not (0.0 < weight < math.inf and math.isfinite(mean)):
             return
         self.advance(now)
-        work = self.targets.get(identity)
-        if work is None:
-            work = self.targets[identity] = TargetWork()
+        work = self._target(identity)
         observed = work.log_ratio
         observed.decay(now)
         if weight < observed.weight:
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -199,6 +199,23 @@
             record.service, now
         ) and not self.reach.was_reached(record.identity, now)
 
+    def outstanding_share(self, identity: str, now: float) -> float:
+        """Returns the share of a target's pending tokens that is left to do.
+
+        It is to be called whenever they have changed.
+        """
+        entry = self.targets.entries.get(identity)
+        pending = self.load.pending(identity, now)
+        if entry is None or pending <= 0:
+            return 1.0
+        service = entry.record.service
+        return (
+            self.work_estimates.outstanding_tokens(
+                service, identity, pending, now
+            )
+            / pending
+        )
+
     @property
     def document(self) -> document_lib.Document:
         """The document in force."""
--- a/packages/chivelb-node/chivelb_node/links/load_owners.py
+++ b/packages/chivelb-node/chivelb_node/links/load_owners.py
@@ -193,26 +193,40 @@
     def _on_query(
         self, peer: str, query: messages.LoadQuery
     ) -> messages.LoadUpdate:
-        load = self.context.load
-        estimates = self.context.work_estimates
         now = context_lib.monotonic()
         return messages.LoadUpdate(
             [
-                messages.SendEntry(
-                    i,
-                    *load.load_of_others(i, peer, now),
-                    *estimates.known_ratio(i, now),
-                )
+                self._reply_entry(i, peer, now)
                 for i in query.identities
                 if i in self.context.targets.entries
             ]
         )
 
+    def _reply_entry(
+        self, identity: str, peer: str, now: float
+    ) -> messages.SendEntry:
+        """Returns the load of a target that a peer is told.
+
+        Of the pending tokens, it is told those that are left to do.
+        """
+        running, pending, *others = self.context.load.load_of_others(
+            identity, peer, now
+        )
+        share = self.context.outstanding_share(identity, now)
+        return messages.SendEntry(
+            identity,
+            running,
+            round(share * pending),
+            *others,
+            *self.context.work_estimates.known_ratio(identity, now),
+        )
+
     # Telling.
 
     def record_change(self, identity: str) -> None:
         """Schedules a report of a load that changed here."""
         self._changed_targets.add(identity)
+        self.context.outstanding_share(identity, context_lib.monotonic())
         running = self.context.load.own_load(identity)[0]
         told = self.sent.get(identity)
         has_sent = running > (0 if told is None else told[0][0])
--- a/packages/chivelb-node/chivelb_node/links/load_sharing.py
+++ b/packages/chivelb-node/chivelb_node/links/load_sharing.py
@@ -192,6 +192,8 @@
             self.context.work_estimates.apply_passed_on(
                 entry.identity, entry.log_ratio, int(entry.observed), now
             )
+            if not self._tells_all():
+                self.context.outstanding_share(entry.identity, now)
 
     def _tells_all(self) -> bool:
         """Returns whether all peers are told, and not owners of targets."""
--- a/tests/test_work_estimates.py
+++ b/tests/test_work_estimates.py
@@ -192,6 +192,34 @@
     assert other.slowness("t3") > 2.0
 
 
+# Guards against a target that counts as busy with prompts that it has
+# prefilled while their first events are on the way, and against one that counts
+# as idle while it is late.
+def test_pending_tokens_are_worked_off_before_their_first_events():
+    estimates = make_estimates()
+    now = feed(estimates, rate=60_000.0)
+
+    def outstanding(pending, at):
+        return estimates.outstanding_tokens("lm", "t3", pending, now + at)
+
+    rate = estimates.prefill_tokens_per_s("lm", "t3")
+    assert outstanding(12_000, 0.0) == 12_000
+    assert outstanding(12_000, 0.05) == pytest.approx(
+        12_000 - 0.05 * rate, abs=2
+    )
+    assert outstanding(12_000, 5.0) == 6_000
+    # A new request adds its tokens, first events end theirs.
+    assert outstanding(14_000, 5.0) == pytest.approx(8_000, abs=2)
+    assert outstanding(1_000, 5.0) == 1_000
+    assert outstanding(0, 5.0) == 0
+
+
+def test_pending_tokens_of_an_unknown_service_are_outstanding():
+    estimates = make_estimates()
+    assert estimates.outstanding_tokens("lm", "t", 12_000, 0.0) == 12_000
+    assert estimates.outstanding_tokens("lm", "t", 12_000, 9.0) == 12_000
+
+
 @pytest.mark.parametrize("total", [math.nan, math.inf, -math.inf])
 def test_invalid_observations_of_others_are_ignored(total):
     estimates = make_estimates()
