--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -26,7 +26,7 @@
 # placed there: by then a part is cached, or was never computed.
 EXPECTED_PART_TTL_S = 2.0
 # Targets whose owners are asked for their load before a call is placed.
-SHORTLIST_SIZE = 3
+SHORTLIST_SIZE = 4
 
 
 class PlacementPolicy:
