Observe only requests that go to targets directly; forget gone targets

Cause: a request through another instance shows the path as well, so that a target would look slow; observations of targets that were removed were kept.

Output lengths against hints are not recorded: nothing uses them.

Tested: test_work_estimates, test_forwarder.

--- a/packages/chivelb-core/chivelb_core/forwarding/work_estimates.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/work_estimates.py
@@ -12,6 +12,7 @@
 one had been observed as well, and a single request can't move it far.
 """
 
+from collections.abc import Container
 from collections.abc import Mapping
 import dataclasses
 import math
@@ -264,7 +265,6 @@
         prefill: Time to the first event of its requests.
         occupancy: Logarithm of the time that a request holds a slot.
         occupancy_s: Mean time that a request holds a slot.
-        output: Logarithm of the ratio of generated to expected tokens.
         error: Absolute difference of the logarithms of observed and expected
             times to the first event.
     """
@@ -274,9 +274,6 @@
     occupancy: DecayingMean = dataclasses.field(
         default_factory=lambda: DecayingMean(retained_weight=RETAINED_WEIGHT)
     )
-    output: DecayingMean = dataclasses.field(
-        default_factory=lambda: DecayingMean(retained_weight=RETAINED_WEIGHT)
-    )
     error: DecayingMean = dataclasses.field(
         default_factory=lambda: DecayingMean(retained_weight=RETAINED_WEIGHT)
     )
@@ -395,6 +392,12 @@
             work = self.targets[identity] = TargetWork()
         return work
 
+    def keep_targets(self, identities: Container[str]) -> None:
+        """Discards what was observed of all targets but some."""
+        gone = [name for name in self.targets if name not in identities]
+        for identity in gone:
+            self.remove_target(identity)
+
     def remove_target(self, identity: str) -> None:
         """Discards what was observed of a target."""
         self.targets.pop(identity, None)
@@ -730,21 +733,6 @@
             work.error.add(abs(ratio), now)
             self._record_own_ratio(identity, ratio, now)
 
-    def record_output(
-        self, service: str, *, generated: int, expected: int, now: float
-    ) -> None:
-        """Records how many tokens a request generated.
-
-        Args:
-            service: Name of the service.
-            generated: Tokens that it generated.
-            expected: Tokens that its hint, or its maximum, led to expect.
-            now: Monotonic time in seconds.
-        """
-        if generated > 0 and expected > 0:
-            ratio = math.log(generated / expected)
-            self._service(service).output.add(ratio, now)
-
 
 # Estimates without observations, for callers that have none.
 START_VALUES = WorkEstimates(is_enabled=False)
--- a/packages/chivelb-node/chivelb_node/forwarding/work_observer.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/work_observer.py
@@ -45,12 +45,21 @@
 
     def observe_first_event(self, observed: Observed) -> None:
         """Records the time to the first event of a request with a prompt."""
-        if observed.placement.fetch_plan is not None:
+        if observed.placement.fetch_plan is not None and self._is_direct(
+            observed, observed.first_event_at
+        ):
             elapsed_s = observed.first_event_at - observed.reserved_at
             self._record_first_event(
                 observed, elapsed_s, observed.first_event_at
             )
 
+    def _is_direct(self, observed: Observed, now: float) -> bool:
+        """Returns whether the times of a request are those of its target.
+
+        Those of one that went through another instance show the path as well.
+        """
+        return not self.context.is_unreachable(observed.placement.record, now)
+
     def _record_first_event(
         self, observed: Observed, elapsed_s: float, now: float
     ) -> None:
@@ -87,9 +96,9 @@
         The end of a request without a prompt is the head of the response: the
         body ends when the caller has read it.
         """
-        if not observed.is_complete:
-            return
         now = context_lib.monotonic()
+        if not (observed.is_complete and self._is_direct(observed, now)):
+            return
         if observed.placement.fetch_plan is None and observed.answered_at:
             now = observed.answered_at
         record = observed.placement.record
@@ -101,11 +110,15 @@
         )
 
     def _update_metrics(self, now: float) -> None:
-        """Sets the gauges of what was learned, not too often."""
+        """Sets the gauges of what was learned, without targets that are gone.
+
+        It does so once in ``METRICS_PERIOD_S`` at most.
+        """
         if now - self._metrics_updated_at < METRICS_PERIOD_S:
             return
         self._metrics_updated_at = now
         estimates = self.context.work_estimates
+        estimates.keep_targets(self.context.targets.entries)
         slow_by_service = dict.fromkeys(estimates.services, 0)
         for identity, entry in self.context.targets.entries.items():
             service = entry.record.service
@@ -127,6 +140,8 @@
         if placement.fetch_plan is None or observed.first_event_at is not None:
             return
         now = context_lib.monotonic()
+        if not self._is_direct(observed, now):
+            return
         elapsed_s = now - observed.reserved_at
         estimates = self.context.work_estimates
         service = placement.record.service
--- a/tests/test_work_estimates.py
+++ b/tests/test_work_estimates.py
@@ -12,8 +12,11 @@
 from chivelb_node import settings as settings_lib
 from chivelb_node.forwarding import admission as admission_lib
 from chivelb_node.forwarding import placement as placement_lib
+from chivelb_node.wire import messages
+from chivelb_node.wire import packing
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 SIZES = (827, 2_368, 12_000)
@@ -373,6 +376,50 @@
     assert 'chivelb_slow_targets{service="lm"} 0.0' in metrics
 
 
+# Guards against memory that grows with each target that ever existed.
+def test_targets_that_are_gone_are_forgotten():
+    queue = make_queue()
+    estimates = queue.context.work_estimates
+    feed(estimates)
+    assert "t3" in estimates.targets
+    reservation = queue._try_reserve(
+        builders.make_call(), context_lib.monotonic()
+    )
+    queue.record_first_event(reservation)
+    assert set(estimates.targets) <= set(queue.context.targets.entries)
+
+
+# Guards against loads that are lost while instances of two releases run.
+def test_entries_of_the_previous_release_have_no_observations():
+    entry = {
+        "identity": "t",
+        "running": 1,
+        "pending": 2,
+        "tokens": 3,
+        "suspects": 0,
+    }
+    decoder = msgspec.msgpack.Decoder(list[messages.SendEntry])
+    entries = packing.unpack(packing.pack([entry]), decoder, max_bytes=1_000)
+    assert entries == [messages.SendEntry("t", 1, 2, 3, 0)]
+    assert entries[0].observed == 0.0
+
+
+# Guards against a target that looks slow because it is reached by a detour.
+def test_requests_through_another_instance_are_not_observed(monkeypatch):
+    queue = make_queue()
+    reservation = queue._try_reserve(
+        builders.make_call(), context_lib.monotonic()
+    )
+    monkeypatch.setattr(
+        queue.context, "is_unreachable", lambda record, now: True
+    )
+    queue.record_first_event(reservation)
+    reservation.is_complete = True
+    queue.release(reservation, "lm")
+    work = queue.context.work_estimates.services["lm"]
+    assert not work.prefill.weight and not work.occupancy.weight
+
+
 # Guards against a target that holds a request until its deadline, and so has
 # no first event by which it would be known to be slow.
 def test_a_request_without_an_event_until_its_deadline_counts():
