--- a/packages/chivelb-core/chivelb_core/codes.py
+++ b/packages/chivelb-core/chivelb_core/codes.py
@@ -263,14 +263,14 @@
     RetryAdvice.LATER,
     "No target of the service is in a region that the request may use.",
 )
-# Bodies and answers of other requests use up the memory for buffers.
+# Other requests use up the memory for buffers, or the connections.
 BUFFERS_FULL = _result_code(
     2015,
     "buffers_full",
     503,
     _NOT_RUN,
     RetryAdvice.LATER,
-    "This instance buffers too much for other requests.",
+    "This instance has no memory or connections left for the request.",
 )
 CALLER_LEFT = _result_code(
     3004,
--- a/packages/chivelb-core/chivelb_core/forwarding/choice.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/choice.py
@@ -32,8 +32,8 @@
 # may be evicted before it is used.
 PENDING_LIMITS_S = (0.16, 0.10, 0.06)
 # Once the service was observed, it may be this share of what the first-event
-# latency leaves of the latency objective of the call, by priority: the calls
-# that are behind have a higher priority only if this one has not the highest.
+# latency leaves of the latency objective of the call, by priority. Calls of
+# the highest one may use most of it: no more urgent call can queue behind them.
 PENDING_OBJECTIVE_SHARES = (0.75, 0.25, 0.1)
 # Tokens that may always await prefill at a runner that is as fast as others of
 # its service. With fewer, runners idle until the instances where calls wait are
--- a/packages/chivelb-core/chivelb_core/forwarding/lanes.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/lanes.py
@@ -150,7 +150,11 @@
         self.is_listed = False
 
     def add(self, waiting_call: WaitingCall) -> None:
-        """Adds a call; it usually arrived after all others of the queue."""
+        """Adds a call; it usually arrived after all others of the queue.
+
+        The cost ahead of a call that arrived before others of the queue is too
+        large until the index is built anew.
+        """
         later = []
         while self.entries and self.entries[-1].number > waiting_call.number:
             later.append(self.entries.pop())
--- a/packages/chivelb-core/chivelb_core/forwarding/reach.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/reach.py
@@ -1,5 +1,7 @@
 """Whether an instance reaches the targets of a service by itself."""
 
+from collections.abc import Collection
+
 # An instance that could open a connection to none of this many targets of a
 # service in a row is presumed to reach no target of it. Targets that already
 # failed when another one was last reached don't count: checks go on to fail for
@@ -45,8 +47,6 @@
         stopped.update(self.failures.pop(service, ()))
         stopped.discard(identity)
         self.reached_at[identity] = now
-        if len(stopped) > MAX_REACHED:
-            stopped.clear()
         if len(self.reached_at) > MAX_REACHED:
             self.reached_at = {
                 name: at
@@ -59,17 +59,22 @@
         at = self.reached_at.get(identity)
         return at is not None and now - at < REACHED_TTL_S
 
-    def is_isolated(self, service: str, target_count: int, now: float) -> bool:
+    def is_isolated(
+        self, service: str, identities: Collection[str], now: float
+    ) -> bool:
         """Returns whether no target of a service is presumed to be reachable.
 
         Args:
             service: The service.
-            target_count: Number of its targets that may receive requests.
+            identities: Identities of its targets that may receive requests.
             now: Monotonic time in seconds.
         """
         failures = self.failures.get(service)
         if not failures:
             return False
         recent = sum(now - at < FAILURE_TTL_S for at in failures.values())
-        others = target_count - len(self.stopped.get(service, ()))
+        stopped = self.stopped.get(service, set())
+        # Targets that have left the fleet are no longer among the identities.
+        stopped.intersection_update(identities)
+        others = len(identities) - len(stopped)
         return recent >= max(1, min(ISOLATING_FAILURES, others))
--- a/packages/chivelb-core/chivelb_core/forwarding/shortage.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/shortage.py
@@ -9,6 +9,7 @@
 from chivelb_core.forwarding import call as call_lib
 from chivelb_core.forwarding import choice
 from chivelb_core.forwarding import headroom
+from chivelb_core.forwarding import work_estimates
 
 NO_TARGET = "target"
 SLOTS = "slot"
@@ -25,6 +26,7 @@
     *,
     reserve: headroom.Reserve = headroom.NOTHING,
     kept: Container[str] = (),
+    estimates: work_estimates.WorkEstimates = work_estimates.START_VALUES,
 ) -> str:
     """Returns what one runner lacks for a call.
 
@@ -34,6 +36,7 @@
         engine: Engine of the service.
         reserve: What the call leaves to more urgent ones.
         kept: Identities of runners that the call is not sent to.
+        estimates: How fast runners work.
 
     Returns:
         ``SLOTS``, ``KV_CACHE`` or ``PREFILL``: the runner has too many prompt
@@ -43,7 +46,7 @@
     """
     if candidate.running >= engine.slots:
         return SLOTS
-    if choice.has_capacity(call, candidate, engine):
+    if choice.has_capacity(call, candidate, engine, estimates=estimates):
         if candidate.record.identity in kept:
             return HEADROOM
         if headroom.has_headroom(call, candidate, engine, reserve):
@@ -52,7 +55,7 @@
     if candidate.used_kv_tokens + call.mean_kv_tokens > engine.kv_tokens:
         return KV_CACHE
     without_prompts = dataclasses.replace(candidate, pending_tokens=0)
-    if choice.has_capacity(call, without_prompts, engine):
+    if choice.has_capacity(call, without_prompts, engine, estimates=estimates):
         return PREFILL
     return HEADROOM
 
@@ -64,6 +67,7 @@
     *,
     reserve: headroom.Reserve = headroom.NOTHING,
     kept: Container[str] = (),
+    estimates: work_estimates.WorkEstimates = work_estimates.START_VALUES,
 ) -> str:
     """Returns what most targets lack for a call.
 
@@ -73,6 +77,7 @@
         engine: Engine of the service; None for a plain service.
         reserve: What the call leaves to more urgent ones.
         kept: Identities of runners that the call is not sent to.
+        estimates: How fast runners work.
     """
     if engine is None or call.prompt is None:
         counts = collections.Counter(
@@ -80,7 +85,14 @@
         )
     else:
         counts = collections.Counter(
-            shortage_at(call, candidate, engine, reserve=reserve, kept=kept)
+            shortage_at(
+                call,
+                candidate,
+                engine,
+                reserve=reserve,
+                kept=kept,
+                estimates=estimates,
+            )
             for candidate in candidates
         )
     return counts.most_common(1)[0][0] if counts else NO_TARGET
--- a/packages/chivelb-core/chivelb_core/forwarding/work_estimates.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/work_estimates.py
@@ -265,8 +265,6 @@
         prefill: Time to the first event of its requests.
         occupancy: Logarithm of the time that a request holds a slot.
         occupancy_s: Mean time that a request holds a slot.
-        error: Absolute difference of the logarithms of observed and expected
-            times to the first event.
     """
 
     runs_model: bool = True
@@ -274,9 +272,6 @@
     occupancy: DecayingMean = dataclasses.field(
         default_factory=lambda: DecayingMean(retained_weight=RETAINED_WEIGHT)
     )
-    error: DecayingMean = dataclasses.field(
-        default_factory=lambda: DecayingMean(retained_weight=RETAINED_WEIGHT)
-    )
     cross_zone: DecayingMean = dataclasses.field(
         default_factory=lambda: DecayingMean(retained_weight=RETAINED_WEIGHT)
     )
@@ -617,7 +612,6 @@
         work.prefill.add(tokens, tokens_ahead, observed_s, now)
         if is_confident:
             ratio = math.log(observed_s / expected_s)
-            work.error.add(abs(ratio), now)
             self._record_own_ratio(identity, ratio, now)
 
     def _record_own_ratio(
@@ -730,7 +724,6 @@
         work.occupancy.add(bounded_s, now)
         if is_confident and not work.runs_model:
             ratio = math.log(duration_s / expected_s)
-            work.error.add(abs(ratio), now)
             self._record_own_ratio(identity, ratio, now)
 
 
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -216,10 +216,9 @@
         """Returns whether this instance reaches no target of a service."""
         if service not in self.reach.failures:
             return False
-        count = sum(
-            1 for _ in self.targets.eligible(service, now, ignores_cold=True)
-        )
-        return self.reach.is_isolated(service, count, now)
+        eligible = self.targets.eligible(service, now, ignores_cold=True)
+        identities = [record.identity for record in eligible]
+        return self.reach.is_isolated(service, identities, now)
 
     def is_unreachable(self, record: targets.TargetRecord, now: float) -> bool:
         """Returns whether this instance has no path to a target."""
--- a/packages/chivelb-node/chivelb_node/edge/connections.py
+++ b/packages/chivelb-node/chivelb_node/edge/connections.py
@@ -349,7 +349,6 @@
         if self.transport is None or not self._awaits_head():
             return
         limit_s = self.limits.get_limits().header_timeout_s
-        _log.warning("request head timed out", after_s=limit_s)
         self.record_refusal("head_time", f"incomplete after {limit_s} s")
         self.transport.write(
             b"HTTP/1.1 408 Request Timeout\r\n"
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -249,6 +249,7 @@
         if call.regions is not None and not table.has_target(
             call.service, is_allowed
         ):
+            self._record_refusal(call, now, "no target in region")
             raise responses.RequestError(
                 codes.NO_TARGET_IN_REGION,
                 f"no target of service {call.service!r} in the regions "
@@ -270,11 +271,11 @@
         if rest_s <= MAX_REST_SHARE * (call.deadline - now):
             return call.deadline
         backlog_s = 0.0 if math.isinf(rest_s) else rest_s
-        self._record_refusal(call, now, "no target", wait_s=backlog_s)
+        evacuation = self._describe_evacuation(call, now)
+        reason = "zone evacuated" if evacuation else "no target"
+        self._record_refusal(call, now, reason, wait_s=backlog_s)
         raise responses.RequestError(
-            codes.NO_TARGET,
-            self._describe_evacuation(call, now),
-            backlog_s=backlog_s,
+            codes.NO_TARGET, evacuation, backlog_s=backlog_s
         )
 
     def _zone_filter(self, call: forwarding.Call) -> Callable[[str], bool]:
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -400,6 +400,7 @@
             None if service is None else service.engine,
             reserve=reserve,
             kept=kept,
+            estimates=self.estimates,
         )
 
     def roomiest_runner(
--- a/packages/chivelb-node/chivelb_node/forwarding/work_observer.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/work_observer.py
@@ -88,7 +88,8 @@
             now=now,
             crosses_zones=record.zone != self.context.settings.instance.zone,
         )
-        self._update_metrics(now)
+        if self.context.work_estimates.is_enabled:
+            self._update_metrics(now)
 
     def observe_end(self, observed: Observed) -> None:
         """Records how long a request held its slot, if it was served.
