Keep as many voters as the settings' fault tolerance needs

Cause: the leader removed voters by reachability alone. Two unreachable voters of five were removed after 2 s; the three left don't bear the loss of two disks, and the removed ones hold an older group in which they are no majority. Nothing read the platform's FaultTolerance.

Fix: new setting [control] fault_tolerance, F (platform: FaultTolerance). No removal of an unreachable voter leaves fewer than 2F + 1 voters, as far as there are members. A standby votes before the silent voter is removed, so that F disks may be lost in the middle of the exchange; a standby counts as ready only if it has replied within an election time-out; a group that is too small grows as soon as two standbys have caught up. A voter whose instance has joined again is still removed first: its disk is lost for sure.

--- a/packages/chivelb-core/chivelb_core/consensus/replacement.py
+++ b/packages/chivelb-core/chivelb_core/consensus/replacement.py
@@ -4,7 +4,12 @@
 loss. A member beyond that stays a learner, as a standby that takes the place
 of a voter once the leader has had no reply from it for some time, whether the
 voter is gone for good or only unreachable. One that returns asks to join again
-and becomes the standby. See docs/design/consensus.md.
+and becomes the standby.
+
+No change leaves fewer voters than bear the loss of as many disks as the
+settings allow, as far as the group has members: 2F + 1 voters for F disks. An
+unreachable voter counts, because its disk may return. See
+docs/design/consensus.md.
 """
 
 import dataclasses
@@ -53,34 +58,54 @@
 
 
 def plan_membership_change(
-    voter: voter_lib.Voter, now: float
+    voter: voter_lib.Voter, now: float, *, fault_tolerance: int
 ) -> group_lib.Group | None:
     """Returns the next change of the group, or None if none is due.
 
-    At most one voter is added or removed at a time. Where a learner takes a
-    voter's place, the voter is removed first, so that the quorum never depends
-    on a lost disk.
+    At most one voter is added or removed at a time. A voter whose instance
+    has joined again under a new id has lost its disk: it is removed before its
+    successor votes, so that the quorum never depends on the lost disk. The
+    disk of a voter that is only unreachable may return: its standby votes
+    before it is removed, so that the group bears the loss of as many disks as
+    before in between.
 
     Args:
         voter: The leader.
         now: Monotonic time in seconds.
+        fault_tolerance: Disks that may be lost at the same time.
     """
     survey = survey_members(voter, now)
     group = voter.group
+    min_voters = min_voter_count(group, fault_tolerance)
     previous = _find_previous(group, survey.ready)
     if previous is not None:
         return group.without(previous)
-    if survey.ready and _is_promotion_due(group, survey):
+    if survey.unreachable and _is_removal_due(group, survey, min_voters):
+        return group.without(survey.unreachable[0])
+    if survey.ready and _is_promotion_due(group, survey, min_voters):
         return group.with_member(
             msgspec.structs.replace(survey.ready[0], votes=True)
         )
-    if survey.unreachable and _is_removal_due(group, survey):
-        return group.without(survey.unreachable[0])
     if survey.discarded:
         return group.without(survey.discarded[0])
     return None
 
 
+def min_voter_count(group: group_lib.Group, fault_tolerance: int) -> int:
+    """Returns how many voters a removal must leave.
+
+    A majority of 2F + 1 voters is left without any F of them, and a command
+    that it has acknowledged stands on more than F disks. A group with fewer
+    members keeps the largest odd number of voters that it can have.
+
+    Args:
+        group: The current group.
+        fault_tolerance: Disks that may be lost at the same time.
+    """
+    largest_odd_count = len(group.members) - 1 + len(group.members) % 2
+    return min(2 * fault_tolerance + 1, largest_odd_count)
+
+
 def survey_members(voter: voter_lib.Voter, now: float) -> Survey:
     """Returns which members are ready to vote, unreachable or discarded."""
     survey = Survey([], [], [], [])
@@ -93,7 +118,7 @@
                 survey.unreachable.append(member_id)
         elif silent_s >= timing.discard_after_s:
             survey.discarded.append(member_id)
-        elif silent_s < timing.replace_after_s and _has_caught_up(
+        elif silent_s < timing.election_timeout_s and _has_caught_up(
             voter, progress.match_index
         ):
             survey.ready.append(member)
@@ -118,23 +143,33 @@
     return None
 
 
-def _is_promotion_due(group: group_lib.Group, survey: Survey) -> bool:
+def _is_promotion_due(
+    group: group_lib.Group, survey: Survey, min_voters: int
+) -> bool:
     """Returns whether a learner should become a voter.
 
-    An even number of voters becomes odd at once. An odd number grows by two,
-    one after the other, unless learners are needed to replace voters.
+    An even number of voters becomes odd at once. An odd number grows by one
+    as the first step of an exchange, and by two, one after the other: at once
+    if the group is too small, otherwise once the learners have settled.
     """
-    if len(group.voters) % 2 == 0:
+    count = len(group.voters)
+    if count % 2 == 0 or survey.unreachable:
         return True
-    return len(survey.settled) >= 2 and not survey.unreachable
+    if count < min_voters:
+        return len(survey.ready) >= 2
+    return len(survey.settled) >= 2
 
 
-def _is_removal_due(group: group_lib.Group, survey: Survey) -> bool:
+def _is_removal_due(
+    group: group_lib.Group, survey: Survey, min_voters: int
+) -> bool:
     """Returns whether an unreachable voter should be removed.
 
-    Either a learner is ready to take its place, or the removal lowers the
-    quorum: at once if the number of voters is even, together with the removal
-    of a second one if it is odd.
+    Only if the removal lowers the quorum: at once if the number of voters is
+    even, together with the removal of a second one if it is odd.
     """
-    is_even = len(group.voters) % 2 == 0
-    return bool(survey.ready) or is_even or len(survey.unreachable) >= 2
+    count = len(group.voters)
+    removals = 1 if count % 2 == 0 else 2
+    return len(survey.unreachable) >= removals and (
+        count - removals >= min_voters
+    )
--- a/packages/chivelb-core/chivelb_core/testing/control_group.py
+++ b/packages/chivelb-core/chivelb_core/testing/control_group.py
@@ -92,15 +92,24 @@
         joining: New member ids by name of instances that lost their disk
             and are not voters again yet.
         check_count: Number of invariant checks so far.
+        fault_tolerance: Disks that may be lost at the same time.
     """
 
-    def __init__(self, seed: int, names: tuple[str, ...] = ("a", "b", "c")):
+    def __init__(
+        self,
+        seed: int,
+        names: tuple[str, ...] = ("a", "b", "c"),
+        *,
+        fault_tolerance: int = 1,
+    ) -> None:
         """Creates a group of new members.
 
         Args:
             seed: Seed of the members' randomness.
             names: Names of the instances.
+            fault_tolerance: Disks that may be lost at the same time.
         """
+        self.fault_tolerance = fault_tolerance
         self.rng = random.Random(seed)
         self.names = names
         self.now = 0.0
@@ -332,10 +341,15 @@
             for entry in effects.committed:
                 self._apply(name, entry)
         if voter.role is states.Role.LEADER:
-            new_group = replacement_lib.plan_membership_change(voter, self.now)
+            new_group = self._plan_change(voter)
             if new_group is not None:
                 voter.propose_group(new_group, self.now)
 
+    def _plan_change(self, voter: consensus.Voter) -> group_lib.Group | None:
+        return replacement_lib.plan_membership_change(
+            voter, self.now, fault_tolerance=self.fault_tolerance
+        )
+
     def _sync(self, name: str, effects: consensus.Effects) -> None:
         disk = self.disks[name]
         if effects.snapshot is not None:
--- a/packages/chivelb-core/chivelb_core/testing/replacement_days.py
+++ b/packages/chivelb-core/chivelb_core/testing/replacement_days.py
@@ -29,9 +29,11 @@
         successor_count: Number of successors so far.
     """
 
-    def __init__(self, seed: int, names: tuple[str, ...]) -> None:
+    def __init__(
+        self, seed: int, names: tuple[str, ...], *, fault_tolerance: int = 1
+    ) -> None:
         """Creates a group that the named instances found."""
-        super().__init__(seed, names)
+        super().__init__(seed, names, fault_tolerance=fault_tolerance)
         self.gone: set[str] = set()
         self.successor_count = 0
 
@@ -145,7 +147,9 @@
     rng = random.Random(seed)
     count = rng.choice((3, 3, 3, 5, 6, 8))
     names = tuple(f"c{number}" for number in range(count))
-    day = ReplacementSimulation(seed, names[:3])
+    day = ReplacementSimulation(
+        seed, names[:3], fault_tolerance=tolerated_losses(count)
+    )
     report = DayReport([f"{count} instances"])
     day.run(3.0)
     for _ in names[3:]:
--- a/packages/chivelb-node/chivelb_node/control/group_log.py
+++ b/packages/chivelb-node/chivelb_node/control/group_log.py
@@ -53,6 +53,7 @@
             "control group changed",
             voters=sorted(voters),
             learners=sorted(learners),
+            tolerated_losses=(len(voters) - 1) // 2,
             index=voter.group_index,
             commit_index=voter.commit_index,
         )
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -514,7 +514,11 @@
         """Proposes the next change of the group's members, if one is due."""
         if not self.is_leader:
             return
-        step = replacement_lib.plan_membership_change(self.voter, now)
+        step = replacement_lib.plan_membership_change(
+            self.voter,
+            now,
+            fault_tolerance=self.context.settings.control.fault_tolerance,
+        )
         if step is not None:
             self.voter.propose_group(step, now)
 
--- a/packages/chivelb-node/chivelb_node/settings.py
+++ b/packages/chivelb-node/chivelb_node/settings.py
@@ -109,6 +109,9 @@
             election may start.
         heartbeat_s: Interval between the leader's heartbeats, in seconds.
         claim_ttl_s: Seconds for which a settled claim is stored.
+        fault_tolerance: Number of voters whose disks may be lost at the same
+            time. The leader removes no voter that it can't reach if the
+            others would not bear that loss.
     """
 
     voters: list[str] = []
@@ -118,6 +121,7 @@
     election_timeout_s: float = 1.0
     heartbeat_s: float = 0.15
     claim_ttl_s: float = 86_400.0
+    fault_tolerance: int = 1
 
 
 class Forwarding(msgspec.Struct, kw_only=True):
@@ -473,6 +477,8 @@
             "[control] heartbeat_s: must be at most a third of "
             "election_timeout_s"
         )
+    if control.fault_tolerance < 0:
+        errors.append("[control] fault_tolerance: must be 0 or above")
     return errors
 
 
--- a/tests/control_groups.py
+++ b/tests/control_groups.py
@@ -20,8 +20,9 @@
 class ControlGroup:
     """Voter services by name, and their network."""
 
-    def __init__(self, directory):
+    def __init__(self, directory, *, fault_tolerance=1):
         self.directory = directory
+        self.fault_tolerance = fault_tolerance
         self.network = replicas.MemoryNetwork()
         self.services = {}
 
@@ -35,6 +36,7 @@
         settings.control.start = start
         settings.control.election_timeout_s = 0.3
         settings.control.heartbeat_s = 0.06
+        settings.control.fault_tolerance = self.fault_tolerance
         service = voter_service.VoterService(
             context,
             replicas.MemoryHub(name, self.network),
@@ -107,8 +109,8 @@
 
 
 @contextlib.asynccontextmanager
-async def running_group(directory):
-    group = ControlGroup(directory)
+async def running_group(directory, *, fault_tolerance=1):
+    group = ControlGroup(directory, fault_tolerance=fault_tolerance)
     for name in SEEDS:
         await group.start(name, start="found")
     await group.wait_until(group.leader)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -234,7 +234,9 @@
 
 
 def plan_change(voter):
-    return control_group.replacement_lib.plan_membership_change(voter, 9.3)
+    return control_group.replacement_lib.plan_membership_change(
+        voter, 9.3, fault_tolerance=1
+    )
 
 
 def acknowledge(voter, index):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -105,6 +105,12 @@
             ).encode(),
             "MemoryMb",
         ),
+        (
+            json.dumps(
+                {**PLATFORM_SETTINGS, "FaultTolerance": {"Machines": -1}}
+            ).encode(),
+            "FaultTolerance",
+        ),
         (b"{", "truncated"),
         (b"\xff\xfe\x00", "malformed"),
         (b"", "truncated"),
@@ -139,6 +145,25 @@
     assert http.max_connections == max_connections
 
 
+# Guards against a control group that shrinks below what the platform says may
+# be lost at the same time (review/6).
+@pytest.mark.parametrize(
+    ("tolerance", "disks"),
+    [
+        ({"Machines": 2, "Zones": 1, "Regions": 0}, 2),
+        ({"Machines": 0, "Zones": 1, "Other": 9}, 1),
+        ({"Machines": 0}, 0),
+        ({}, 1),
+    ],
+)
+def test_the_disks_that_may_be_lost_follow_from_the_fault_tolerance(
+    tmp_path, tolerance, disks
+):
+    content = {**PLATFORM_SETTINGS, "FaultTolerance": tolerance}
+    result = read_settings_file(tmp_path, json.dumps(content).encode())
+    assert boot.make_settings(result.ok).control.fault_tolerance == disks
+
+
 def test_a_missing_settings_file_is_an_error(tmp_path):
     assert boot.read_platform_settings(str(tmp_path / "none")).is_error()
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -35,6 +35,10 @@
         BASE + "[control]\nheartbeat_s = 0.9\n",
         ["heartbeat_s", "election_timeout_s"],
     ),
+    (
+        BASE + "[control]\nfault_tolerance = -1\n",
+        ["[control] fault_tolerance", "0 or above"],
+    ),
     (
         BASE + "[forwarding]\nweights_apply_s = 0\n",
         ["[forwarding] weights_apply_s", "above 0"],
--- a/tests/test_voter_service.py
+++ b/tests/test_voter_service.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import errno
+import shutil
 
 from chivelb_core.consensus import messages as consensus_messages
+from chivelb_core.consensus import states
 from chivelb_node.control import voter_service
 from chivelb_node.storage import journal as journal_lib
 import control_groups
@@ -51,6 +53,30 @@
     asyncio.run(run())
 
 
+# Guards against a group that can't elect a leader any more (review/6): two of
+# five voters are stopped, and two others lose their disks.
+def test_a_group_of_five_bears_two_lost_disks_after_two_stops(tmp_path):
+    async def run():
+        async with control_groups.running_group(
+            tmp_path, fault_tolerance=2
+        ) as group:
+            for name in ("v4", "v5"):
+                await group.start(name, start="join")
+            await group.wait_until(lambda: len(group.voter_names()) == 5)
+            for name in ("v4", "v5"):
+                await group.stop(name)
+            await asyncio.sleep(2 * states.Timing().replace_after_s)
+            await group.commit()
+            for name in ("v1", "v2"):
+                await group.stop(name)
+                shutil.rmtree(tmp_path / name)
+            for name in ("v1", "v2", "v4", "v5"):
+                await group.start(name, start="join")
+            await group.commit()
+
+    asyncio.run(run())
+
+
 @pytest.fixture
 def failing_folders(monkeypatch):
     """Folders whose files refuse each write."""
