Tell two entries of each stream's origin from its start

Cause: while one version served, only the placing entry knew the origin of a stream. It told others once it saw a second version, which it can't while it stands still. The log tells it: 'origin of a stream not proved' with two versions and is_complete true, so nobody had a record.

Fix: the two entries that keep origins are told with each batch of 0.1 s; a control instance besides while there are several versions, as before. An origin is recorded with the first event, so no order of events makes it wrong. What an entry keeps for others isn't told again as a second version joins.

--- a/packages/chivelb-core/chivelb_core/forwarding/stream_origins.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/stream_origins.py
@@ -44,11 +44,14 @@
         origin: The origin.
         expires_at: Monotonic time from which the stream is not taken up any
             more, in seconds.
+        is_own: Whether this instance placed the stream; otherwise it keeps
+            the origin for another one.
     """
 
     key: bytes
     origin: StreamOrigin
     expires_at: float
+    is_own: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -113,10 +116,13 @@
             return None
         return recorded.origin
 
-    def of_service(self, service: str, now: float) -> Iterator[RecordedOrigin]:
-        """Yields the origins of a service that have not expired."""
+    def own_of_service(
+        self, service: str, now: float
+    ) -> Iterator[RecordedOrigin]:
+        """Yields a service's origins that this instance placed, if current."""
         for recorded in self.recorded.values():
-            if recorded.origin.service == service and recorded.expires_at > now:
+            is_of_service = recorded.origin.service == service
+            if recorded.is_own and is_of_service and recorded.expires_at > now:
                 yield recorded
 
 
--- a/packages/chivelb-node/chivelb_node/links/stream_origins.py
+++ b/packages/chivelb-node/chivelb_node/links/stream_origins.py
@@ -1,8 +1,9 @@
 """Shares the origins of streams with the instances that may continue them.
 
-Origins are shared only while the targets of a route differ in service or
-software version, or did until recently; otherwise there is one origin that a
-stream can have.
+Two entry instances keep the origin of each stream from its start: while one
+software version serves, the instance that placed a stream can't know whether a
+second one joins when it stands still. A control instance keeps it too while the
+targets of a route differ in service or software version, or did until recently.
 """
 
 import asyncio
@@ -85,6 +86,7 @@
         self._observed_at = float("-inf")
         self._mixed_services: set[str] = set()
         self._to_share: list[stream_origins.RecordedOrigin] = []
+        self._to_share_with_control: list[stream_origins.RecordedOrigin] = []
         self._has_origins_to_share = asyncio.Event()
         hub.register_handler(messages.StreamStarts, self._on_stream_starts)
         hub.register_handler(messages.StreamOriginRequest, self._on_request)
@@ -119,15 +121,16 @@
             stream_origins.origin_key(call.workspace or "", call.request_id),
             origin,
             call.deadline + EXPIRY_MARGIN_S,
+            is_own=True,
         )
         self.table.add(recorded, now)
         self.serving.note(origin, now)
         self._observe_targets(now)
-        if call.route.resumable and self._is_ambiguous(call, now):
-            self._share(recorded)
-
-    def _share(self, *recorded: stream_origins.RecordedOrigin) -> None:
-        self._to_share.extend(recorded)
+        if not call.route.resumable:
+            return
+        self._to_share.append(recorded)
+        if self._is_ambiguous(call, now):
+            self._to_share_with_control.append(recorded)
         self._has_origins_to_share.set()
 
     def _is_ambiguous(self, call: forwarding.Call, now: float) -> bool:
@@ -162,7 +165,10 @@
         _log.warning("versions not watched", gap_s=round(gap_s, 3))
 
     def _share_of_newly_mixed_services(self, now: float) -> None:
-        """Shares earlier streams of services that have a second version now."""
+        """Shares earlier streams of services that have a second version now.
+
+        Entry instances keep them already.
+        """
         earliest = now - RECENT_VERSIONS_S
         mixed = {
             service
@@ -170,8 +176,10 @@
             if len(self.serving.since(service, earliest)) > 1
         }
         for service in mixed - self._mixed_services:
-            recorded = list(self.table.of_service(service, now))
-            self._share(*recorded)
+            recorded = list(self.table.own_of_service(service, now))
+            if recorded:
+                self._to_share_with_control.extend(recorded)
+                self._has_origins_to_share.set()
             _log.info(
                 "service has several software versions",
                 service=service,
@@ -190,18 +198,28 @@
     def send_collected(self) -> None:
         """Sends the collected origins to the instances that keep them."""
         self._has_origins_to_share.clear()
-        collected, self._to_share = self._to_share, []
-        now = context_lib.monotonic()
-        peers = stream_origins.keepers(
+        for_entries, self._to_share = self._to_share, []
+        for_control, self._to_share_with_control = (
+            self._to_share_with_control,
+            [],
+        )
+        entries = stream_origins.keepers(
             self.hub.local_name,
             self.context.settings.instance.zone,
             self._entries_by_zone(),
         )
-        peers += stream_origins.control_keepers(
+        control_instances = stream_origins.control_keepers(
             self.hub.local_name, self._live_control_instances()
         )
-        if collected and peers:
-            self.hub.broadcast(peers, _encode_starts(collected, now))
+        self._send_origins(entries, for_entries)
+        self._send_origins(control_instances, for_control)
+
+    def _send_origins(
+        self, peers: list[str], recorded: list[stream_origins.RecordedOrigin]
+    ) -> None:
+        if recorded and peers:
+            now = context_lib.monotonic()
+            self.hub.broadcast(peers, _encode_starts(recorded, now))
 
     def _live_control_instances(self) -> list[str]:
         return [
