Bound what is kept of changes in bytes

Cause: the history of deltas was bounded by 2,000 changes.

Fix: the history is bounded by 1 MiB, kept encoded in the format of before, and of a longer one that an earlier build stored only the newest part is decoded. Tests that built deltas by hand encode them now; their assertions are the same.

--- a/packages/chivelb-core/chivelb_core/consensus/snapshots.py
+++ b/packages/chivelb-core/chivelb_core/consensus/snapshots.py
@@ -10,16 +10,17 @@
 
     Attributes:
         group: Committed control group.
-        state: Encoded state of the state machine.
+        state: Encoded state of the state machine. It may be large, so that a
+            decoded snapshot has a view of its data in place of a copy.
     """
 
     group: group_lib.Group
-    state: bytes
+    state: memoryview
 
 
 def encode_snapshot(group: group_lib.Group, state: bytes) -> bytes:
     """Encodes a snapshot as MessagePack."""
-    return msgspec.msgpack.encode(Snapshot(group, state))
+    return msgspec.msgpack.encode(Snapshot(group, memoryview(state)))
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
--- a/packages/chivelb-core/chivelb_core/consensus/voter.py
+++ b/packages/chivelb-core/chivelb_core/consensus/voter.py
@@ -22,6 +22,8 @@
 # A log may grow to this multiple of the newest snapshot, so that writing
 # snapshots stays a bounded share of all that is written.
 MAX_LOG_TO_SNAPSHOT_RATIO = 2
+# The log is held in memory, however large the snapshot is.
+MAX_LOG_BYTES = 16_777_216
 
 
 class Voter(member_lib.Member):
@@ -181,7 +183,10 @@
         count = self.applied_index - self.log.base_index
         max_bytes = max(
             MIN_SNAPSHOT_INTERVAL_BYTES,
-            MAX_LOG_TO_SNAPSHOT_RATIO * len(self.snapshot_data),
+            min(
+                MAX_LOG_BYTES,
+                MAX_LOG_TO_SNAPSHOT_RATIO * len(self.snapshot_data),
+            ),
         )
         return (
             count >= SNAPSHOT_INTERVAL_ENTRIES
--- a/packages/chivelb-core/chivelb_core/document/sharing.py
+++ b/packages/chivelb-core/chivelb_core/document/sharing.py
@@ -79,6 +79,7 @@
     new: model_lib.Document,
     operations: Iterable[changes.Operation],
     part_versions: Mapping[str, int],
+    forgotten_version: int,
 ) -> bool:
     """Returns whether a change begins a new sharing epoch.
 
@@ -89,12 +90,16 @@
         operations: Operations of the change.
         part_versions: Version that last changed each part before the change,
             by path; those of removed parts are kept.
+        forgotten_version: Highest version of a removed part that
+            ``part_versions`` no longer has; 0 if it has all.
     """
     paths = {operation.path for operation in operations}
     if paths and not epoch:
         return True
     return any(
-        _changes_isolation(path, old, new, path in part_versions)
+        _changes_isolation(
+            path, old, new, forgotten_version > 0 or path in part_versions
+        )
         for path in paths
         if path.startswith(WORKSPACE_PATH)
     )
--- a/packages/chivelb-core/chivelb_core/document/state.py
+++ b/packages/chivelb-core/chivelb_core/document/state.py
@@ -11,24 +11,21 @@
 
 from chivelb_core import codes
 from chivelb_core.document import changes
+from chivelb_core.document import deltas as deltas_lib
 from chivelb_core.document import model as model_lib
+from chivelb_core.document import part_versions as part_versions_lib
 from chivelb_core.document import sharing
 from chivelb_core.document import validation
 
+# Limits of the recorded results together, of their change ids and problems.
 MAX_RECORDED_RESULTS = 200_000
-MAX_HISTORY_DELTAS = 2_000
-MAX_REPLICA_HISTORY_DELTAS = 500
+MAX_RECORDED_BYTES = 33_554_432
+# Limits of the problems of one result.
+MAX_PROBLEMS = 100
+MAX_PROBLEM_LENGTH = 1_000
 MAX_EVACUATION_ORDERS = 1_000
 
 
-class DeltaError(ValueError):
-    """Raised for a delta that can't be applied to a document state."""
-
-
-class StateError(ValueError):
-    """Raised for bytes that are no document state or no list of deltas."""
-
-
 class ChangeResult(msgspec.Struct, frozen=True):
     """The recorded result of a change, returned again to each resend.
 
@@ -38,7 +35,8 @@
             version if the change was rejected.
         digest: Digest of the change's content; detects a change id that is
             reused for another change.
-        problems: Validation errors of the change; empty if it was accepted.
+        problems: The first validation errors of the change; empty if it was
+            accepted.
     """
 
     code: int
@@ -47,39 +45,20 @@
     problems: list[validation.Problem] = []
 
 
-class DocumentDelta(msgspec.Struct, frozen=True):
-    """The difference between ``version - 1`` and ``version``.
-
-    Attributes:
-        version: Version that the delta leads to.
-        change_id: Id of the change that created the version.
-        author: Who requested the change.
-        operations: Operations on the document, in order.
-        number: The operator's document number at this version.
-        weights: Number of the newest requested weight version of each model
-            at this document version.
-        evacuated_zones: Evacuated availability zones at this document version,
-            each with the version since which it is evacuated.
-    """
-
-    version: int
-    change_id: str
-    author: str
-    operations: list[changes.Operation]
-    number: int = 0
-    weights: dict[str, int] = {}
-    evacuated_zones: dict[str, int] = {}
-
-
 class DocumentState(msgspec.Struct, kw_only=True):
     """State of the document state machine, encoded as a whole in snapshots.
 
     Attributes:
         document: The document at the current version.
         version: Version of the document; increases by 1 with each delta.
-        part_versions: Version that last changed each part, by path.
+        part_versions: Version that last changed each part, by path; removed
+            parts are included.
+        forgotten_version: Highest version of a removed part that
+            ``part_versions`` no longer has.
         answers: Recorded results by change id, oldest first.
-        history: The newest deltas, oldest first.
+        answers_bytes: Size that counts towards ``MAX_RECORDED_BYTES``.
+        history: The newest deltas, encoded, oldest first; the newest one leads
+            to ``version``.
         fencing: Highest fencing token issued.
         leases: Holder and fencing token of each named lease.
         number: The operator's document number; 0 before the first
@@ -103,8 +82,10 @@
     )
     version: int = 0
     part_versions: dict[str, int] = {}
+    forgotten_version: int = 0
     answers: dict[str, ChangeResult] = {}
-    history: list[DocumentDelta] = []
+    answers_bytes: int = 0
+    history: list[msgspec.Raw] = []
     fencing: int = 0
     leases: dict[str, tuple[str, int]] = {}
     number: int = 0
@@ -215,11 +196,19 @@
                 )
             return recorded
         result = self._evaluate(change, digest)
-        self.answers[change.change_id] = result
-        while len(self.answers) > MAX_RECORDED_RESULTS:
-            del self.answers[next(iter(self.answers))]
+        self._record_answer(change.change_id, result)
         return result
 
+    def _record_answer(self, change_id: str, result: ChangeResult) -> None:
+        self.answers[change_id] = result
+        self.answers_bytes += _count_bytes(change_id, result)
+        while (
+            len(self.answers) > MAX_RECORDED_RESULTS
+            or self.answers_bytes > MAX_RECORDED_BYTES
+        ):
+            oldest = next(iter(self.answers))
+            self.answers_bytes -= _count_bytes(oldest, self.answers.pop(oldest))
+
     def _evaluate(self, change: changes.Change, digest: str) -> ChangeResult:
         if self.has_conflict(change):
             return ChangeResult(
@@ -230,7 +219,10 @@
         )
         if problems:
             return ChangeResult(
-                codes.CHANGE_INVALID.number, self.version, digest, problems
+                codes.CHANGE_INVALID.number,
+                self.version,
+                digest,
+                [_shorten(problem) for problem in problems[:MAX_PROBLEMS]],
             )
         self._accept(document, change)
         return ChangeResult(codes.DONE.number, self.version, digest)
@@ -242,7 +234,8 @@
         if change.whole:
             return change.base_version != self.version
         return any(
-            self.part_versions.get(operation.path, 0) > change.base_version
+            self.part_versions.get(operation.path, self.forgotten_version)
+            > change.base_version
             for operation in change.operations
         )
 
@@ -268,23 +261,31 @@
             document,
             operations,
             self.part_versions,
+            self.forgotten_version,
         ):
             self.sharing_epoch = sharing.name_epoch(self.version, self.number)
         self.document = document
         for operation in operations:
             self.part_versions[operation.path] = self.version
-        self.history.append(
-            DocumentDelta(
-                self.version,
-                change_id,
-                author,
-                operations,
-                self.number,
-                dict(self.weights),
-                dict(self.evacuated_zones),
-            )
+        self.forgotten_version = max(
+            self.forgotten_version,
+            part_versions_lib.forget_removed(
+                self.part_versions, document, operations
+            ),
+        )
+        delta = deltas_lib.DocumentDelta(
+            self.version,
+            change_id,
+            author,
+            operations,
+            self.number,
+            self.weights,
+            self.evacuated_zones,
+        )
+        self.history.append(deltas_lib.encode_delta(delta))
+        self.history = deltas_lib.newest(
+            self.history, max_count=deltas_lib.MAX_HISTORY_DELTAS
         )
-        del self.history[:-MAX_HISTORY_DELTAS]
         assert self.version == previous_version + 1, (
             f"document version changed from {previous_version} to "
             f"{self.version}; it must increase by 1"
@@ -316,7 +317,9 @@
         self.leases[lease] = (holder, self.fencing)
         return self.fencing
 
-    def apply_deltas(self, deltas: list[DocumentDelta]) -> "DocumentState":
+    def apply_deltas(
+        self, deltas: list[deltas_lib.DocumentDelta]
+    ) -> "DocumentState":
         """Returns a replica with deltas applied.
 
         Args:
@@ -333,9 +336,10 @@
         part_versions = dict(self.part_versions)
         version = self.version
         sharing_epoch = self.sharing_epoch
+        forgotten_version = self.forgotten_version
         for delta in deltas:
             if delta.version != version + 1:
-                raise DeltaError(
+                raise deltas_lib.DeltaError(
                     f"delta {delta.version} does not follow version {version}"
                 )
             previous_document = document
@@ -343,7 +347,7 @@
                 document, delta.operations, check=False
             )
             if problems:
-                raise DeltaError(
+                raise deltas_lib.DeltaError(
                     f"invalid delta {delta.version}: {problems[0]}"
                 )
             version = delta.version
@@ -353,15 +357,26 @@
                 document,
                 delta.operations,
                 part_versions,
+                forgotten_version,
             ):
                 sharing_epoch = sharing.name_epoch(version, delta.number)
             for operation in delta.operations:
                 part_versions[operation.path] = version
+            forgotten_version = max(
+                forgotten_version,
+                part_versions_lib.forget_removed(
+                    part_versions, document, delta.operations
+                ),
+            )
         return DocumentState(
             document=document,
             version=version,
             part_versions=part_versions,
-            history=[*self.history, *deltas][-MAX_REPLICA_HISTORY_DELTAS:],
+            forgotten_version=forgotten_version,
+            history=deltas_lib.newest(
+                [*self.history, *map(deltas_lib.encode_delta, deltas)],
+                max_count=deltas_lib.MAX_REPLICA_HISTORY_DELTAS,
+            ),
             fencing=self.fencing,
             leases=self.leases,
             number=deltas[-1].number if deltas else self.number,
@@ -382,7 +397,8 @@
             document=self.document,
             version=self.version,
             part_versions=dict(self.part_versions),
-            history=self.history[-MAX_REPLICA_HISTORY_DELTAS:],
+            forgotten_version=self.forgotten_version,
+            history=self.history[-deltas_lib.MAX_REPLICA_HISTORY_DELTAS :],
             fencing=self.fencing,
             leases=dict(self.leases),
             number=self.number,
@@ -404,7 +420,9 @@
             evacuation_orders=dict(self.evacuation_orders),
         )
 
-    def deltas_since(self, version: int) -> list[DocumentDelta] | None:
+    def deltas_since(
+        self, version: int
+    ) -> list[deltas_lib.DocumentDelta] | None:
         """Returns the deltas after a version.
 
         Args:
@@ -414,11 +432,40 @@
             The deltas in order, or None if some of them are no longer in the
             history.
         """
-        if version >= self.version:
-            return []
-        if not self.history or self.history[0].version > version + 1:
+        encoded = self._history_since(version)
+        return None if encoded is None else deltas_lib.decode_history(encoded)
+
+    def encode_deltas_since(self, version: int) -> bytes | None:
+        """Returns the deltas after a version, encoded as a list.
+
+        Args:
+            version: Version that the receiver has.
+
+        Returns:
+            The encoded list, or None if some of the deltas are no longer in
+            the history.
+        """
+        encoded = self._history_since(version)
+        return None if encoded is None else msgspec.msgpack.encode(encoded)
+
+    def _history_since(self, version: int) -> list[msgspec.Raw] | None:
+        missing = self.version - version
+        if missing > len(self.history):
             return None
-        return self.history[version + 1 - self.history[0].version :]
+        return self.history[len(self.history) - max(missing, 0) :]
+
+
+def _count_bytes(change_id: str, result: ChangeResult) -> int:
+    """Returns the size of a recorded result, as far as its texts vary."""
+    return len(change_id) + sum(
+        len(problem.path) + len(problem.message) for problem in result.problems
+    )
+
+
+def _shorten(problem: validation.Problem) -> validation.Problem:
+    return validation.Problem(
+        problem.path[:MAX_PROBLEM_LENGTH], problem.message[:MAX_PROBLEM_LENGTH]
+    )
 
 
 def digest_change(change: changes.Change) -> str:
@@ -454,7 +501,14 @@
     Raises:
         StateError: The data is no document state.
     """
-    document_state = _decode(_state_decoder, data)
+    document_state = deltas_lib.decode(_state_decoder, data)
+    document_state.history = deltas_lib.restore(
+        document_state.history, document_state.version
+    )
+    document_state.answers_bytes = sum(
+        _count_bytes(change_id, result)
+        for change_id, result in document_state.answers.items()
+    )
     if document_state.part_versions and not document_state.sharing_epoch:
         # Written by a build without sharing epochs.
         document_state.sharing_epoch = sharing.bound_epoch(
@@ -463,22 +517,4 @@
     return document_state
 
 
-def decode_deltas(data: bytes) -> list[DocumentDelta]:
-    """Decodes a list of deltas.
-
-    Raises:
-        StateError: The data is no list of deltas.
-    """
-    return _decode(_deltas_decoder, data)
-
-
-def _decode(decoder: msgspec.msgpack.Decoder, data: bytes) -> Any:
-    # UnicodeDecodeError, of a text that is no UTF-8, is a ValueError too.
-    try:
-        return decoder.decode(data)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise StateError(str(error)) from None
-
-
 _state_decoder = msgspec.msgpack.Decoder(DocumentState)
-_deltas_decoder = msgspec.msgpack.Decoder(list[DocumentDelta])
--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -7,13 +7,13 @@
 
 from chivelb_core import document
 from chivelb_core.document import changes as changes_lib
+from chivelb_core.document import deltas as deltas_lib
 from chivelb_core.document import distribution
 from chivelb_core.document import model as model_lib
 from chivelb_core.document import regions as regions_lib
 from chivelb_core.document import sharing
 from chivelb_core.document import state as state_lib
 import mode
-import msgspec
 
 from chivelb_node import context as context_lib
 from chivelb_node import hedging
@@ -199,10 +199,10 @@
         Sends the version alone if the delta is not in the history.
         """
         version = self.context.version
-        deltas = self.context.document_state.deltas_since(version - 1) or []
+        payload = self.context.document_state.encode_deltas_since(version - 1)
         body: object = messages.VersionAnnouncement(version)
-        if deltas:
-            body = messages.Deltas(version - 1, msgspec.msgpack.encode(deltas))
+        if payload is not None:
+            body = messages.Deltas(version - 1, payload)
         self.hub.broadcast(self._receivers(), body)
         self._announce()
 
@@ -263,9 +263,8 @@
         version = self.context.version
         if version <= pull.have:
             return messages.VersionAnnouncement(max(version, 0))
-        deltas = self.context.document_state.deltas_since(pull.have)
-        if deltas is not None and pull.have > 0:
-            payload = msgspec.msgpack.encode(deltas)
+        payload = self.context.document_state.encode_deltas_since(pull.have)
+        if payload is not None and 0 < pull.have:
             if len(payload) <= MAX_PULLED_BYTES:
                 return messages.Deltas(pull.have, payload)
         payload = state_lib.encode_replica(
@@ -282,7 +281,7 @@
     def _apply_update(self, peer: str, body: object) -> None:
         try:
             document_state = self._decode_update(peer, body)
-        except (state_lib.DeltaError, state_lib.StateError) as error:
+        except (deltas_lib.DeltaError, deltas_lib.StateError) as error:
             self._refuse_update(peer, body, error)
             return
         if document_state is not None and self.context.apply_document_state(
@@ -298,15 +297,15 @@
         """Returns the newer state that a message leads to, or None.
 
         Raises:
-            state_lib.DeltaError: A delta can't be applied.
-            state_lib.StateError: The payload can't be decoded.
+            deltas_lib.DeltaError: A delta can't be applied.
+            deltas_lib.StateError: The payload can't be decoded.
         """
         match body:
             case messages.FullDocument(version, payload):
                 if version > self.context.version:
                     return state_lib.decode_document_state(payload)
             case messages.Deltas(payload=payload):
-                deltas = state_lib.decode_deltas(payload)
+                deltas = deltas_lib.decode_deltas(payload)
                 return self._apply_deltas(peer, deltas)
         return None
 
@@ -341,7 +340,7 @@
             self._announce(except_for=received_from)
 
     def _apply_deltas(
-        self, peer: str, deltas: list[state_lib.DocumentDelta]
+        self, peer: str, deltas: list[deltas_lib.DocumentDelta]
     ) -> document.DocumentState | None:
         """Returns the newer state, or None if there is none or a gap."""
         current = self.context.version
--- a/packages/chivelb-node/chivelb_node/edge/operators.py
+++ b/packages/chivelb-node/chivelb_node/edge/operators.py
@@ -11,6 +11,7 @@
 from chivelb_core import codes
 from chivelb_core import document
 from chivelb_core.document import changes as changes_lib
+from chivelb_core.document import deltas as deltas_lib
 from chivelb_core.document import model as model_lib
 from chivelb_core.document import regions as regions_lib
 from chivelb_core.document import state as state_lib
@@ -164,7 +165,7 @@
     async def history(self, request: web.Request) -> web.Response:
         """Serves the newest deltas of the document's version history."""
         newest = self.context.document_state.history[-MAX_HISTORY_DELTAS:]
-        deltas = msgspec.to_builtins(newest)
+        deltas = msgspec.to_builtins(deltas_lib.decode_history(newest))
         for delta in deltas:
             for operation in delta["operations"]:
                 if isinstance(operation["value"], dict):
--- a/packages/chivelb-node/chivelb_node/storage/restore.py
+++ b/packages/chivelb-node/chivelb_node/storage/restore.py
@@ -5,6 +5,7 @@
 
 from chivelb_core.consensus import group as group_lib
 from chivelb_core.consensus import snapshots
+from chivelb_core.document import deltas as deltas_lib
 from chivelb_core.document import sharing
 from chivelb_core.document import state as state_lib
 
@@ -35,7 +36,7 @@
     """
     try:
         document_state = state_lib.decode_document_state(data)
-    except state_lib.StateError as error:
+    except deltas_lib.StateError as error:
         raise ValueError(f"not a saved document state: {error}") from None
     directory = data_dir / "voter"
     files = voter_files.VoterFiles(directory)
--- a/packages/chivelb-node/chivelb_node/storage/voter_files.py
+++ b/packages/chivelb-node/chivelb_node/storage/voter_files.py
@@ -218,12 +218,13 @@
     Raises:
         journal_lib.JournalError: The file is damaged.
     """
-    if zlib.crc32(raw[4:]).to_bytes(4, "big") != raw[:4]:
+    body = memoryview(raw)[4:]
+    if zlib.crc32(body).to_bytes(4, "big") != raw[:4]:
         raise journal_lib.JournalError(
             f"{source}: snapshot is damaged: checksum mismatch"
         )
     try:
-        return msgspec.msgpack.decode(raw[4:], type=tuple[int, int, bytes])
+        return msgspec.msgpack.decode(body, type=tuple[int, int, bytes])
     except msgspec.MsgspecError as error:
         raise journal_lib.JournalError(f"{source}: {error}") from None
 
--- a/tests/test_document_names.py
+++ b/tests/test_document_names.py
@@ -5,6 +5,7 @@
 import builders
 from chivelb_core import document
 from chivelb_core.document import changes
+from chivelb_core.document import deltas as deltas_lib
 from chivelb_core.document import part_paths
 from chivelb_core.document import state as state_lib
 from chivelb_node.wire import messages
@@ -93,13 +94,13 @@
 
 @pytest.mark.parametrize("data", [b"", b"\xc1", b"\x93\x01", b"\xa1\xff"])
 def test_bytes_that_are_no_state_or_deltas_are_a_typed_error(data):
-    with pytest.raises(state_lib.StateError):
+    with pytest.raises(deltas_lib.StateError):
         state_lib.decode_document_state(data)
-    with pytest.raises(state_lib.StateError):
-        state_lib.decode_deltas(data)
+    with pytest.raises(deltas_lib.StateError):
+        deltas_lib.decode_deltas(data)
 
 
-UNUSABLE_DELTA = state_lib.DocumentDelta(
+UNUSABLE_DELTA = deltas_lib.DocumentDelta(
     2, "c", "", [changes.Operation("nothing/of-this", {})]
 )
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -15,6 +15,7 @@
 from chivelb_core import calls
 from chivelb_core import codes
 from chivelb_core import document
+from chivelb_core.document import deltas as deltas_lib
 from chivelb_core.document import state as state_lib
 from chivelb_node import context as context_lib
 from chivelb_node.control import evacuations
@@ -91,7 +92,7 @@
     ):
         assert copied.evacuated_zones == {"z2": 2, "z3": 3}
     assert order(state, evacuate=False)
-    deltas = state_lib.decode_deltas(
+    deltas = deltas_lib.decode_deltas(
         builders.encode_deltas(state.deltas_since(followed.version))
     )
     assert followed.apply_deltas(deltas).evacuated_zones == {"z3": 3}
--- a/tests/test_large_messages.py
+++ b/tests/test_large_messages.py
@@ -9,6 +9,7 @@
 import random
 
 import builders
+from chivelb_core.document import deltas as deltas_lib
 from chivelb_core.document import state as state_lib
 from chivelb_core.testing import control_group
 from chivelb_node.control import commands
@@ -178,7 +179,9 @@
     state = builders.make_document_state()
     state.version = 301
     state.history = [
-        state_lib.DocumentDelta(version, f"c{version}", author, [])
+        deltas_lib.encode_delta(
+            deltas_lib.DocumentDelta(version, f"c{version}", author, [])
+        )
         for version in range(2, state.version + 1)
         for author in [rng.randbytes(10_000).hex()]
     ]
