Bound what waits to be sent to peers, for all links together

With changes of all routes, an instance whose peers stand still together would hold as much for each of them.

All links together hold 32 MiB; beyond it those with most to send are closed and what they held is dropped at once, not after the kernel's time-out. Their peers ask for what they lack when they read again.

--- a/packages/chivelb-node/chivelb_node/links/hub.py
+++ b/packages/chivelb-node/chivelb_node/links/hub.py
@@ -27,8 +27,11 @@
 # A caller waits for a channel; another peer may be asked instead.
 CHANNEL_TIMEOUT_S = 0.3
 HANDSHAKE_TIMEOUT_S = 1.0
-MAX_QUEUED_FRAMES = 2_000
+# Limits of what waits for a link to open, of what waits to be sent on one
+# link, and on all links together.
+MAX_QUEUED_BYTES = 4_194_304
 MAX_WRITE_BUFFER_BYTES = 16_777_216
+MAX_UNSENT_BYTES = 33_554_432
 RECONNECT_DELAY_S = 0.2
 IDLE_TIMEOUT_S = 60.0
 # Period of the checks for unusable links and for a changed key file.
@@ -68,10 +71,18 @@
     Attributes:
         frames: Encoded messages to send once the link is open.
         task: Task that opens the link.
+        size: Bytes of the frames.
     """
 
     frames: list[bytes] = dataclasses.field(default_factory=list)
     task: asyncio.Task | None = None
+    size: int = 0
+
+    def add(self, data: bytes) -> None:
+        """Adds an encoded message unless there are too many bytes."""
+        if self.size + len(data) <= MAX_QUEUED_BYTES:
+            self.frames.append(data)
+            self.size += len(data)
 
 
 class Hub(mode.Service):
@@ -105,6 +116,8 @@
         self._request_ids = itertools.count(1)
         self._pending_links: dict[str, PendingLink] = {}
         self._reconnect_at: dict[str, float] = {}
+        # What was written since the last count counts as not sent.
+        self._unsent_estimate = 0
         self._background_tasks: set[asyncio.Task] = set()
         self._unauthenticated_links = 0
         self._server: asyncio.Server | None = None
@@ -288,17 +301,40 @@
         if peer not in self.addresses:
             return
         pending = self._start_connecting(peer)
-        if pending is not None and len(pending.frames) < MAX_QUEUED_FRAMES:
-            pending.frames.append(data)
+        if pending is not None:
+            pending.add(data)
 
     def _write(self, link: peer_link.Link, data: bytes) -> None:
         transport = link.writer.transport
         if transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
             # The peer has stopped reading: it is unreachable or suspended.
-            self._close_link(link, "write buffer is full")
+            self._close_link(link, "write buffer is full", discard_unsent=True)
             return
         link.used_at = context_lib.monotonic()
-        self._bytes_out.inc(peer_link.write_frame(link, data))
+        size = peer_link.write_frame(link, data)
+        self._bytes_out.inc(size)
+        self._unsent_estimate += size
+        if self._unsent_estimate > MAX_UNSENT_BYTES:
+            self._limit_unsent_bytes()
+
+    def _limit_unsent_bytes(self) -> None:
+        """Closes the links with most to send until all have little enough.
+
+        Their peers read nothing: they are suspended, or read too slowly.
+        """
+        unsent = dict(self._unsent_bytes())
+        total = sum(unsent.values())
+        if total > MAX_UNSENT_BYTES:
+            for peer in sorted(unsent, key=unsent.get, reverse=True):
+                if total <= MAX_UNSENT_BYTES // 2:
+                    break
+                size = unsent[peer]
+                total -= size
+                _log.warning("unread link closed", peer=peer, bytes=size)
+                self._close_link(
+                    self.links[peer], "too much to send", discard_unsent=True
+                )
+        self._unsent_estimate = total
 
     # Opening and accepting links.
 
@@ -481,12 +517,16 @@
         for peer, link in self.links.items():
             yield peer, link.writer.transport.get_write_buffer_size()
 
-    def _close_link(self, link: peer_link.Link, reason: str) -> None:
+    def _close_link(
+        self, link: peer_link.Link, reason: str, *, discard_unsent: bool = False
+    ) -> None:
         if self.links.get(link.peer) is link:
             del self.links[link.peer]
             _log.debug("link closed", peer=link.peer, detail=reason)
             self._fail_requests(link.peer)
         with contextlib.suppress(OSError, RuntimeError):
+            if discard_unsent:
+                link.writer.transport.abort()
             link.writer.close()
 
     def _fail_requests(self, peer: str) -> None:
@@ -523,7 +563,9 @@
                 self.ring.refresh()
             except (OSError, authentication.AuthenticationError) as error:
                 _log.error("key file can't be loaded", detail=str(error))
-            self._congestion.observe(self._unsent_bytes())
+            unsent = dict(self._unsent_bytes())
+            self._unsent_estimate = sum(unsent.values())
+            self._congestion.observe(unsent.items())
             now = context_lib.monotonic()
             for link in list(self.links.values()):
                 if link.key_id not in self.ring.keys:
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -70,6 +70,65 @@
     return link
 
 
+class UnreadTransport:
+    """Keeps all bytes until it is aborted, as for a peer that stands still."""
+
+    def __init__(self):
+        self.size = 0
+
+    def get_write_buffer_size(self):
+        return self.size
+
+    def abort(self):
+        self.size = 0
+
+
+class UnreadWriter:
+    def __init__(self):
+        self.transport = UnreadTransport()
+
+    def write(self, data):
+        self.transport.size += len(data)
+
+    def close(self):
+        pass
+
+
+# Guards against a process that keeps as much for each of many peers that stand
+# still as one link may have to send.
+def test_what_waits_for_peers_that_read_nothing_is_bounded_together():
+    async def run():
+        hub = make_hub()
+        links = {}
+        for number in range(40):
+            link = open_link(hub, f"still-{number}")
+            link.writer = UnreadWriter()
+            links[link.peer] = link
+        reading = open_link(hub, "reading")
+        data = bytes(262_144)
+        most = 0
+        for _ in range(30):
+            for peer in (*links, "reading"):
+                hub._send_encoded(peer, data)
+            sizes = [link.writer.transport.size for link in links.values()]
+            most = max(most, sum(sizes))
+        assert most <= hub_lib.MAX_UNSENT_BYTES
+        assert hub.links["reading"] is reading
+        assert len(hub.links) < len(links)
+
+    asyncio.run(run())
+
+
+# Guards against the same while links are being opened.
+def test_what_waits_for_a_link_to_open_is_bounded_in_bytes():
+    pending = hub_lib.PendingLink()
+    for _ in range(100):
+        pending.add(bytes(1_000_000))
+    assert sum(map(len, pending.frames)) <= hub_lib.MAX_QUEUED_BYTES
+    pending.add(b"small")
+    assert pending.frames[-1] == b"small"
+
+
 # Guards against a request that waits for its time-out after its connection was
 # found to be silent, while another instance would reply.
 def test_a_request_whose_link_closes_fails_before_its_timeout():
