Bound what responses of targets buffer together

Reported: a faulty runner sends bytes that are no answer without end; the machine that called it keeps them, runs out of memory, and the requests of other clients end with it.

What responses buffer counts towards a budget, a quarter of buffer_bytes. While the others use more than half of it, each has an even share: heads, other responses and events beyond it end their attempt as at their own limit, held bodies are passed on early, unread bodies pause. Pages and listings have a budget and a limit that follow from the machine; the directory of cached parts is bounded by bytes, keys by 512 characters, collected updates are sent early.

--- a/packages/chivelb-core/chivelb_core/kv_cache/parts.py
+++ b/packages/chivelb-core/chivelb_core/kv_cache/parts.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import itertools
 import typing
 
 import msgspec
@@ -37,6 +38,14 @@
 # Maximum number of parts that one source is expected to hold but has not
 # reported; beyond it the oldest expectation is dropped.
 MAX_EXPECTED_PARTS_PER_SOURCE = 2_000
+# Limit for the parts of all sources together, where no other is given.
+DEFAULT_DIRECTORY_BYTES = 16_777_216
+# Memory of one part of one source, besides the characters of its key.
+PART_BYTES = 288
+# Share of its parts that a source loses at a time.
+EVICTED_SHARE = 0.1
+# Longest key of a part: a scope, a slash and a part id.
+MAX_KEY_LENGTH = 512
 
 
 def part_key(sharing_scope: str, part_id: str) -> str:
@@ -79,15 +88,26 @@
             address.
         expected: Monotonic time, by address and key, until which a source is
             assumed to hold a part that it has not reported yet, in seconds.
+        size_bytes: Memory of the parts.
+        max_bytes: Limit for the memory of the parts. Beyond it the source with
+            the most parts loses those that it has reported first.
     """
 
-    __slots__ = ("sources", "tokens_by_source", "expected")
+    __slots__ = (
+        "sources",
+        "tokens_by_source",
+        "expected",
+        "size_bytes",
+        "max_bytes",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = DEFAULT_DIRECTORY_BYTES) -> None:
         """Creates an empty directory."""
+        self.max_bytes = max_bytes
         self.sources: dict[str, Source] = {}
         self.tokens_by_source: dict[str, dict[str, int]] = {}
         self.expected: dict[str, dict[str, float]] = {}
+        self.size_bytes = 0
 
     def source(self, address: str) -> Source:
         """Returns the entry of a source, creating it if needed."""
@@ -131,6 +151,7 @@
         is_contiguous = since <= source.next
         for event in events:
             self._set(source, event.key, event.tokens)
+        self._evict()
         source.next = until
         return is_contiguous
 
@@ -164,6 +185,7 @@
         source.last_message_at = now
         for part in held:
             self._set(source, part.key, part.tokens)
+        self._evict()
 
     def add_expected(self, address: str, key: str, expires_at: float) -> None:
         """Records that a source is expected to hold a complete part soon.
@@ -244,15 +266,26 @@
             "after it was cleared"
         )
 
+    def _evict(self) -> None:
+        """Forgets parts of the largest sources until there is room."""
+        while self.size_bytes > self.max_bytes:
+            source = max(self.sources.values(), key=lambda s: len(s.parts))
+            count = max(1, int(len(source.parts) * EVICTED_SHARE))
+            for key in list(itertools.islice(source.parts, count)):
+                self._set(source, key, 0)
+
     def _set(self, source: Source, key: str, tokens: int) -> None:
         previous_tokens = source.parts.get(key, 0)
         source.total_tokens += tokens - previous_tokens
         if tokens > 0:
+            if not previous_tokens:
+                self.size_bytes += PART_BYTES + len(key)
             source.parts[key] = tokens
             self.tokens_by_source.setdefault(key, {})[source.address] = tokens
             return
         if previous_tokens:
             del source.parts[key]
+            self.size_bytes -= PART_BYTES + len(key)
             tokens_by_source = self.tokens_by_source[key]
             del tokens_by_source[source.address]
             if not tokens_by_source:
@@ -271,6 +304,11 @@
             for tokens_by_source in self.tokens_by_source.values()
         )
         held = sum(len(source.parts) for source in self.sources.values())
+        assert self.size_bytes == sum(
+            PART_BYTES + len(key)
+            for source in self.sources.values()
+            for key in source.parts
+        )
         assert listed == held, (
             f"parts list {listed} sources, but sources list {held} parts"
         )
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -12,6 +12,7 @@
 from chivelb_core import calls
 from chivelb_core import document as document_lib
 from chivelb_core import kv_cache
+from chivelb_core import response_budget
 from chivelb_core import rollout
 from chivelb_core import routing
 from chivelb_core import targets
@@ -35,6 +36,10 @@
 # Share of the time that a weight version may take to be in force, after which
 # requests are no longer sent to runners with an older one.
 WEIGHTS_DUE_RATIO = 0.85
+# Shares of ``buffer_bytes`` that responses to calls, and pages of cache events,
+# may buffer as well. Pages take several times as much once they are decoded.
+RESPONSE_BUFFER_SHARE = 0.25
+PAGE_BUFFER_SHARE = 0.125
 _log = logs.get_logger("targets")
 
 
@@ -102,6 +107,8 @@
         policies: Routing policies by name.
         metrics: Prometheus metrics.
         buffers: Budget for what is buffered for clients and peers.
+        response_budget: Budget for what responses to calls buffer.
+        page_budget: Budget for what pages of cache events buffer.
         draining: Whether a shutdown was requested.
         stop: When requests may begin and must end during a shutdown.
         startup_ends_at: Monotonic time from which the first document and the
@@ -159,6 +166,17 @@
         self.buffers = byte_budget.ByteBudget(
             settings.http.buffer_bytes, stalled_s=settings.http.stalled_body_s
         )
+        self.response_budget = response_budget.ResponseBudget(
+            int(settings.http.buffer_bytes * RESPONSE_BUFFER_SHARE)
+        )
+        self.page_budget = response_budget.ResponseBudget(
+            int(settings.http.buffer_bytes * PAGE_BUFFER_SHARE)
+        )
+        self.metrics.response_bytes.set_function(
+            lambda: (
+                self.response_budget.used_bytes + self.page_budget.used_bytes
+            )
+        )
         self.metrics.buffered_bytes.set_function(
             lambda: self.buffers.used_bytes
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -79,7 +79,9 @@
             message: The request to forward.
             caller: Connection to the caller.
         """
-        relay = relay_lib.ResponseRelay(caller, call.request_id)
+        relay = relay_lib.ResponseRelay(
+            caller, call.request_id, self.context.response_budget
+        )
         delivery = relay.delivery
         error_detail = None
         try:
--- a/packages/chivelb-node/chivelb_node/forwarding/relay.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/relay.py
@@ -6,6 +6,7 @@
 
 from chivelb_core import calls
 from chivelb_core import codes
+from chivelb_core import response_budget
 from chivelb_core.calls import attempt as attempt_lib
 
 from chivelb_node import context as context_lib
@@ -14,6 +15,8 @@
 from chivelb_node.links import second_responses
 
 MAX_BUFFERED_BYTES = 262_144
+# Smaller bodies are always buffered.
+MIN_BUFFERED_BYTES = 16_384
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,12 +53,27 @@
         caller: Connection to the caller.
         request_id: Id that the responses to the request echo.
         delivery: What has reached the caller.
+        buffered: Bytes that are held until they can be sent.
     """
 
-    __slots__ = ("caller", "request_id", "delivery")
+    __slots__ = ("caller", "request_id", "delivery", "buffered")
 
-    def __init__(self, caller: ports.CallerPort, request_id: str) -> None:
-        """Creates a relay that has sent nothing."""
+    def __init__(
+        self,
+        caller: ports.CallerPort,
+        request_id: str,
+        budget: response_budget.ResponseBudget | None = None,
+    ) -> None:
+        """Creates a relay that has sent nothing.
+
+        Args:
+            caller: Connection to the caller.
+            request_id: Id that the responses to the request echo.
+            budget: Budget of what responses buffer; None for one of its own.
+        """
+        self.buffered = response_budget.BufferedBytes(
+            budget or response_budget.ResponseBudget()
+        )
         self.caller = caller
         self.request_id = request_id
         self.delivery = Delivery()
@@ -126,7 +144,7 @@
     ) -> None:
         delivery = self.delivery
         incomplete = bytearray()
-        runs = events.split_events(reply.chunks(), incomplete)
+        runs = events.split_events(reply.chunks(), incomplete, self.buffered)
         last_id = ""
         try:
             async with contextlib.aclosing(runs):
@@ -152,6 +170,7 @@
                             f"event out of order behind event {last_id!r}"
                         )
         finally:
+            self.buffered.set(0)
             if events.has_event(incomplete):
                 delivery.unfinished_event = True
                 delivery.begun_event_id = events.begun_event_id(incomplete)
@@ -172,8 +191,8 @@
         """Relays a response that is not an event stream.
 
         The body is buffered until it is complete, so that a failed attempt
-        can still be retried. Bodies above ``MAX_BUFFERED_BYTES`` are sent as
-        they arrive.
+        can still be retried. Bodies above ``MAX_BUFFERED_BYTES``, or above
+        their share of what responses may buffer, are sent as they arrive.
 
         Args:
             reply: The reply of a target.
@@ -189,14 +208,33 @@
                 codes.TARGET_FAILED,
                 f"resume answered with status {reply.status}",
             )
+        try:
+            rest = await self._relay_large_body(reply)
+        finally:
+            self.buffered.set(0)
+        if not self.delivery.head_sent and should_retry():
+            raise _unknown_outcome(
+                codes.TARGET_FAILED, f"status {reply.status}"
+            )
+        self._check_unframed(reply, rest)
+        await self._send_head(reply)
+        if rest:
+            await self.caller.send_body(rest)
+        await self.caller.finish()
+
+    async def _relay_large_body(self, reply: ports.Reply) -> bytes:
+        """Relays what is too large to be buffered, and returns the rest."""
         buffered = []
-        size = 0
+        is_large = False
         chunks = reply.chunks()
         async with contextlib.aclosing(chunks):
             async for chunk in chunks:
                 buffered.append(chunk)
-                size += len(chunk)
-                if size > MAX_BUFFERED_BYTES:
+                self.buffered.set(sum(map(len, buffered)))
+                is_large = is_large or self.buffered.exceeds(
+                    MAX_BUFFERED_BYTES, MIN_BUFFERED_BYTES
+                )
+                if is_large:
                     data = b"".join(buffered)
                     # Not kept twice while the caller reads slowly.
                     buffered.clear()
@@ -205,16 +243,7 @@
                     await self._send_head(reply)
                     await self.caller.send_body(data[: len(data) - held])
                     buffered = [data[len(data) - held :]]
-        if not self.delivery.head_sent and should_retry():
-            raise _unknown_outcome(
-                codes.TARGET_FAILED, f"status {reply.status}"
-            )
-        rest = b"".join(buffered)
-        self._check_unframed(reply, rest)
-        await self._send_head(reply)
-        if rest:
-            await self.caller.send_body(rest)
-        await self.caller.finish()
+        return b"".join(buffered)
 
     def _check_unframed(self, reply: ports.Reply, data: bytes) -> int:
         """Checks bytes of a body that only the close of its connection frames.
--- a/packages/chivelb-node/chivelb_node/links/events.py
+++ b/packages/chivelb-node/chivelb_node/links/events.py
@@ -4,6 +4,7 @@
 import dataclasses
 import re
 
+from chivelb_core import response_budget
 import msgspec
 
 DONE_EVENT = b"data: [DONE]"
@@ -13,6 +14,8 @@
 LINE_ENDS = b"\r\n"
 MAX_DELIMITER_OVERLAP_BYTES = len(CRLF_EVENT_DELIMITER) - 1
 MAX_EVENT_BYTES = 262_144
+# What an event may have in any case, however much responses buffer.
+MIN_EVENT_BYTES = 16_384
 MAX_OFFSET_DIGITS = 9
 # A numeric id, or the head of another response in place of an event.
 _ID_OR_STATUS = re.compile(
@@ -47,7 +50,9 @@
 
 
 async def split_events(
-    chunks: AsyncIterator[bytes], incomplete: bytearray | None = None
+    chunks: AsyncIterator[bytes],
+    incomplete: bytearray | None = None,
+    buffered: response_budget.BufferedBytes | None = None,
 ) -> AsyncIterator[bytes]:
     """Yields runs of complete events; buffers an incomplete last event.
 
@@ -57,13 +62,19 @@
         chunks: The stream.
         incomplete: Empty buffer; holds the incomplete last event, also after
             the stream has failed.
+        buffered: Counts the bytes of the incomplete event, and limits them to
+            its share of what responses may buffer; None without such a limit.
 
     Raises:
-        StreamError: An event exceeds ``MAX_EVENT_BYTES``.
+        StreamError: An event exceeds ``MAX_EVENT_BYTES`` or its share.
         TruncatedStreamError: The stream ends in the middle of an event.
     """
     if incomplete is None:
         incomplete = bytearray()
+    if buffered is None:
+        buffered = response_budget.BufferedBytes(
+            response_budget.ResponseBudget()
+        )
     async for chunk in chunks:
         # A delimiter may begin with bytes received before.
         unsearched = max(0, len(incomplete) - MAX_DELIMITER_OVERLAP_BYTES)
@@ -73,8 +84,12 @@
             run = bytes(incomplete[:end])
             del incomplete[:end]
             yield run
-        if len(incomplete) > MAX_EVENT_BYTES:
-            raise StreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+        buffered.set(len(incomplete))
+        if buffered.exceeds(MAX_EVENT_BYTES, MIN_EVENT_BYTES):
+            raise StreamError(
+                f"event of {len(incomplete)} bytes exceeds {MAX_EVENT_BYTES} "
+                f"bytes or its share of what responses may buffer"
+            )
     if incomplete.strip(LINE_ENDS):
         raise TruncatedStreamError(
             f"stream ended {len(incomplete)} bytes into an event"
--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -17,6 +17,7 @@
 from aiohttp import http_exceptions
 from aiohttp import streams
 from chivelb_core import decimals
+from chivelb_core import response_budget
 
 from chivelb_node.links import parser_errors
 from chivelb_node.links import second_responses
@@ -43,6 +44,9 @@
 # the head counts too, up to the buffer of a response.
 MAX_BYTES_BEFORE_RESPONSE = 262_144
 READ_BUFFER_BYTES = 65_536
+# Of these limits, what each response may use in any case.
+MIN_OVERHEAD_BYTES = 16_384
+MIN_READ_BUFFER_BYTES = 4_096
 # Ids of the newest requests that a connection has carried.
 MAX_CARRIED_IDS = 64
 
@@ -106,9 +110,22 @@
             would be taken for the response to another request with its id.
     """
 
-    def __init__(self, address: str, loop: asyncio.AbstractEventLoop) -> None:
-        """Creates a connection that is not open yet."""
+    def __init__(
+        self,
+        address: str,
+        loop: asyncio.AbstractEventLoop,
+        budget: response_budget.ResponseBudget,
+    ) -> None:
+        """Creates a connection that is not open yet.
+
+        Args:
+            address: ``host:port`` of the target.
+            loop: The event loop.
+            budget: Budget of what responses buffer.
+        """
         super().__init__(loop)
+        # What was received of the response in progress and not read yet.
+        self._buffered = response_budget.BufferedBytes(budget)
         self.address = address
         self.idle_since = 0.0
         self.idle_timeout_s = MAX_IDLE_S
@@ -120,6 +137,7 @@
         )
         self._responses: list[tuple[Head, streams.StreamReader]] = []
         self._body: streams.StreamReader | None = None
+        self._body_bytes_read = 0
         # Body that the parser fills, and bytes received without progress.
         self._incoming_body: streams.StreamReader | None = None
         self._overhead_bytes = 0
@@ -225,6 +243,7 @@
             self._count_overhead(len(data))
         if not self._has_response:
             self._count_before_response(len(data))
+        self._count_buffered(len(data))
         if (
             messages
             and self._head_waiter is not None
@@ -338,24 +357,40 @@
 
     def _count_overhead(self, size: int) -> None:
         self._overhead_bytes += size
-        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+        limit = self._allowance(MAX_OVERHEAD_BYTES)
+        if self._overhead_bytes > limit:
             self._end(
                 ResponseLimitError(
-                    f"over {MAX_OVERHEAD_BYTES} bytes that are neither a "
-                    f"complete response head nor a body"
+                    f"over {limit} bytes that are neither a complete response "
+                    f"head nor a body"
                 )
             )
 
     def _count_before_response(self, size: int) -> None:
         self._bytes_before_response += size
-        if self._bytes_before_response > MAX_BYTES_BEFORE_RESPONSE:
+        limit = self._allowance(MAX_BYTES_BEFORE_RESPONSE)
+        if self._bytes_before_response > limit:
             self._end(
                 ResponseLimitError(
-                    f"over {MAX_BYTES_BEFORE_RESPONSE} bytes without a "
-                    f"response to the request"
+                    f"over {limit} bytes without a response to the request"
                 )
             )
 
+    def _allowance(self, most: int) -> int:
+        return self._buffered.allowance(most, MIN_OVERHEAD_BYTES)
+
+    def _count_buffered(self, received: int) -> None:
+        """Counts what is buffered, and pauses if the body is read too slowly.
+
+        The body pauses at a limit of its own too. It resumes once it is read.
+        """
+        if not self._has_response:
+            self._buffered.set(self._buffered.size + received)
+            return
+        self._buffered.set(self._body.total_bytes - self._body_bytes_read)
+        if self._buffered.exceeds(2 * READ_BUFFER_BYTES, MIN_READ_BUFFER_BYTES):
+            self.pause_reading()
+
     def _end(self, error: Exception) -> None:
         """Ends the response in progress and closes at once."""
         self._fail(error)
@@ -368,6 +403,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the response in progress; called by asyncio."""
         super().connection_lost(exc)
+        self._buffered.set(0)
         self.unusable = True
         if self._peer_closed and exc is None and self._error is None:
             try:
@@ -406,6 +442,8 @@
 
     def write(self, data: bytes) -> None:
         """Writes a complete request, whose response has a parser of its own."""
+        self._buffered.set(0)
+        self._body_bytes_read = 0
         self._responses.clear()
         self._body = None
         self._incoming_body = None
@@ -442,6 +480,7 @@
             if is_response_to_request(head):
                 self._has_response = True
                 self._unanswered.clear()
+                self._buffered.set(payload.total_bytes)
                 if head.get(b"content-length") is not None:
                     self._body_search = second_responses.StatusLineSearch()
                 return head
@@ -457,6 +496,9 @@
                 ended, or another response was written into it.
         """
         data = await self._body.readany()
+        if self._has_response:
+            self._body_bytes_read += len(data)
+            self._buffered.set(self._body.total_bytes - self._body_bytes_read)
         search = self._body_search
         if search is None:
             return data
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from chivelb_core import response_budget
 from chivelb_core import targets
 
 from chivelb_node.links import http_connection
@@ -12,6 +13,8 @@
 CONNECT_TIMEOUT_S = 0.3
 # Default limit for a body that is kept until it is complete.
 MAX_FETCHED_BYTES = 1_048_576
+# What a fetched body may have in any case, however many are fetched at once.
+MIN_FETCHED_BYTES = 65_536
 
 
 class NotSentError(Exception):
@@ -71,12 +74,21 @@
     """Connections to targets, opened on demand.
 
     Attributes:
+        budget: Budget of what the responses buffer.
         idle: Idle connections by address, most recently used last.
         connections_opened: Number of connections opened so far.
     """
 
-    def __init__(self) -> None:
-        """Creates an empty pool."""
+    def __init__(
+        self, budget: response_budget.ResponseBudget | None = None
+    ) -> None:
+        """Creates an empty pool.
+
+        Args:
+            budget: Budget of what the responses buffer; None for one of its
+                own.
+        """
+        self.budget = budget or response_budget.ResponseBudget()
         self.idle: dict[str, list[http_connection.Connection]] = {}
         self.connections_opened = 0
 
@@ -106,6 +118,7 @@
         if connection is None:
             connection = await self._open(address)
         connection.in_use = True
+        self.budget.in_progress += 1
         if request_id:
             connection.carried_ids.append(request_id)
         connection.write(data)
@@ -143,7 +156,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: http_connection.Connection(address, loop),
+                    lambda: http_connection.Connection(
+                        address, loop, self.budget
+                    ),
                     host,
                     int(port),
                 )
@@ -158,6 +173,7 @@
         """Keeps the connection of an exchange if reusable, or closes it."""
         connection = exchange.connection
         connection.in_use = False
+        self.budget.in_progress -= 1
         head = exchange.head
         if head is None or not exchange.is_complete:
             # The target must not get a request later that was given up.
@@ -231,12 +247,16 @@
 
 async def _read_limited(exchange: Exchange, max_bytes: int) -> bytes:
     chunks = []
-    size = 0
-    while chunk := await exchange.read():
-        size += len(chunk)
-        if size > max_bytes:
-            raise http_connection.ResponseLimitError(
-                f"body exceeds {max_bytes} bytes"
-            )
-        chunks.append(chunk)
-    return b"".join(chunks)
+    buffered = response_budget.BufferedBytes(exchange.pool.budget)
+    try:
+        while chunk := await exchange.read():
+            buffered.set(buffered.size + len(chunk))
+            if buffered.exceeds(max_bytes, min(max_bytes, MIN_FETCHED_BYTES)):
+                raise http_connection.ResponseLimitError(
+                    f"body of {buffered.size} bytes exceeds {max_bytes} bytes "
+                    f"or its share of what responses may buffer"
+                )
+            chunks.append(chunk)
+        return b"".join(chunks)
+    finally:
+        buffered.set(0)
--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -43,6 +43,11 @@
 # if another update was sent within this time.
 LIVENESS_PERIOD_S = 0.8
 MAX_BATCH_BYTES = 16_777_216
+# Memory of the directory, as a share of ``buffer_bytes``.
+DIRECTORY_SHARE = 0.25
+# Collected events are sent at once beyond this number, besides those of the
+# newest update.
+MAX_COLLECTED_EVENTS = 5_000
 # Largest incarnation or sequence number of a source.
 MAX_NUMBER = 2**63 - 1
 # Largest number of tokens that a source may hold of one part.
@@ -98,17 +103,21 @@
     return (
         0 <= epoch <= MAX_NUMBER
         and 0 <= until <= MAX_NUMBER
-        and all(0 <= event.tokens <= MAX_PART_TOKENS for event in events)
+        and all(
+            0 <= event.tokens <= MAX_PART_TOKENS
+            and len(event.key) <= parts_lib.MAX_KEY_LENGTH
+            for event in events
+        )
     )
 
 
 def is_valid_page(page: EventPage) -> bool:
-    """Returns whether all numbers of a page fit into messages."""
+    """Returns whether all numbers and keys of a page are in their ranges."""
     return _are_in_range(page.epoch, page.next, page.events)
 
 
 def is_valid_update(update: messages.PartUpdates) -> bool:
-    """Returns whether all numbers of an update are in their ranges."""
+    """Returns whether all numbers and keys of an update are in their ranges."""
     # An update that tells of lost events starts one later than its source.
     return 0 <= update.since <= MAX_NUMBER + 1 and _are_in_range(
         update.epoch, update.until, update.events
@@ -152,11 +161,14 @@
         self.hub = hub
         self.gossip = gossip
         self.client = client
-        self.directory = parts_lib.PartDirectory()
+        self.directory = parts_lib.PartDirectory(
+            int(context.settings.http.buffer_bytes * DIRECTORY_SHARE)
+        )
         self.following: dict[str, asyncio.Task] = {}
         self._pending_listings: set[str] = set()
         self._refusals = refusals.RefusalLog(_log, "cache events refused")
         self._outgoing: list[messages.PartUpdates] = []
+        self._outgoing_events = 0
         self._has_outgoing = asyncio.Event()
         self._sent_at: dict[str, float] = {}
         self._pacer = load_reports.ReportPacer(MIN_BATCH_DELAY_S)
@@ -352,7 +364,11 @@
     def _queue_update(self, update: messages.PartUpdates, now: float) -> None:
         self._sent_at[update.source] = now
         self._outgoing.append(update)
-        self._has_outgoing.set()
+        self._outgoing_events += len(update.events)
+        if self._outgoing_events > MAX_COLLECTED_EVENTS:
+            self._flush_updates()
+        else:
+            self._has_outgoing.set()
 
     @mode.Service.task
     async def _send_batches(self) -> None:
@@ -369,7 +385,8 @@
     def _flush_updates(self) -> None:
         self._has_outgoing.clear()
         updates, self._outgoing = self._outgoing, []
-        if not updates:
+        self._outgoing_events = 0
+        if not updates or len(self.zone_entries()) <= 1:
             return
         merged = list(part_batches.merge_updates(updates))
         payload = packing.pack(merged)
--- a/packages/chivelb-node/chivelb_node/telemetry/metrics.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/metrics.py
@@ -237,6 +237,11 @@
             "Bytes that are buffered for clients and peers",
             registry=self.registry,
         )
+        self.response_bytes = prometheus_client.Gauge(
+            "chivelb_buffered_response_bytes",
+            "Bytes of targets' responses that are buffered",
+            registry=self.registry,
+        )
         self.buffer_limit = prometheus_client.Gauge(
             "chivelb_buffer_limit_bytes",
             "Buffered bytes from which on new requests are refused",
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -84,8 +84,11 @@
     Attributes:
         front, ready, control, entry_metrics, control_metrics: Host and port of
             what they serve.
+        limits: The machine of a process.
     """
 
+    limits = {"MemoryMb": MEMORY_MB, "MaxFds": MAX_FDS}
+
     def __init__(self, folder):
         self.pair = test_programs.InstancePair(folder)
         self.front = (FRONT_IP, self.pair.front)
@@ -94,10 +97,9 @@
         self.entry_metrics = (FRONT_IP, self.pair.metrics)
         self.control_metrics = (CONTROL_IP, self.pair.metrics)
         write = self.pair.settings
-        limits = {"MemoryMb": MEMORY_MB, "MaxFds": MAX_FDS}
 
         def write_with_limits(ip, listen, **fields):
-            return write(ip, listen, Limits=limits, **fields)
+            return write(ip, listen, Limits=self.limits, **fields)
 
         self.pair.settings = write_with_limits
 
