No text from outside ends a log line, a task or a request

Cause: headers are decoded with surrogates for bytes that are no UTF-8, and a log line with one could not be encoded. The error left through whoever logged: a request, whose load then stayed counted at its target, or the task that places waiting calls, which ends the process.

--- a/packages/chivelb-core/chivelb_core/forwarding/stream_origins.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/stream_origins.py
@@ -80,7 +80,9 @@
         Digest of ``KEY_BYTES`` bytes.
     """
     text = f"{workspace}\0{request_id}"
-    return hashlib.blake2b(text.encode(), digest_size=KEY_BYTES).digest()
+    # An id may hold bytes that are no UTF-8.
+    data = text.encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(data, digest_size=KEY_BYTES).digest()
 
 
 class OriginTable:
--- a/packages/chivelb-node/chivelb_node/edge/responses.py
+++ b/packages/chivelb-node/chivelb_node/edge/responses.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 from chivelb_core import codes
+from chivelb_core import texts
 import msgspec
 
 RETRY_BASE_S = 1.0
@@ -50,10 +51,12 @@
             "error": {
                 "code": code.number,
                 "type": code.name,
-                "message": error_detail.detail or code.summary,
+                "message": texts.escape_unencodable(
+                    error_detail.detail or code.summary
+                ),
                 "ran": code.ran.value,
                 "retry": code.retry.value,
-                "request_id": request_id,
+                "request_id": texts.escape_unencodable(request_id),
             }
         }
     )
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -646,8 +646,13 @@
             reservation.pending_tokens,
             reservation.mean_kv_tokens,
         )
-        self._count_placement(call, placement, now)
-        self._log_placement(call, placement, now)
+        try:
+            self._count_placement(call, placement, now)
+            self._log_placement(call, placement, now)
+        except BaseException:
+            # Nobody else has the reservation yet.
+            self.release(reservation, call.service)
+            raise
         return reservation
 
     def _count_placement(
@@ -750,13 +755,31 @@
     def update_queues(self) -> None:
         """Starts waiting calls, and rejects those that can't be served."""
         for service, waiting_list in self.waiting_lists.items():
-            now = context_lib.monotonic()
-            self._reject_refused_calls(waiting_list, now)
-            self._reject_evacuated_calls(waiting_list, now)
-            self.dispatch(service)
-            self._shed_calls(service, waiting_list, now)
+            try:
+                self._update_queue(service, waiting_list)
+            except (
+                ValueError,
+                TypeError,
+                LookupError,
+                ArithmeticError,
+            ) as error:
+                # One call must not end the process, which serves all others.
+                _log.error(
+                    "waiting calls not updated",
+                    service=service,
+                    error=repr(error),
+                )
         self._update_gauges(context_lib.monotonic())
 
+    def _update_queue(
+        self, service: str, waiting_list: waiting.WaitingList
+    ) -> None:
+        now = context_lib.monotonic()
+        self._reject_refused_calls(waiting_list, now)
+        self._reject_evacuated_calls(waiting_list, now)
+        self.dispatch(service)
+        self._shed_calls(service, waiting_list, now)
+
     @mode.Service.task
     async def _dispatch_periodically(self) -> None:
         while not self.should_stop:
--- a/packages/chivelb-node/chivelb_node/telemetry/logs.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/logs.py
@@ -3,12 +3,18 @@
 import logging
 import sys
 import time
+from typing import Any
 
+from chivelb_core import texts
 import msgspec
 import structlog
 
 from chivelb_node.telemetry import lines
 
+# Callers and targets decide how long some values are.
+MAX_VALUE_LENGTH = 1_024
+MAX_LINE_BYTES = 16_384
+MAX_JSON_INTEGER = 2**63
 FORBIDDEN_FIELDS = frozenset(
     {"prompt", "messages", "body", "key", "secret", "authorization", "text"}
 )
@@ -26,7 +32,32 @@
 
 
 def _render(logger, method: str, event: dict) -> bytes:
-    return msgspec.json.encode(event, enc_hook=str)
+    """Encodes a line; no value of it is an error or makes it long."""
+    try:
+        line = msgspec.json.encode(event, enc_hook=str)
+    except (ValueError, TypeError, OverflowError, RecursionError):
+        # UnicodeEncodeError, of bytes in a head that are no UTF-8, is a
+        # ValueError.
+        line = b""
+    if line and len(line) <= MAX_LINE_BYTES:
+        return line
+    return msgspec.json.encode(
+        {_readable(name): _plain(value) for name, value in event.items()}
+    )
+
+
+def _plain(value: Any) -> Any:
+    """Returns a value that can be encoded, shortened if it is long."""
+    if value is None or isinstance(value, bool | float):
+        return value
+    if isinstance(value, int) and abs(value) < MAX_JSON_INTEGER:
+        return value
+    return _readable(value)
+
+
+def _readable(value: Any) -> str:
+    """Returns text with escapes for what can't be encoded."""
+    return texts.escape_unencodable(str(value)[:MAX_VALUE_LENGTH])
 
 
 def configure(instance: str, level: str = "info") -> lines.LineWriter:
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -224,10 +224,12 @@
     Attributes:
         body_bytes: Length of the bodies that it answers with.
         reads: Whether it reads requests.
+        delay_s: Time until it answers, in seconds.
     """
 
-    def __init__(self, *, body_bytes=2, reads=True):
+    def __init__(self, *, body_bytes=2, reads=True, delay_s=0.0):
         self.body_bytes = body_bytes
+        self.delay_s = delay_s
         self.reads = reads
 
     @contextlib.asynccontextmanager
@@ -265,6 +267,7 @@
             if name.lower() == b"x-request-id":
                 echoed = line + b"\r\n"
         await reader.readexactly(size)
+        await asyncio.sleep(self.delay_s)
         writer.write(
             b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n"
             % (echoed, self.body_bytes)
