Read-through: own module for results of changes, limits of pages

The limit of a page is a parameter now, the budget is taken from the pool that fetches, and the stand-in has one; the assertions are as before.

--- a/packages/chivelb-cli/chivelb_cli/bench/scaling_control.py
+++ b/packages/chivelb-cli/chivelb_cli/bench/scaling_control.py
@@ -9,6 +9,7 @@
 from chivelb_core import claims
 from chivelb_core import document
 from chivelb_core.claims import messages as claim_messages
+from chivelb_core.document import results as results_lib
 from chivelb_core.document import state as state_lib
 from chivelb_core.testing import swim_group
 from chivelb_node.storage import journal
@@ -214,7 +215,7 @@
     def run_once(size: int, seed: int) -> dict[str, float]:
         def build() -> dict:
             return {
-                f"{number:024x}": state_lib.ChangeResult(
+                f"{number:024x}": results_lib.ChangeResult(
                     0, number, f"{number:032x}"
                 )
                 for number in range(size)
--- a/packages/chivelb-core/chivelb_core/document/state.py
+++ b/packages/chivelb-core/chivelb_core/document/state.py
@@ -14,35 +14,10 @@
 from chivelb_core.document import deltas as deltas_lib
 from chivelb_core.document import model as model_lib
 from chivelb_core.document import part_versions as part_versions_lib
+from chivelb_core.document import results as results_lib
 from chivelb_core.document import sharing
-from chivelb_core.document import validation
-
-# Limits of the recorded results together, of their change ids and problems.
-MAX_RECORDED_RESULTS = 200_000
-MAX_RECORDED_BYTES = 33_554_432
-# Limits of the problems of one result.
-MAX_PROBLEMS = 100
-MAX_PROBLEM_LENGTH = 1_000
-MAX_EVACUATION_ORDERS = 1_000
-
-
-class ChangeResult(msgspec.Struct, frozen=True):
-    """The recorded result of a change, returned again to each resend.
-
-    Attributes:
-        code: Number of the result code.
-        version: Document version that the change created, or the current
-            version if the change was rejected.
-        digest: Digest of the change's content; detects a change id that is
-            reused for another change.
-        problems: The first validation errors of the change; empty if it was
-            accepted.
-    """
 
-    code: int
-    version: int
-    digest: str
-    problems: list[validation.Problem] = []
+MAX_EVACUATION_ORDERS = 1_000
 
 
 class DocumentState(msgspec.Struct, kw_only=True):
@@ -56,7 +31,7 @@
         forgotten_version: Highest version of a removed part that
             ``part_versions`` no longer has.
         answers: Recorded results by change id, oldest first.
-        answers_bytes: Size that counts towards ``MAX_RECORDED_BYTES``.
+        answers_bytes: Size that counts towards ``results.MAX_RECORDED_BYTES``.
         history: The newest deltas, encoded, oldest first; the newest one leads
             to ``version``.
         fencing: Highest fencing token issued.
@@ -83,7 +58,7 @@
     version: int = 0
     part_versions: dict[str, int] = {}
     forgotten_version: int = 0
-    answers: dict[str, ChangeResult] = {}
+    answers: dict[str, results_lib.ChangeResult] = {}
     answers_bytes: int = 0
     history: list[msgspec.Raw] = []
     fencing: int = 0
@@ -175,7 +150,7 @@
         self._append_delta(self.document, f"{order}-{zone}-{version}", "", [])
         return True
 
-    def apply_change(self, change: changes.Change) -> ChangeResult:
+    def apply_change(self, change: changes.Change) -> results_lib.ChangeResult:
         """Applies a committed change by compare-and-set.
 
         Idempotent: a resend with the same change id returns the recorded
@@ -191,7 +166,7 @@
         recorded = self.answers.get(change.change_id)
         if recorded is not None:
             if recorded.digest != digest:
-                return ChangeResult(
+                return results_lib.ChangeResult(
                     codes.CHANGE_ID_REUSED.number, self.version, digest
                 )
             return recorded
@@ -199,33 +174,39 @@
         self._record_answer(change.change_id, result)
         return result
 
-    def _record_answer(self, change_id: str, result: ChangeResult) -> None:
+    def _record_answer(
+        self, change_id: str, result: results_lib.ChangeResult
+    ) -> None:
         self.answers[change_id] = result
-        self.answers_bytes += _count_bytes(change_id, result)
+        self.answers_bytes += results_lib.count_bytes(change_id, result)
         while (
-            len(self.answers) > MAX_RECORDED_RESULTS
-            or self.answers_bytes > MAX_RECORDED_BYTES
+            len(self.answers) > results_lib.MAX_RECORDED_RESULTS
+            or self.answers_bytes > results_lib.MAX_RECORDED_BYTES
         ):
             oldest = next(iter(self.answers))
-            self.answers_bytes -= _count_bytes(oldest, self.answers.pop(oldest))
+            self.answers_bytes -= results_lib.count_bytes(
+                oldest, self.answers.pop(oldest)
+            )
 
-    def _evaluate(self, change: changes.Change, digest: str) -> ChangeResult:
+    def _evaluate(
+        self, change: changes.Change, digest: str
+    ) -> results_lib.ChangeResult:
         if self.has_conflict(change):
-            return ChangeResult(
+            return results_lib.ChangeResult(
                 codes.CHANGE_CONFLICT.number, self.version, digest
             )
         document, problems = changes.apply_operations(
             self.document, change.operations
         )
         if problems:
-            return ChangeResult(
+            return results_lib.ChangeResult(
                 codes.CHANGE_INVALID.number,
                 self.version,
                 digest,
-                [_shorten(problem) for problem in problems[:MAX_PROBLEMS]],
+                results_lib.shorten(problems),
             )
         self._accept(document, change)
-        return ChangeResult(codes.DONE.number, self.version, digest)
+        return results_lib.ChangeResult(codes.DONE.number, self.version, digest)
 
     def has_conflict(self, change: changes.Change) -> bool:
         """Whether the base version of the change is outdated or unknown."""
@@ -455,19 +436,6 @@
         return self.history[len(self.history) - max(missing, 0) :]
 
 
-def _count_bytes(change_id: str, result: ChangeResult) -> int:
-    """Returns the size of a recorded result, as far as its texts vary."""
-    return len(change_id) + sum(
-        len(problem.path) + len(problem.message) for problem in result.problems
-    )
-
-
-def _shorten(problem: validation.Problem) -> validation.Problem:
-    return validation.Problem(
-        problem.path[:MAX_PROBLEM_LENGTH], problem.message[:MAX_PROBLEM_LENGTH]
-    )
-
-
 def digest_change(change: changes.Change) -> str:
     """Returns a digest of a change's content, without its id and author."""
     digested: Any = (change.base_version, change.whole, change.operations)
@@ -506,7 +474,7 @@
         document_state.history, document_state.version
     )
     document_state.answers_bytes = sum(
-        _count_bytes(change_id, result)
+        results_lib.count_bytes(change_id, result)
         for change_id, result in document_state.answers.items()
     )
     if document_state.part_versions and not document_state.sharing_epoch:
--- a/packages/chivelb-core/chivelb_core/response_budget.py
+++ b/packages/chivelb-core/chivelb_core/response_budget.py
@@ -8,6 +8,7 @@
 # Share of the budget that the others may use before a response gets an even
 # share.
 UNSHARED_PART = 0.5
+DEFAULT_LIMIT_BYTES = 16_777_216
 
 
 class ResponseBudget:
@@ -23,7 +24,7 @@
 
     __slots__ = ("limit_bytes", "used_bytes", "in_progress")
 
-    def __init__(self, limit_bytes: int = 16_777_216) -> None:
+    def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
         """Creates an unused budget."""
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -40,6 +40,8 @@
 # may buffer as well. Pages take several times as much once they are decoded.
 RESPONSE_BUFFER_SHARE = 0.25
 PAGE_BUFFER_SHARE = 0.125
+# Limit for one page, as a share of what all pages may buffer.
+MAX_PAGE_SHARE = 0.25
 _log = logs.get_logger("targets")
 
 
@@ -109,6 +111,7 @@
         buffers: Budget for what is buffered for clients and peers.
         response_budget: Budget for what responses to calls buffer.
         page_budget: Budget for what pages of cache events buffer.
+        max_page_bytes: Limit for one such page or listing.
         draining: Whether a shutdown was requested.
         stop: When requests may begin and must end during a shutdown.
         startup_ends_at: Monotonic time from which the first document and the
@@ -172,6 +175,7 @@
         self.page_budget = response_budget.ResponseBudget(
             int(settings.http.buffer_bytes * PAGE_BUFFER_SHARE)
         )
+        self.max_page_bytes = int(self.page_budget.limit_bytes * MAX_PAGE_SHARE)
         self.metrics.response_bytes.set_function(
             lambda: (
                 self.response_budget.used_bytes + self.page_budget.used_bytes
--- a/packages/chivelb-node/chivelb_node/control/replica.py
+++ b/packages/chivelb-node/chivelb_node/control/replica.py
@@ -264,9 +264,9 @@
         if version <= pull.have:
             return messages.VersionAnnouncement(max(version, 0))
         payload = self.context.document_state.encode_deltas_since(pull.have)
-        if payload is not None and 0 < pull.have:
-            if len(payload) <= MAX_PULLED_BYTES:
-                return messages.Deltas(pull.have, payload)
+        is_usable = pull.have > 0 and payload is not None
+        if is_usable and len(payload) <= MAX_PULLED_BYTES:
+            return messages.Deltas(pull.have, payload)
         payload = state_lib.encode_replica(
             self.context.document_state, MAX_PULLED_BYTES
         )
--- a/packages/chivelb-node/chivelb_node/control/voter_client.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_client.py
@@ -12,7 +12,7 @@
 
 from chivelb_core import codes
 from chivelb_core import document
-from chivelb_core.document import state as state_lib
+from chivelb_core.document import results as results_lib
 import msgspec
 
 from chivelb_node import context as context_lib
@@ -29,7 +29,7 @@
 # tens of milliseconds.
 HEDGE_DELAY_S = 0.5
 
-_result_decoder = msgspec.msgpack.Decoder(state_lib.ChangeResult)
+_result_decoder = msgspec.msgpack.Decoder(results_lib.ChangeResult)
 
 
 class OrderOutcome(enum.Enum):
@@ -77,7 +77,7 @@
 
     async def submit_change(
         self, change: document.Change
-    ) -> state_lib.ChangeResult | codes.ErrorDetail:
+    ) -> results_lib.ChangeResult | codes.ErrorDetail:
         """Submits a change to the voters.
 
         Changes are idempotent: a change id that is sent again, through any
--- a/packages/chivelb-node/chivelb_node/control/voter_service.py
+++ b/packages/chivelb-node/chivelb_node/control/voter_service.py
@@ -14,6 +14,7 @@
 from chivelb_core.consensus import replacement as replacement_lib
 from chivelb_core.consensus import snapshots
 from chivelb_core.consensus import states
+from chivelb_core.document import results as results_lib
 from chivelb_core.document import state as state_lib
 import mode
 import msgspec
@@ -434,7 +435,7 @@
     def _change_reply(
         self,
         code: codes.ResultCode,
-        result: state_lib.ChangeResult | None,
+        result: results_lib.ChangeResult | None,
         *,
         appended: bool,
     ) -> messages.ChangeReply:
--- a/packages/chivelb-node/chivelb_node/edge/console.py
+++ b/packages/chivelb-node/chivelb_node/edge/console.py
@@ -16,7 +16,7 @@
 from chivelb_core import document
 from chivelb_core.document import changes as changes_lib
 from chivelb_core.document import model as model_lib
-from chivelb_core.document import state as state_lib
+from chivelb_core.document import results as results_lib
 from chivelb_core.document import validation
 import msgspec
 
@@ -346,7 +346,7 @@
         return operators.decode_change(msgspec.json.encode(body))
 
     def _outcome_page(
-        self, change: document.Change, result: state_lib.ChangeResult
+        self, change: document.Change, result: results_lib.ChangeResult
     ) -> web.Response:
         path = change.operations[0].path
         if result.code == codes.DONE.number:
--- a/packages/chivelb-node/chivelb_node/edge/operators.py
+++ b/packages/chivelb-node/chivelb_node/edge/operators.py
@@ -14,6 +14,7 @@
 from chivelb_core.document import deltas as deltas_lib
 from chivelb_core.document import model as model_lib
 from chivelb_core.document import regions as regions_lib
+from chivelb_core.document import results as results_lib
 from chivelb_core.document import state as state_lib
 from chivelb_core.document import validation
 import msgspec
@@ -229,12 +230,12 @@
 
     async def submit(
         self, change: document.Change
-    ) -> state_lib.ChangeResult | codes.ErrorDetail:
+    ) -> results_lib.ChangeResult | codes.ErrorDetail:
         """Restores redacted secrets in a change and submits it."""
         complete_change = restore_secrets(change, self.context.document)
         problems = self._unknown_regions(complete_change)
         if problems:
-            return state_lib.ChangeResult(
+            return results_lib.ChangeResult(
                 codes.CHANGE_INVALID.number, self.context.version, "", problems
             )
         outcome = await self.replica.voter_client.submit_change(complete_change)
--- a/packages/chivelb-node/chivelb_node/links/http_pool.py
+++ b/packages/chivelb-node/chivelb_node/links/http_pool.py
@@ -239,15 +239,17 @@
     exchange.may_come_again = alone
     try:
         head = await exchange.start(lambda head: True)
-        body = await _read_limited(exchange, max_bytes)
+        body = await _read_limited(exchange, max_bytes, pool.budget)
     finally:
         exchange.close()
     return head.status, body
 
 
-async def _read_limited(exchange: Exchange, max_bytes: int) -> bytes:
+async def _read_limited(
+    exchange: Exchange, max_bytes: int, budget: response_budget.ResponseBudget
+) -> bytes:
     chunks = []
-    buffered = response_budget.BufferedBytes(exchange.pool.budget)
+    buffered = response_budget.BufferedBytes(budget)
     try:
         while chunk := await exchange.read():
             buffered.set(buffered.size + len(chunk))
--- a/packages/chivelb-node/chivelb_node/telemetry/logs.py
+++ b/packages/chivelb-node/chivelb_node/telemetry/logs.py
@@ -50,8 +50,10 @@
     """Returns a value that can be encoded, shortened if it is long."""
     if value is None or isinstance(value, bool | float):
         return value
-    if isinstance(value, int) and abs(value) < MAX_JSON_INTEGER:
-        return value
+    if isinstance(value, int):
+        # Decimal digits of a very long number are an error.
+        is_short = abs(value) < MAX_JSON_INTEGER
+        return value if is_short else hex(value)[:MAX_VALUE_LENGTH]
     return _readable(value)
 
 
--- a/tests/simulated_runners.py
+++ b/tests/simulated_runners.py
@@ -14,6 +14,7 @@
 
 import builders
 from chivelb_core import document
+from chivelb_core import response_budget
 from chivelb_core.kv_cache import parts
 from chivelb_node import context as context_lib
 from chivelb_node.control import weights
@@ -148,10 +149,12 @@
 
     Attributes:
         runners: Runners by address.
+        budget: Budget of what the responses buffer.
     """
 
     def __init__(self, runners):
         self.runners = {runner.identity: runner for runner in runners}
+        self.budget = response_budget.ResponseBudget()
 
     async def send(self, address, data, *, new_connection=False):
         del new_connection
--- a/tests/test_document_memory.py
+++ b/tests/test_document_memory.py
@@ -14,6 +14,7 @@
 from chivelb_core.document import changes
 from chivelb_core.document import deltas
 from chivelb_core.document import part_versions
+from chivelb_core.document import results as results_lib
 from chivelb_core.document import state as state_lib
 import document_memory
 import pytest
@@ -140,12 +141,12 @@
 # name problems of any length.
 def test_results_of_rejected_changes_are_bounded_in_bytes(monkeypatch):
     limit = 1_000_000
-    monkeypatch.setattr(state_lib, "MAX_RECORDED_BYTES", limit)
+    monkeypatch.setattr(results_lib, "MAX_RECORDED_BYTES", limit)
     state = builders.make_document_state()
     for number in range(20):
         operations = [
             changes.Operation(f"nothing/{index}" + "x" * 2_000, {})
-            for index in range(2 * state_lib.MAX_PROBLEMS)
+            for index in range(2 * results_lib.MAX_PROBLEMS)
         ]
         state.apply_change(
             document.Change(f"c{number}", state.version, operations)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -30,9 +30,6 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: t\r\n\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 MAX_DETAIL_CHARS = 300
-MAX_PAGE_BYTES = cache_event_client.CacheEventClient(
-    http_pool.HttpPool()
-).max_body_bytes
 
 
 def is_mine(head):
@@ -257,8 +254,8 @@
     [
         (get_report, http_pool.MAX_FETCHED_BYTES),
         (send_order, http_pool.MAX_FETCHED_BYTES),
-        (poll, MAX_PAGE_BYTES),
-        (fetch_listing, MAX_PAGE_BYTES),
+        (poll, cache_event_client.DEFAULT_PAGE_BYTES),
+        (fetch_listing, cache_event_client.DEFAULT_PAGE_BYTES),
     ],
 )
 def test_a_fetched_body_without_end_ends_its_connection(
--- a/tests/test_log_values.py
+++ b/tests/test_log_values.py
@@ -77,13 +77,17 @@
     assert len(line) <= logs.MAX_LINE_BYTES
 
 
-@pytest.mark.parametrize("value", ["\udce9", "a" * 100_000, [["\udce9"]]])
+@pytest.mark.parametrize(
+    "value",
+    ["\udce9", "a" * 100_000, [["\udce9"]], 10**5_000],
+    ids=["odd", "long", "nested", "number"],
+)
 def test_a_value_that_is_odd_or_long_stays_readable(value):
     event = {"event": "e", "request_id": value, "running": 3}
     line = logs._render(None, "info", event)
     decoded = json.loads(line)
     assert decoded["running"] == 3
-    assert decoded["request_id"].startswith(("\\udce9", "aaa", "[["))
+    assert decoded["request_id"].startswith(("\\udce9", "aaa", "[[", "0x"))
     assert len(decoded["request_id"]) <= 6 * logs.MAX_VALUE_LENGTH
 
 
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -15,7 +15,7 @@
 from chivelb_core import forwarding
 from chivelb_core.document import model as model_lib
 from chivelb_core.document import regions as regions_lib
-from chivelb_core.document import state as state_lib
+from chivelb_core.document import results as results_lib
 from chivelb_core.kv_cache import parts as parts_lib
 from chivelb_node import context as context_lib
 from chivelb_node.edge import dispatch
@@ -176,7 +176,7 @@
 
     async def submit_change(change):
         submitted.append(change)
-        return state_lib.ChangeResult(codes.DONE.number, 2, "")
+        return results_lib.ChangeResult(codes.DONE.number, 2, "")
 
     handlers = operators.OperatorHandlers(
         context,
--- a/tests/test_voter_client.py
+++ b/tests/test_voter_client.py
@@ -9,14 +9,14 @@
 
 import builders
 from chivelb_core import codes
-from chivelb_core.document import state as state_lib
+from chivelb_core.document import results as results_lib
 from chivelb_node.control import voter_client as voter_client_lib
 from chivelb_node.wire import messages
 import msgspec
 import pytest
 
 CONFIGURED = ["v1", "v2", "v3"]
-RESULT = msgspec.msgpack.encode(state_lib.ChangeResult(0, 7, "digest"))
+RESULT = msgspec.msgpack.encode(results_lib.ChangeResult(0, 7, "digest"))
 
 
 class FakeHub:
