--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -39,7 +39,7 @@
 # Shares of ``buffer_bytes`` that responses to calls, and pages of cache events,
 # may buffer as well. Pages take several times as much once they are decoded.
 RESPONSE_BUFFER_SHARE = 0.25
-PAGE_BUFFER_SHARE = 0.125
+PAGE_BUFFER_SHARE = 0.0625
 # Limit for one page, as a share of what all pages may buffer.
 MAX_PAGE_SHARE = 0.25
 _log = logs.get_logger("targets")
--- a/packages/chivelb-node/chivelb_node/links/part_events.py
+++ b/packages/chivelb-node/chivelb_node/links/part_events.py
@@ -44,7 +44,7 @@
 LIVENESS_PERIOD_S = 0.8
 MAX_BATCH_BYTES = 16_777_216
 # Memory of the directory, as a share of ``buffer_bytes``.
-DIRECTORY_SHARE = 0.25
+DIRECTORY_SHARE = 0.125
 # Collected events are sent at once beyond this number, besides those of the
 # newest update.
 MAX_COLLECTED_EVENTS = 5_000
--- a/tests/test_endless_crowds.py
+++ b/tests/test_endless_crowds.py
@@ -179,7 +179,7 @@
 
 # Guards against pages of cache events that many targets send at once, decoded
 # beside their bytes: one page may have many times the memory that is left.
-@pytest.mark.parametrize("size", [None, 0.2, 0.8, 1.7, 15])
+@pytest.mark.parametrize("size", [None, 0.2, 0.4, 0.8, 1.7, 15])
 def test_pages_of_cache_events_of_many_targets(tmp_path, size):
     page = None
     if size is not None:
