--- a/review/11/run.py
+++ b/review/11/run.py
@@ -45,7 +45,7 @@
 PERIOD_S = 0.05
 # Sound answers of the runner before the spoiled one: a share of 0.02.
 SOUND_ANSWERS = 50
-SPOILED_BODY = b"HTTP/1.1 200" * 34_000
+SPOILED_BODY = b"HTTP/1.1 200" * 100_000
 
 
 class SpoilingRunner(runners_lib.Runner):
