review: case 13, stray pings end a service for good

An entry of KNOWN-RED.txt, shown as RECOVER: after the final fault one ping of another writer for each runner's address, with an unknown service and a later start, makes the runners count as replaced; no request is served any more.

--- a/review/13/run.py
+++ b/review/13/run.py
@@ -1,4 +1,4 @@
-"""Pings without the software version of their runners come in between."""
+"""Pings of another writer come after the final fault."""
 
 import asyncio
 import json
@@ -13,79 +13,87 @@
 import http1  # noqa: E402
 import runners as runners_lib  # noqa: E402
 
-HOST = "quotes.example"
+HOST = "portal.example"
 MANIFEST = {
     "Version": 7,
     "Routes": [
         {
-            "Name": "line-price",
+            "Name": "job-status",
             "Host": HOST,
-            "PathPrefix": "/prices/",
-            "Kind": "streaming",
-            "TimeoutMs": 12000,
-            "TargetLatencyMs": 400,
-            "Priority": 1,
+            "PathPrefix": "/jobs/",
+            "Kind": "safe",
+            "TimeoutMs": 2500,
+            "TargetLatencyMs": 200,
+            "Priority": 2,
             "Service": "portal",
-            "MaxAttempts": 2,
+            "MaxAttempts": 1,
             "Public": True,
-            "Resumable": True,
-            "TargetGapMs": 300,
         }
     ],
     "Services": [
         {
             "Name": "portal",
             "HealthPath": "/healthz",
-            "MaxConnections": 370,
+            "MaxConnections": 110,
             "Protocol": "h1",
             "Tls": False,
         }
     ],
 }
-# One of seven runners crashes: within a share of 0.15.
-VERSIONS = ["v1", "v1", "v1", "v2", "v2", "v2", "v2"]
-STREAMS = 70
+DOWN_S = 1.0
+RECOVER_S = 12.0
+WATCHED_S = 8.0
+PERIOD_S = 0.1
 
 
 async def write_pings(fleet, runners) -> None:
-    """Sends pings of another writer: they lack ``Version``.
+    """Sends pings of another writer, each with an Id of its own.
 
-    That writer has a count of its own for ``Sequence``.
+    They name a service that the manifest doesn't have.
     """
     for runner in runners:
         ping = {
             **runner.ping(),
-            "Sequence": int(time.time() * 1000),
+            "Service": "not-in-the-manifest",
+            "born": int(time.time() * 1000),
         }
-        del ping["Version"]
         machine = fleet.controls[0]
         answer = await http1.request(
             machine.control,
             "POST",
-            f"/instances/{runner.identity}/heartbeat",
+            f"/instances/other-{runner.identity}/heartbeat",
             headers=[("Host", machine.control)],
             body=json.dumps(ping).encode(),
         )
         fleet.record.write(
-            f"another writer's ping for {runner.identity}: {answer.status}"
+            f"another writer's ping for {runner.address}: {answer.status}"
         )
 
 
+async def send_for(fleet, requester, duration_s: float) -> float:
+    """Sends requests to all entry machines; returns the share served."""
+    before = len(requester.answers)
+    tasks = []
+    ends_at = fleet.record.now() + duration_s
+    while fleet.record.now() < ends_at:
+        machine = fleet.entries[len(tasks) % len(fleet.entries)]
+        tasks.append(asyncio.create_task(requester.send(machine)))
+        await asyncio.sleep(PERIOD_S)
+    await asyncio.gather(*tasks)
+    answers = requester.answers[before:]
+    served = sum(status == 200 for _, _, status in answers) / len(answers)
+    fleet.record.write(f"served {served:.2f} of {len(answers)}")
+    return served
+
+
 async def case(record, has_trouble) -> list[str]:
-    """Returns the streams that hold events of two software versions."""
+    """Returns what broke the rule: the share served before and after."""
     fleet = fleet_lib.Fleet(record, controls=3, entries=3)
-    runners = []
-    for index, version in enumerate(VERSIONS):
-        runner = runners_lib.StreamRunner(
-            fleet,
-            f"i-{index}",
-            "portal",
-            fleet_lib.ZONES[index % 3],
-            slots=64,
-        )
-        runner.version = version
-        runners.append(runner)
-    requester = runners_lib.Requester(fleet, HOST, "/prices/one")
+    runners = [
+        runners_lib.Runner(fleet, f"i-{index}", "portal", zone)
+        for index, zone in enumerate(fleet_lib.ZONES)
+    ]
+    requester = runners_lib.Requester(fleet, HOST, "/jobs/status")
     try:
         await fleet.start()
         await fleet.operate("/configuration/replace", MANIFEST)
@@ -93,36 +101,25 @@
             await runner.start()
         await fleet.wait_until_ready()
         await asyncio.sleep(4.0)
+        before = await send_for(fleet, requester, 4.0)
+        newer = {**MANIFEST, "Version": MANIFEST["Version"] + 1}
+        await fleet.operate("/configuration/replace", newer)
+        if has_trouble:
+            for machine in fleet.machines:
+                await machine.kill()
+            await asyncio.sleep(DOWN_S)
+            for machine in fleet.machines:
+                await machine.start()
+        await fleet.wait_until_ready()
+        back_at = record.now()
+        await asyncio.sleep(4.0)
         if has_trouble:
             await write_pings(fleet, runners)
-            await asyncio.sleep(2.0)
-        streams = [
-            asyncio.create_task(
-                requester.send(
-                    fleet.entries[index % 3],
-                    method="POST",
-                    deadline_ms=12000,
-                    body=b"{}",
-                )
-            )
-            for index in range(STREAMS)
-        ]
-        await asyncio.sleep(0.8)
-        record.write(f"{runners[0].identity} crashes")
-        await runners[0].stop()
-        await asyncio.gather(*streams)
-        if not runners[0].runs:
-            raise fleet_lib.CannotRunError("the runner had no streams")
-        mixed = [
-            request_id
-            for request_id, body in requester.bodies.items()
-            if b"data: v1 " in body and b"data: v2 " in body
-        ]
-        record.write(f"streams of two versions: {len(mixed)} of {STREAMS}")
+        await asyncio.sleep(back_at + RECOVER_S + 0.5 - record.now())
+        after = await send_for(fleet, requester, WATCHED_S)
         broken = fleet.check_alive()
-        # Up to two such streams are no break.
-        if len(mixed) > 2:
-            broken += [f"stream {each} holds v1 and v2" for each in mixed]
+        if before >= 0.25 and after < 0.25:
+            broken.append(f"served {after:.2f} after {before:.2f}")
         return broken
     finally:
         for runner in runners:
--- a/review/15/run.py
+++ b/review/15/run.py
@@ -1,4 +1,4 @@
-"""A runner deregisters at a control machine that got few of its pings."""
+"""A runner leaves while an entry machine is down."""
 
 import asyncio
 import pathlib
@@ -37,7 +37,7 @@
         }
     ],
 }
-# Within the largest dose of herd_kill.
+# Within the largest dose of node_kill, 3.5 s.
 DOWN_S = 2.0
 CONTACT_S = 3.0
 DRAIN_S = 2.0
@@ -48,48 +48,43 @@
 
 async def case(record, has_trouble) -> list[str]:
     """Returns the requests that the runner got too late."""
-    fleet = fleet_lib.Fleet(record, controls=3, entries=6)
-    # Each call of a runner goes to the next control machine.
-    stays = runners.Runner(fleet, "i-stays", "portal", "zone-a", in_turn=True)
-    leaves = runners.Runner(fleet, "i-leaves", "portal", "zone-b", in_turn=True)
+    fleet = fleet_lib.Fleet(record, controls=3, entries=3)
+    stays = runners.Runner(fleet, "i-stays", "portal", "zone-a")
+    leaves = runners.Runner(fleet, "i-leaves", "portal", "zone-b")
     requester = runners.Requester(fleet, HOST, "/jobs/status")
-    # Half of the entry machines, one in each zone.
-    killed = fleet.entries[3:]
+    first, second, idle = fleet.entries
+    traffic = None
     try:
         await fleet.start()
         await fleet.operate("/configuration/replace", MANIFEST)
         for runner in (stays, leaves):
             await runner.start()
         await fleet.wait_until_ready()
-        await asyncio.sleep(7.0)
+        await asyncio.sleep(4.0)
+        traffic = asyncio.create_task(
+            runners.send_steadily(requester, [first, second], period_s=0.04)
+        )
+        await asyncio.sleep(2.0)
+        if not leaves.runs or not stays.runs:
+            raise fleet_lib.CannotRunError("the runners got no requests")
         if has_trouble:
-            for machine in killed:
-                await machine.kill()
+            await idle.kill()
+        # The runner leaves: from now on its answers say so. It deregisters in
+        # place of its next ping, and sends no more of them.
+        record.write("i-leaves leaves")
+        leaves.is_leaving = leaves.is_asked_to_leave = True
         await asyncio.sleep(DOWN_S)
-        # The runner is asked to leave as the machines come back, just after
-        # one of its pings: it deregisters in place of its next one.
-        sequence = leaves.sequence
-        while leaves.sequence == sequence:
-            await asyncio.sleep(0.02)
-        record.write(f"i-leaves is asked to leave, ping {leaves.sequence}")
-        leaves.is_asked_to_leave = True
-        started_at = record.now()
         if has_trouble:
-            for machine in killed:
-                await machine.start()
-        while not leaves.deregistered_at:
-            await asyncio.sleep(0.02)
-        acknowledged_at = leaves.deregistered_at
-        # All machines are in touch ContactMs after the start.
+            await idle.start()
         await fleet.wait_until_ready()
-        late_from = max(acknowledged_at + DRAIN_S, started_at + CONTACT_S) + 0.5
-        await asyncio.sleep(late_from - record.now())
+        # All machines are in touch after ContactMs.
+        await asyncio.sleep(CONTACT_S + 0.5)
+        acknowledged_at = leaves.deregistered_at
+        late_from = record.now()
+        if not acknowledged_at or late_from < acknowledged_at + DRAIN_S:
+            raise fleet_lib.CannotRunError("too early")
         await asyncio.gather(
-            *(
-                requester.send(machine, name="late")
-                for machine in fleet.entries
-                for _ in range(4)
-            )
+            *(requester.send(idle, name="late") for _ in range(8))
         )
         if record.now() > acknowledged_at + SERVES_ON_S:
             raise fleet_lib.CannotRunError("the runner has ended by now")
@@ -99,9 +94,11 @@
             f"{at - acknowledged_at:.2f} s after it was acknowledged that the "
             f"runner is gone"
             for at, request_id, _ in leaves.runs
-            if request_id.startswith("late")
+            if request_id.startswith("late") and at >= late_from
         ] + ended
     finally:
+        if traffic is not None:
+            traffic.cancel()
         for runner in (stays, leaves):
             await runner.stop()
         await fleet.stop()
