--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -336,12 +336,21 @@
     record.write(f"trouble {int(has_trouble)}")
 
     async def limited():
+        # A case that is ended from outside ends its processes too.
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_s):
             return await case(record, has_trouble)
 
     try:
         broken = asyncio.run(limited())
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except (
+        CannotRunError,
+        OSError,
+        TimeoutError,
+        asyncio.CancelledError,
+    ) as error:
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
