Let no heartbeat of another writer take a target's place for good

Cause: one heartbeat was believed whatever it left out, and the verdict on who holds an address was stored when it came. Missing fields were defaults, and the greater sequence shut out the sound heartbeats.

Fix: a record names a target only if the document names its service and model (targets.naming); others are kept within a bound and never used. Who holds an address is computed (targets.claims): a later start that is silent while the other target goes on for 5 s is refuted, up to its newest announcement. What is refuted is part of the repair exchange. Full tables drop unnamed and ended targets first.

--- a/packages/chivelb-core/chivelb_core/forwarding/stream_origins.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/stream_origins.py
@@ -14,7 +14,7 @@
 import hashlib
 
 from chivelb_core.forwarding import choice
-from chivelb_core.targets import table as table_lib
+from chivelb_core.targets import entry as entry_lib
 
 KEY_BYTES = 8
 MAX_ORIGINS = 50_000
@@ -143,7 +143,7 @@
         self.last_seen: dict[str, dict[str, float]] = {}
 
     def observe(
-        self, entries: Iterable[table_lib.TargetEntry], now: float
+        self, entries: Iterable[entry_lib.TargetEntry], now: float
     ) -> None:
         """Records the versions of the known targets."""
         for entry in entries:
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -2,85 +2,40 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-import dataclasses
 import math
 
 import msgspec
 
+from chivelb_core.targets import claims
+from chivelb_core.targets import entry as entry_lib
 from chivelb_core.targets import record as record_lib
 
 FORGET_AFTER_S = 300.0
-# Time after a rest in which a target gets no more requests than it has slots:
-# those that waited for the end of the rest would come all at once.
-CAREFUL_AFTER_S = 3.0
+# Targets kept whose announcements name none to use: their service may be named
+# by a later document.
+MAX_UNNAMED_TARGETS = 1_000
 # A reported end of the cold time that differs by less than this is the same.
 COLD_TOLERANCE_S = 0.25
 
 
-@dataclasses.dataclass(slots=True)
-class TargetEntry:
-    """State of one target as known to this instance.
-
-    Attributes:
-        record: Newest announcement.
-        announced_at: Monotonic time when that announcement was applied, in
-            seconds.
-        expires_at: Monotonic time when the lease expires, in seconds.
-        is_leaving: Whether this incarnation has announced that it is leaving.
-        failed_at: Monotonic time of the last failure that this instance
-            observed, in seconds; None without one, or after a success.
-        is_unreachable: Whether this instance could not open a connection to it
-            and has opened none since.
-        no_path_until: Monotonic time until which peers are not asked to send
-            requests to it, because none of them reached it either, in seconds.
-        is_replaced: Whether another target has since announced itself at the
-            same address.
-        paused_until: Monotonic time until which the target receives no new
-            requests because its weights are being changed, in seconds.
-        resting_until: Monotonic time until which it receives none of this
-            instance because it had no room for one, in seconds.
-        is_brittle: Whether it says that it stops if it has to turn away many
-            requests for want of room.
-        cold_until: Monotonic time until which it is cold, in seconds.
-        cold_learned_at: Monotonic time at which that was learned, in seconds.
-        is_cold_presumed: Whether it has reported no cold time yet, so that
-            ``cold_until`` follows from what its service declares.
-    """
-
-    record: record_lib.TargetRecord
-    announced_at: float
-    expires_at: float
-    is_leaving: bool = False
-    failed_at: float | None = None
-    is_unreachable: bool = False
-    no_path_until: float = -math.inf
-    is_replaced: bool = False
-    paused_until: float = -math.inf
-    resting_until: float = -math.inf
-    is_brittle: bool = False
-    cold_until: float = -math.inf
-    cold_learned_at: float = -math.inf
-    is_cold_presumed: bool = False
-
-    def needs_room(self, now: float) -> bool:
-        """Returns whether requests must not be turned away there.
-
-        Args:
-            now: Monotonic time in seconds.
-        """
-        return self.is_brittle or now - self.resting_until < CAREFUL_AFTER_S
-
-
 class TargetTable:
     """Targets by identity.
 
-    Invariants: an announcement only replaces an older one; leaving is final
-    for an incarnation; a target with an expired lease receives no new
-    requests; nor does one in an evacuated availability zone.
+    Invariants: an announcement only replaces an older one, but one that names
+    no target never replaces one that does; leaving is final for an incarnation;
+    a target with an expired lease receives no new requests; nor does one in an
+    evacuated availability zone.
 
     Attributes:
         entries: Known targets by identity.
-        max_entries: Maximum number of entries.
+        max_entries: Maximum number of entries. Targets that get no requests
+            give way to others that may, those silent longest first.
+        refute_after_s: Time for which a target has to announce itself, while
+            the one that holds its address is silent, to get it back.
+        find_problem: Returns why an announcement names no target to use; empty
+            if it does. ``refresh`` is to be called once its results change.
+        on_ignored: Called with an announcement and why it was ignored.
+        on_refuted: Called with a target whose announcements were refuted.
         evacuated_zones: Availability zones whose targets get no new requests.
         cold_start_s: Returns for how long the targets of a service are cold
             after a start, in seconds; 0 if that is not known.
@@ -94,6 +49,12 @@
     __slots__ = (
         "entries",
         "max_entries",
+        "refute_after_s",
+        "find_problem",
+        "on_ignored",
+        "on_refuted",
+        "_by_address",
+        "_claim_count",
         "evacuated_zones",
         "cold_start_s",
         "next_cold_send_at",
@@ -103,8 +64,20 @@
 
     def __init__(self, max_entries: int = 20_000) -> None:
         """Creates an empty table with a maximum number of entries."""
-        self.entries: dict[str, TargetEntry] = {}
+        self.entries: dict[str, entry_lib.TargetEntry] = {}
         self.max_entries = max_entries
+        self.refute_after_s = claims.REFUTE_AFTER_S
+        self.find_problem: Callable[[record_lib.TargetRecord], str] = (
+            lambda record: ""
+        )
+        self.on_ignored: Callable[[record_lib.TargetRecord, str], None] = (
+            lambda record, reason: None
+        )
+        self.on_refuted: Callable[[entry_lib.TargetEntry], None] = (
+            lambda entry: None
+        )
+        self._by_address: dict[str, set[str]] = {}
+        self._claim_count = 0
         self.evacuated_zones: frozenset[str] = frozenset()
         self.cold_start_s: Callable[[str], float] = lambda service: 0.0
         self.next_cold_send_at: Callable[
@@ -136,32 +109,34 @@
             True if it was new and must be propagated to other instances.
         """
         known = self.entries.get(record.identity)
-        if known is None and len(self.entries) >= self.max_entries:
+        problem = self.find_problem(record)
+        if known is not None and not (
+            self._is_newer(record, problem, known)
+            or self._refutes(record, problem, known, now)
+        ):
             return False
-        if known is not None and record.order <= known.record.order:
+        if known is not None and known.problem and not problem:
+            # Nothing that names no target tells anything of one that is named.
+            self._remove(known)
+            known = None
+        if known is None and not self._make_room(problem):
+            self.on_ignored(record, problem or "no room for another target")
             return False
-        expires_at = now + record.lease_s if record.lease_s else math.inf
-        is_leaving = record.state == "leaving"
-        entry = TargetEntry(record, now, expires_at, is_leaving)
-        if known and known.record.incarnation == record.incarnation:
-            entry.is_leaving = is_leaving or known.is_leaving
-            entry.failed_at = known.failed_at
-            entry.is_unreachable = known.is_unreachable
-            entry.no_path_until = known.no_path_until
-            entry.paused_until = known.paused_until
-            entry.resting_until = known.resting_until
-            entry.is_brittle = known.is_brittle
-            entry.cold_until = known.cold_until
-            entry.cold_learned_at = known.cold_learned_at
-            entry.is_cold_presumed = known.is_cold_presumed
-            cold_s = record.cold_s if record.tells_cold else None
-        else:
-            cold_s = record.cold_s
-            if not record.tells_cold:
-                cold_s = self.cold_start_s(record.service)
-        self.entries[record.identity] = entry
-        self._claim_address(entry)
-        if known and known.record.incarnation != record.incarnation:
+        entry = self._make_entry(record, problem, now)
+        is_known = (
+            bool(known) and known.record.incarnation == record.incarnation
+        )
+        if is_known:
+            entry.inherit(known, self.refute_after_s)
+        cold_s = record.cold_s if record.tells_cold else None
+        if cold_s is None and not is_known:
+            cold_s = self.cold_start_s(record.service)
+        if known is not None:
+            entry.refuted = known.refuted
+            if known.record.address != record.address:
+                self._release_address(known)
+        self._add(entry, now)
+        if known is not None and not is_known:
             self.on_restart(known.record)
         if cold_s is not None:
             if not may_end_cold:
@@ -214,22 +189,157 @@
         entry = self.entries.get(identity)
         return 0.0 if entry is None else max(0.0, entry.cold_until - now)
 
-    def _claim_address(self, entry: TargetEntry) -> None:
-        """Assigns an address to the target that announced it last.
+    def _make_entry(
+        self, record: record_lib.TargetRecord, problem: str, now: float
+    ) -> entry_lib.TargetEntry:
+        """Returns the state of a target of which only a record is known."""
+        self._claim_count += 1
+        return entry_lib.TargetEntry(
+            record,
+            announced_at=now,
+            expires_at=now + record.lease_s if record.lease_s else math.inf,
+            is_leaving=record.state == "leaving",
+            problem=problem,
+            claim_number=self._claim_count,
+            heard_since=now,
+        )
 
-        A delayed announcement of a stopped target may arrive after those of
-        its successor at the address; the successor's next announcement
-        reclaims it. If both incarnations are known, that is, above 0, the
-        greater one owns the address.
+    def _is_newer(
+        self,
+        record: record_lib.TargetRecord,
+        problem: str,
+        known: entry_lib.TargetEntry,
+    ) -> bool:
+        """Returns whether an announcement replaces that of a known target.
+
+        Args:
+            record: The announcement.
+            problem: Why it names no target to use, or empty.
+            known: The target with its identity.
         """
+        if bool(problem) != bool(known.problem):
+            if problem:
+                self.on_ignored(record, problem)
+            return not problem
+        if known.voids(record):
+            return False
+        if known.is_refuted and record.incarnation != known.record.incarnation:
+            return True
+        return record.order > known.record.order
+
+    def _refutes(
+        self,
+        record: record_lib.TargetRecord,
+        problem: str,
+        known: entry_lib.TargetEntry,
+        now: float,
+    ) -> bool:
+        """Returns whether an earlier incarnation refutes the known one."""
+        if (
+            problem
+            or known.voids(record)
+            or record.incarnation >= known.record.incarnation
+            or not claims.is_challenged(known, record, now, self.refute_after_s)
+        ):
+            return False
+        claims.refute(known)
+        self.on_refuted(known)
+        return True
+
+    def _make_room(self, problem: str) -> bool:
+        """Makes room for another target; returns whether there is some.
+
+        Args:
+            problem: Why the target's announcement names none to use, or empty.
+        """
+        is_full = len(self.entries) >= self.max_entries
+        if not problem and not is_full:
+            return True
+        unnamed = [each for each in self.entries.values() if each.problem]
+        if not is_full and len(unnamed) < MAX_UNNAMED_TARGETS:
+            return True
+        candidates = unnamed
+        if not candidates and not problem:
+            candidates = [e for e in self.entries.values() if e.is_ended]
+        if not candidates:
+            return False
+        self._remove(min(candidates, key=lambda each: each.claim_number))
+        return True
+
+    def _add(self, entry: entry_lib.TargetEntry, now: float) -> None:
+        """Adds a target that has just announced itself."""
         record = entry.record
-        for other in self.entries.values():
-            if other is entry or other.record.address != record.address:
-                continue
-            if other.record.incarnation > record.incarnation > 0:
-                entry.is_replaced = True
-            else:
-                other.is_replaced = True
+        self.entries[record.identity] = entry
+        self._by_address.setdefault(record.address, set()).add(record.identity)
+        for other in claims.surplus(self._claimants(record.address)):
+            self._remove(other)
+        claimants = self._claimants(record.address)
+        if not entry.problem:
+            for other in claims.refute_silent(
+                entry, claimants, now, self.refute_after_s
+            ):
+                self.on_refuted(other)
+        claims.update_holders(claimants)
+
+    def _remove(self, entry: entry_lib.TargetEntry) -> None:
+        del self.entries[entry.record.identity]
+        self._release_address(entry)
+
+    def _release_address(self, entry: entry_lib.TargetEntry) -> None:
+        """Ends the claim of a target to its address."""
+        address = entry.record.address
+        identities = self._by_address.get(address, set())
+        identities.discard(entry.record.identity)
+        if not identities:
+            self._by_address.pop(address, None)
+        claims.update_holders(self._claimants(address))
+
+    def identities_at(self, address: str) -> set[str]:
+        """Returns the identities of the targets that announce an address."""
+        return self._by_address.get(address, set())
+
+    def _claimants(self, address: str) -> list[entry_lib.TargetEntry]:
+        """Returns the targets that announce an address."""
+        return [
+            self.entries[identity]
+            for identity in self._by_address.get(address, ())
+        ]
+
+    def refresh(self) -> None:
+        """Checks all announcements again, whether they name a target."""
+        for entry in self.entries.values():
+            entry.problem = self.find_problem(entry.record)
+        for address in self._by_address:
+            claims.update_holders(self._claimants(address))
+
+    def refute(self, identity: str, incarnation: int, sequence: int) -> None:
+        """Records that announcements of a target were refuted by another one.
+
+        Args:
+            identity: The target.
+            incarnation: The incarnation that they were of.
+            sequence: Sequence of the newest of them.
+        """
+        known = self.entries.get(identity)
+        if known is None or (incarnation, sequence) <= known.refuted:
+            return
+        known.refuted = (incarnation, sequence)
+        self.on_refuted(known)
+        claims.update_holders(self._claimants(known.record.address))
+
+    def is_contested(self, identity: str, now: float) -> bool:
+        """Returns whether peers need each announcement of a target.
+
+        Another one has announced its address so recently that its claim may
+        still be refuted, or refute that of the target.
+        """
+        entry = self.entries[identity]
+        return not entry.problem and claims.is_contested(
+            entry,
+            self._claimants(entry.record.address),
+            now,
+            2 * self.refute_after_s,
+        )
 
     def mark_leaving(self, identity: str, incarnation: int) -> bool:
         """Records that an incarnation is leaving; returns True if new."""
@@ -310,7 +420,7 @@
             for entry in self.entries.values()
         )
 
-    def opens_at(self, entry: TargetEntry, now: float) -> float:
+    def opens_at(self, entry: entry_lib.TargetEntry, now: float) -> float:
         """Returns when a target takes a request of this instance if it is cold.
 
         Returns:
@@ -351,7 +461,9 @@
         )
         return min((at for at in opening if at > now), default=math.inf)
 
-    def cold_entries(self, service: str, now: float) -> list[TargetEntry]:
+    def cold_entries(
+        self, service: str, now: float
+    ) -> list[entry_lib.TargetEntry]:
         """Returns the targets of a service that are cold and otherwise usable.
 
         Args:
@@ -401,7 +513,7 @@
         return known is not None and self._is_eligible(known, now, ignores_cold)
 
     def _is_eligible(
-        self, entry: TargetEntry, now: float, ignores_cold: bool
+        self, entry: entry_lib.TargetEntry, now: float, ignores_cold: bool
     ) -> bool:
         return (
             entry.resting_until <= now
@@ -413,18 +525,18 @@
             )
         )
 
-    def _may_serve(self, entry: TargetEntry, now: float) -> bool:
+    def _may_serve(self, entry: entry_lib.TargetEntry, now: float) -> bool:
         return (
             entry.record.zone not in self.evacuated_zones
             and self._may_serve_unless_evacuated(entry, now)
         )
 
     def _may_serve_unless_evacuated(
-        self, entry: TargetEntry, now: float
+        self, entry: entry_lib.TargetEntry, now: float
     ) -> bool:
         return (
-            not entry.is_leaving
-            and not entry.is_replaced
+            not entry.problem
+            and not entry.is_ended
             and entry.record.state == "ready"
             and entry.paused_until <= now < entry.expires_at
         )
@@ -449,6 +561,7 @@
                 record.service == service
                 and record.role == role
                 and entry.resting_until <= now
+                and not entry.problem
                 and not entry.is_leaving
                 and not entry.is_replaced
                 and record.state == "ready"
@@ -477,8 +590,8 @@
         """
         return any(
             entry.record.service == service
-            and not entry.is_leaving
-            and not entry.is_replaced
+            and not entry.problem
+            and not entry.is_ended
             and is_allowed(entry.record.zone)
             for entry in self.entries.values()
         )
@@ -618,5 +731,5 @@
             if now - entry.expires_at > FORGET_AFTER_S
         ]
         for identity in expired:
-            del self.entries[identity]
+            self._remove(self.entries[identity])
         return expired
--- a/packages/chivelb-node/chivelb_node/context.py
+++ b/packages/chivelb-node/chivelb_node/context.py
@@ -22,11 +22,14 @@
 from chivelb_core.forwarding import request_limits
 from chivelb_core.forwarding import work_estimates
 from chivelb_core.routing import policies
+from chivelb_core.targets import entry as entry_lib
+from chivelb_core.targets import naming
 
 from chivelb_node import settings as settings_lib
 from chivelb_node import stopping
 from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import metrics as metrics_lib
+from chivelb_node.telemetry import refusals
 
 monotonic = time.monotonic
 # Time after the start within which an instance usually learns the document and
@@ -68,6 +71,17 @@
         }
 
 
+def _log_refuted_target(entry: entry_lib.TargetEntry) -> None:
+    incarnation, sequence = entry.refuted
+    _log.info(
+        "announcements refuted",
+        target=entry.record.identity,
+        address=entry.record.address,
+        incarnation=incarnation,
+        sequence=sequence,
+    )
+
+
 class InstanceContext:
     """Shared state of one instance; only its event loop may access it.
 
@@ -144,6 +158,10 @@
         self.keys = KeyTable(self.document_state.document)
         self.routes = document_lib.RouteTable(self.document_state.document)
         self.targets = targets.TargetTable()
+        self._checks_targets = False
+        self._models_by_service: dict[str, frozenset[str]] | None = None
+        self.targets.on_refuted = _log_refuted_target
+        self._ignored_targets = refusals.RefusalLog(_log, "target ignored")
         self.confirmed_versions: set[tuple[str, str]] = set()
         self.load = routing.LoadView()
         self.work_estimates = work_estimates.WorkEstimates(
@@ -432,10 +450,44 @@
         limit_s = self.settings.forwarding.weights_apply_s
         return since + limit_s * WEIGHTS_DUE_RATIO
 
+    def check_targets_by_document(self) -> None:
+        """Uses targets only if the document names their service and model.
+
+        Before the first document nothing is known of services, and all targets
+        count.
+        """
+        self._checks_targets = True
+        self.targets.on_ignored = self._log_ignored_target
+        self._update_named_services()
+
+    def _update_named_services(self) -> None:
+        """Checks the targets again if the services have changed."""
+        if not self._checks_targets or self.version < 0:
+            return
+        models_by_service = {
+            name: frozenset(service.engine.models if service.engine else ())
+            for name, service in self.document.services.items()
+        }
+        if models_by_service == self._models_by_service:
+            return
+        self._models_by_service = models_by_service
+        self.targets.find_problem = lambda record: naming.find_problem(
+            record, models_by_service
+        )
+        self.targets.refresh()
+
+    def _log_ignored_target(
+        self, record: targets.TargetRecord, reason: str
+    ) -> None:
+        self._ignored_targets.record(
+            record.address, reason, target=record.identity
+        )
+
     def _rebuild_indexes(self) -> None:
         self.keys = KeyTable(self.document)
         self.routes = document_lib.RouteTable(self.document)
         self.metrics.version.set(self.version)
+        self._update_named_services()
         self.work_estimates.update_services(
             {
                 name: service.engine is not None
--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -10,6 +10,7 @@
 
 from chivelb_core import targets
 from chivelb_core.forwarding import cold_targets
+from chivelb_core.targets import entry as entry_lib
 from chivelb_core.targets import table as table_lib
 import mode
 import msgspec
@@ -72,13 +73,20 @@
         now = context_lib.monotonic()
         previous_state = self._shared_state(record.identity)
         cold_s = self.context.targets.cold_s(record.identity, now)
-        if self._apply_announcement(record) and (
-            previous_state != self._shared_state(record.identity)
-            or _is_cold_change(
-                cold_s, self.context.targets.cold_s(record.identity, now)
-            )
+        if not self._apply_announcement(record):
+            return
+        if previous_state != self._shared_state(
+            record.identity
+        ) or _is_cold_change(
+            cold_s, self.context.targets.cold_s(record.identity, now)
         ):
-            await self._request_all_peers(messages.TargetUpdates([record]))
+            await self._request_all_peers(
+                self._make_updates([record], record.address)
+            )
+        elif self.context.targets.is_contested(record.identity, now):
+            self.hub.broadcast(
+                self._control_peers(), messages.TargetUpdates([record])
+            )
 
     async def mark_leaving(self, identity: str) -> None:
         """Marks a target as leaving at its own request, and tells the peers."""
@@ -124,6 +132,26 @@
             )
         )
 
+    def _make_updates(
+        self, records: list[targets.TargetRecord], address: str = ""
+    ) -> messages.TargetUpdates:
+        """Returns a message with records and what is refuted of them.
+
+        Args:
+            records: The records.
+            address: Address of further targets of which it tells what is
+                refuted.
+        """
+        table = self.context.targets
+        identities = {record.identity for record in records}
+        identities.update(table.identities_at(address))
+        refutations = [
+            messages.Refutation(identity, *table.entries[identity].refuted)
+            for identity in sorted(identities & table.entries.keys())
+            if table.entries[identity].refuted > (-1, -1)
+        ]
+        return messages.TargetUpdates(records, refutations)
+
     # Messages from peers.
 
     def _apply_announcement(
@@ -164,6 +192,9 @@
         *,
         may_end_cold: bool = True,
     ) -> None:
+        # Some are of targets that are known already, in place of which a record
+        # names another incarnation; others are of targets that it names first.
+        self._apply_refutations(message)
         for record in message.records:
             problems = targets.validate_listed_record(record)
             if problems:
@@ -173,6 +204,15 @@
                     targets.without_invalid_cold_time(record),
                     may_end_cold=may_end_cold,
                 )
+        self._apply_refutations(message)
+
+    def _apply_refutations(self, message: messages.TargetUpdates) -> None:
+        for refutation in message.refutations:
+            self.context.targets.refute(
+                refutation.identity,
+                refutation.incarnation,
+                refutation.sequence,
+            )
 
     def _on_leaving(self, peer: str, message: messages.TargetLeaving) -> bool:
         changed = self.context.targets.mark_leaving(
@@ -238,7 +278,7 @@
         first = max(0, message.offset)
         page = entries[first : first + MAX_RECORDS_PER_MESSAGE]
         now = context_lib.monotonic()
-        return messages.TargetUpdates(
+        return self._make_updates(
             [_with_cold_time(entry, now) for entry in page]
         )
 
@@ -289,16 +329,21 @@
         targets, or all live peers if no control instance is live.
         """
         swim = self.gossip.swim
+        alive = swim.live_members(swim.local_member.region)
+        return self._control_peers() or sorted(alive)
+
+    def _control_peers(self) -> list[str]:
+        """Returns the live control instances, without this one."""
+        swim = self.gossip.swim
         alive = set(swim.live_members(swim.local_member.region))
-        control_instances = [
+        return [
             name
             for name, state in swim.members.items()
             if state.member.anchor and name in alive
         ]
-        return control_instances or sorted(alive)
 
 
-def _page_key(entry: table_lib.TargetEntry) -> tuple[bool, str]:
+def _page_key(entry: entry_lib.TargetEntry) -> tuple[bool, str]:
     """Returns the place of a target among the pages of all targets."""
     is_ended = entry.is_leaving or entry.is_replaced
     return is_ended, entry.record.identity
@@ -312,7 +357,7 @@
 
 
 def _with_cold_time(
-    entry: table_lib.TargetEntry, now: float
+    entry: entry_lib.TargetEntry, now: float
 ) -> targets.TargetRecord:
     """Returns the record of a target with the rest of its cold time.
 
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -398,6 +398,12 @@
   reason @0 :Text;
 }
 
+struct Refutation {
+  identity @0 :Text;
+  incarnation @1 :Int64;
+  sequence @2 :Int64;
+}
+
 struct RelayData {
   data @0 :Data;
 }
@@ -606,6 +612,7 @@
 
 struct TargetNews {
   records @0 :List(TargetRecord);
+  refutations @1 :List(Refutation);
 }
 
 struct TargetRecord {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -203,16 +203,33 @@
     leader: str
 
 
+class Refutation(msgspec.Struct, rename="camel", frozen=True):
+    """Announcements of a target that another one has refuted.
+
+    Attributes:
+        identity: Identity of the target.
+        incarnation: Incarnation that the announcements are of.
+        sequence: Sequence of the newest of them.
+    """
+
+    identity: str
+    incarnation: int
+    sequence: int
+
+
 class TargetUpdates(msgspec.Struct, rename="camel", frozen=True):
     """Announcements of targets.
 
     Attributes:
         records: The announced records.
+        refutations: What is refuted of these targets' announcements. Older
+            instances neither send nor read it.
     """
 
     SCHEMA_NAME: typing.ClassVar[str] = "TargetNews"
 
     records: list[targets.TargetRecord]
+    refutations: list[Refutation] = []
 
 
 class TargetDigest(msgspec.Struct, rename="camel", frozen=True):
--- a/tests/test_endless_crowds.py
+++ b/tests/test_endless_crowds.py
@@ -70,6 +70,7 @@
             "Zone": "z1",
             "Slots": 1_000,
             "State": "ready",
+            "Version": "v1",
             "Sequence": 1,
         }
         url = f"http://{self.pair.seed}/instances/{identity}/heartbeat"
--- a/tests/test_log_values.py
+++ b/tests/test_log_values.py
@@ -49,7 +49,13 @@
     "Routes": [{**test_programs.DOCUMENT["Routes"][0], "Public": True}],
     "Services": [{"Name": "s", "MaxConnections": 2}],
 }
-BEAT = {"Service": "s", "Zone": "z1", "Slots": 2, "State": "ready"}
+BEAT = {
+    "Service": "s",
+    "Zone": "z1",
+    "Version": "v1",
+    "Slots": 2,
+    "State": "ready",
+}
 
 values = st.recursive(
     st.none()
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -199,6 +199,7 @@
         "Zone": zone,
         "Slots": 4,
         "State": "ready",
+        "Version": "v1",
         "Sequence": 1,
         "born": 1,
     }
--- a/tests/test_reused_identities.py
+++ b/tests/test_reused_identities.py
@@ -126,7 +126,15 @@
     assert context.targets.entries["t"].record.incarnation == 5
 
 
-REQUIRED = ("Service", "Address", "Zone", "Slots", "State", "Sequence")
+REQUIRED = (
+    "Service",
+    "Address",
+    "Zone",
+    "Version",
+    "Slots",
+    "State",
+    "Sequence",
+)
 OTHER_TYPES = (None, True, 1.5, "x", [], {})
 
 
@@ -141,7 +149,7 @@
 
 
 @pytest.mark.parametrize("value", OTHER_TYPES)
-@pytest.mark.parametrize("name", [*REQUIRED, "Version", "born", "Models"])
+@pytest.mark.parametrize("name", [*REQUIRED, "born", "Models"])
 def test_a_field_of_another_type_names_no_target_or_a_sound_one(name, value):
     data = json.dumps({**test_target_checks.HEARTBEAT, name: value}).encode()
     try:
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -126,6 +126,7 @@
                     "Zone": "z1",
                     "Slots": 1_000,
                     "State": "ready",
+                    "Version": "v1",
                     "Sequence": 1,
                 }
                 await ask_until(
