Tell every instance that a target leaves, whatever it missed

Cause: an answer that says so set a flag that one message carried, while the repair exchange carries records alone; the deregistration was acknowledged without effect because the flag was set. A second way: its record had a lower sequence than heartbeats that peers knew, and was confirmed but refused there.

Fix: leaving is merged without an order among the records of an incarnation. Digest and pages are made of the same states (links/target_states), and whoever asks sends back what the other one lacks, so that digests are equal exactly if nothing is left to send. A deregistration always tells all peers; one of an unknown target is remembered with its time and is part of the exchange.

Related paths: targets proven to be gone, addresses, an operator's drain in chivelbd (announcement_forwarding), earlier builds. Pauses are still told once.

--- a/packages/chivelb-core/chivelb_core/targets/__init__.py
+++ b/packages/chivelb-core/chivelb_core/targets/__init__.py
@@ -1,6 +1,7 @@
 """Targets and the announcements that register them."""
 
 from chivelb_core.targets.record import is_address
+from chivelb_core.targets.record import is_identity
 from chivelb_core.targets.record import is_weight_number
 from chivelb_core.targets.record import MAX_COLD_S
 from chivelb_core.targets.record import TargetRecord
@@ -14,6 +15,7 @@
     "TargetRecord",
     "TargetTable",
     "is_address",
+    "is_identity",
     "is_weight_number",
     "validate_listed_record",
     "validate_record",
--- a/packages/chivelb-core/chivelb_core/targets/record.py
+++ b/packages/chivelb-core/chivelb_core/targets/record.py
@@ -115,6 +115,16 @@
     )
 
 
+def is_identity(text: str) -> bool:
+    """Returns whether a text may be the identity of a listed target."""
+    return 0 < len(text) <= MAX_LISTED_NAME_LENGTH and _is_printable(text)
+
+
+def _is_printable(identity: str) -> bool:
+    # The identity is sent in a header.
+    return identity.isprintable() and " " not in identity
+
+
 def validate_record(record: TargetRecord) -> list[str]:
     """Returns the validation errors of an announcement; empty if valid."""
     problems = [*_find_wrong_names(record, MAX_NAME_LENGTH)]
@@ -129,8 +139,7 @@
     A listed record may have no lease. Its weight versions are numbered.
     """
     problems = [*_find_wrong_names(record, MAX_LISTED_NAME_LENGTH)]
-    # The identity is sent in a header.
-    if not record.identity.isprintable() or " " in record.identity:
+    if record.identity and not _is_printable(record.identity):
         problems.append("identity: must have printable characters only")
     for name in ("model", "software_version"):
         if len(getattr(record, name)) > MAX_LISTED_NAME_LENGTH:
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -14,6 +14,8 @@
 # Targets kept whose announcements name none to use: their service may be named
 # by a later document.
 MAX_UNNAMED_TARGETS = 1_000
+# Targets remembered that left while their incarnation was not known.
+MAX_ENDED_TARGETS = 1_000
 # A reported end of the cold time that differs by less than this is the same.
 COLD_TOLERANCE_S = 0.25
 
@@ -28,6 +30,8 @@
 
     Attributes:
         entries: Known targets by identity.
+        ended: Targets that left while their incarnation was not known, by
+            identity, with the largest incarnation that they may have had.
         max_entries: Maximum number of entries. Targets that get no requests
             give way to others that may, those silent longest first.
         refute_after_s: Time for which a target has to announce itself, while
@@ -48,6 +52,7 @@
 
     __slots__ = (
         "entries",
+        "ended",
         "max_entries",
         "refute_after_s",
         "find_problem",
@@ -65,6 +70,7 @@
     def __init__(self, max_entries: int = 20_000) -> None:
         """Creates an empty table with a maximum number of entries."""
         self.entries: dict[str, entry_lib.TargetEntry] = {}
+        self.ended: dict[str, int] = {}
         self.max_entries = max_entries
         self.refute_after_s = claims.REFUTE_AFTER_S
         self.find_problem: Callable[[record_lib.TargetRecord], str] = (
@@ -114,7 +120,7 @@
             self._is_newer(record, problem, known)
             or self._refutes(record, problem, known, now)
         ):
-            return False
+            return self._merge_leaving(record, problem, known)
         if known is not None and known.problem and not problem:
             # Nothing that names no target tells anything of one that is named.
             self._remove(known)
@@ -198,7 +204,8 @@
             record,
             announced_at=now,
             expires_at=now + record.lease_s if record.lease_s else math.inf,
-            is_leaving=record.state == "leaving",
+            is_leaving=record.state == "leaving"
+            or record.incarnation <= self.ended.get(record.identity, -1),
             problem=problem,
             claim_number=self._claim_count,
             heard_since=now,
@@ -227,6 +234,26 @@
             return True
         return record.order > known.record.order
 
+    def _merge_leaving(
+        self,
+        record: record_lib.TargetRecord,
+        problem: str,
+        known: entry_lib.TargetEntry,
+    ) -> bool:
+        """Records that a target leaves, of which a later record is known.
+
+        Leaving is final for an incarnation, so that it needs no order among
+        its records.
+
+        Returns:
+            True if that was new.
+        """
+        return (
+            not problem
+            and record.state == "leaving"
+            and self.mark_leaving(record.identity, record.incarnation)
+        )
+
     def _refutes(
         self,
         record: record_lib.TargetRecord,
@@ -350,6 +377,27 @@
         known.is_leaving = True
         return is_new
 
+    def end(self, identity: str, started_by: int) -> bool:
+        """Records that a target is leaving whose incarnation is not known.
+
+        Args:
+            identity: The target, which need not be known.
+            started_by: Largest incarnation that it may have.
+
+        Returns:
+            True if that was new.
+        """
+        if started_by <= self.ended.get(identity, -1):
+            return False
+        self.ended[identity] = started_by
+        if len(self.ended) > MAX_ENDED_TARGETS:
+            # The same at all instances, whatever the order of the news.
+            del self.ended[min(self.ended, key=lambda i: (self.ended[i], i))]
+        known = self.entries.get(identity)
+        if known is not None and known.record.incarnation <= started_by:
+            known.is_leaving = True
+        return identity in self.ended
+
     def pause(self, identity: str, incarnation: int, until: float) -> None:
         """Pauses new requests to a target until a monotonic time.
 
--- a/packages/chivelb-node/chivelb_node/links/announcement_forwarding.py
+++ b/packages/chivelb-node/chivelb_node/links/announcement_forwarding.py
@@ -9,6 +9,7 @@
 
 from chivelb_core import targets
 import mode
+import msgspec
 
 from chivelb_node import context as context_lib
 from chivelb_node.links import gossip as gossip_lib
@@ -63,6 +64,9 @@
             return False
         if record.state == "leaving":
             self.broadcast_leaving(record.identity, record.incarnation)
+        elif self._is_leaving(record):
+            # An operator drains it, of which the target itself knows nothing.
+            record = msgspec.structs.replace(record, state="leaving")
         self._unsent_records[record.identity] = record
         return True
 
@@ -101,8 +105,24 @@
         self, peer: str, message: messages.TargetUpdates
     ) -> None:
         for record in message.records:
-            if not targets.validate_record(record):
-                self._apply_announcement(record)
+            if targets.validate_record(record):
+                continue
+            self._apply_announcement(record)
+            if record.state != "leaving" and self._is_leaving(record):
+                # The peer has missed that it was told so.
+                self.hub.send(
+                    peer,
+                    messages.TargetLeaving(record.identity, record.incarnation),
+                )
+
+    def _is_leaving(self, record: targets.TargetRecord) -> bool:
+        """Returns whether an incarnation is known to be leaving."""
+        entry = self.context.targets.entries.get(record.identity)
+        return (
+            entry is not None
+            and entry.is_leaving
+            and entry.record.incarnation == record.incarnation
+        )
 
     def _on_leaving(self, peer: str, message: messages.TargetLeaving) -> None:
         self.context.targets.mark_leaving(message.identity, message.incarnation)
--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -1,10 +1,13 @@
 """Replicates changes of targets to the peers, and repairs missed ones.
 
 The peers confirm each change, unlike with ``announcement_forwarding``. Repair
-is an anti-entropy exchange of digests with a random peer.
+is an anti-entropy exchange of digests with a random peer, in which each of the
+two learns what it lacks. All that peers must learn of a target is part of it:
+``target_states`` has its forms.
 """
 
 import asyncio
+import time
 from typing import Any
 import zlib
 
@@ -18,6 +21,7 @@
 from chivelb_node import context as context_lib
 from chivelb_node.links import gossip as gossip_lib
 from chivelb_node.links import hub as hub_lib
+from chivelb_node.links import target_states
 from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import refusals
 from chivelb_node.wire import messages
@@ -28,6 +32,7 @@
 MAX_RECORDS_PER_MESSAGE = 500
 # Longest suspension that a message may ask for.
 MAX_HOLD_S = 60.0
+MS_PER_S = 1_000
 _log = logs.get_logger("fleet")
 
 
@@ -71,32 +76,42 @@
         Returns when all peers have confirmed the change or timed out.
         """
         now = context_lib.monotonic()
-        previous_state = self._shared_state(record.identity)
-        cold_s = self.context.targets.cold_s(record.identity, now)
+        table = self.context.targets
+        previous = self._notable_state(record.identity)
+        cold_s = table.cold_s(record.identity, now)
         if not self._apply_announcement(record):
             return
-        if previous_state != self._shared_state(
-            record.identity
-        ) or _is_cold_change(
-            cold_s, self.context.targets.cold_s(record.identity, now)
+        if previous != self._notable_state(record.identity) or _is_cold_change(
+            cold_s, table.cold_s(record.identity, now)
         ):
             await self._request_all_peers(
                 self._make_updates([record], record.address)
             )
-        elif self.context.targets.is_contested(record.identity, now):
+        elif table.is_contested(record.identity, now):
             self.hub.broadcast(
                 self._control_peers(), messages.TargetUpdates([record])
             )
 
     async def mark_leaving(self, identity: str) -> None:
-        """Marks a target as leaving at its own request, and tells the peers."""
+        """Marks a target as leaving at its own request, and tells the peers.
+
+        All peers are told, also if this instance knew: it may have learned it
+        from a message that others missed. Returns when they have confirmed it
+        or timed out.
+        """
         entry = self.context.targets.entries.get(identity)
-        if entry is None or entry.is_leaving:
+        if entry is None or entry.problem:
+            started_by = int(time.time() * MS_PER_S)
+            self._end(identity, started_by, "itself")
+            ended = [messages.EndedTarget(identity, started_by)]
+            await self._request_all_peers(
+                messages.TargetUpdates([], ended=ended)
+            )
             return
-        leaving = msgspec.structs.replace(
-            entry.record, state="leaving", sequence=entry.record.sequence + 1
-        )
-        await self.apply_announcement(leaving)
+        self.mark_gone(entry.record)
+        leaving = target_states.to_record(entry, context_lib.monotonic())
+        self._apply_announcement(leaving)
+        await self._request_all_peers(messages.TargetUpdates([leaving]))
 
     def mark_gone(self, record: targets.TargetRecord) -> None:
         """Marks a target proven to be gone as leaving, and notifies peers."""
@@ -104,6 +119,15 @@
         if self._on_leaving("", message):
             self.hub.broadcast(self.gossip.peers_in_region(), message)
 
+    def _end(self, identity: str, started_by: int, source: str) -> None:
+        if self.context.targets.end(identity, started_by):
+            _log.info(
+                "unknown target marked as leaving",
+                target=identity,
+                started_by=started_by,
+                reported_by=source,
+            )
+
     async def suspend_dispatch(
         self, record: targets.TargetRecord, hold_s: float, version: str
     ) -> None:
@@ -158,14 +182,14 @@
         self, record: targets.TargetRecord, *, may_end_cold: bool = True
     ) -> bool:
         now = context_lib.monotonic()
-        previous_state = self._shared_state(record.identity)
+        previous = self._notable_state(record.identity)
         table = self.context.targets
         cold_s = table.cold_s(record.identity, now)
         if not table.announce(record, now, may_end_cold=may_end_cold):
             return False
         if _is_cold_change(cold_s, table.cold_s(record.identity, now)):
             self.context.record_cold_change(record.identity, "heartbeat")
-        if previous_state != self._shared_state(record.identity):
+        if previous != self._notable_state(record.identity):
             _log.info(
                 "target changed",
                 target=record.identity,
@@ -182,7 +206,7 @@
     def _on_target_updates(
         self, peer: str, message: messages.TargetUpdates
     ) -> messages.Confirmation:
-        self._apply_updates(peer, message)
+        self._apply_updates(peer, message, may_end_cold=not message.is_repair)
         return messages.Confirmation()
 
     def _apply_updates(
@@ -205,6 +229,9 @@
                     may_end_cold=may_end_cold,
                 )
         self._apply_refutations(message)
+        for ended in message.ended[: table_lib.MAX_ENDED_TARGETS]:
+            if targets.is_identity(ended.identity):
+                self._end(ended.identity, ended.started_by, peer)
 
     def _apply_refutations(self, message: messages.TargetUpdates) -> None:
         for refutation in message.refutations:
@@ -264,9 +291,12 @@
     # Repair.
 
     def _digest(self) -> int:
-        """Returns a digest of the shared state of all targets."""
-        states = [self._shared_state(i) for i in self.context.targets.entries]
-        return zlib.crc32(msgspec.msgpack.encode(sorted(states)))
+        """Returns a digest of all that peers must learn of targets."""
+        table = self.context.targets
+        states = sorted(target_states.states_by_identity(table).values())
+        return zlib.crc32(
+            msgspec.msgpack.encode((states, sorted(table.ended.items())))
+        )
 
     def _on_digest(
         self, peer: str, message: messages.TargetDigest
@@ -274,13 +304,26 @@
         """Replies with a page of targets if the sender's digest differs."""
         if message.offset == 0 and message.digest == self._digest():
             return messages.TargetUpdates([])
-        entries = sorted(self.context.targets.entries.values(), key=_page_key)
+        entries = sorted(
+            target_states.named_entries(self.context.targets), key=_page_key
+        )
         first = max(0, message.offset)
         page = entries[first : first + MAX_RECORDS_PER_MESSAGE]
+        return self._make_repair(page)
+
+    def _make_repair(
+        self, entries: list[entry_lib.TargetEntry]
+    ) -> messages.TargetUpdates:
+        """Returns a page of a repair, with all targets of unknown start."""
         now = context_lib.monotonic()
-        return self._make_updates(
-            [_with_cold_time(entry, now) for entry in page]
+        updates = self._make_updates(
+            [target_states.to_record(entry, now) for entry in entries]
         )
+        ended = [
+            messages.EndedTarget(identity, started_by)
+            for identity, started_by in self.context.targets.ended.items()
+        ]
+        return msgspec.structs.replace(updates, ended=ended, is_repair=True)
 
     @mode.Service.task
     async def _repair(self) -> None:
@@ -291,9 +334,11 @@
             await asyncio.sleep(REPAIR_PERIOD_S)
 
     async def _repair_from(self, peer: str) -> None:
+        """Learns what a peer knows of targets, and tells it what it lacks."""
         digest = self._digest()
         offset = 0
         first_identity = ""
+        theirs = target_states.PeerStates()
         while True:
             reply = await self.hub.request(
                 peer, messages.TargetDigest(digest, offset), REPAIR_TIMEOUT_S
@@ -302,6 +347,7 @@
                 return
             # A response may have told of a cold time since.
             self._apply_updates(peer, reply, may_end_cold=False)
+            theirs.add(reply)
             offset += len(reply.records)
             if len(reply.records) < MAX_RECORDS_PER_MESSAGE:
                 break
@@ -310,15 +356,38 @@
                 break
             first_identity = reply.records[0].identity
         self.is_synced = True
+        # An older peer doesn't tell whether the digests differ.
+        if reply.is_repair:
+            await self._send_missing(peer, theirs)
 
-    def _shared_state(self, identity: str) -> tuple | None:
-        """Returns the state of a target that peers must learn immediately."""
+    async def _send_missing(
+        self, peer: str, theirs: target_states.PeerStates
+    ) -> None:
+        """Sends a peer what it lacks, in pages."""
+        table = self.context.targets
+        missing = theirs.lacks(table)
+        if not missing and theirs.knows_ended(table):
+            return
+        for start in range(0, max(1, len(missing)), MAX_RECORDS_PER_MESSAGE):
+            page = missing[start : start + MAX_RECORDS_PER_MESSAGE]
+            reply = await self.hub.request(
+                peer, self._make_repair(page), REPAIR_TIMEOUT_S
+            )
+            if reply is None:
+                return
+
+    def _notable_state(self, identity: str) -> tuple | None:
+        """Returns the state of a target of which each change is sent at once.
+
+        A target that is leaving by its own record counts apart from one that a
+        response told of: the record is acknowledged only once peers know.
+        """
         entry = self.context.targets.entries.get(identity)
-        if entry is None:
+        if entry is None or entry.problem:
             return None
         return (
-            *_shared_fields(entry.record),
-            entry.is_leaving,
+            target_states.state_of(entry),
+            entry.record.state,
             entry.is_replaced,
         )
 
@@ -345,8 +414,7 @@
 
 def _page_key(entry: entry_lib.TargetEntry) -> tuple[bool, str]:
     """Returns the place of a target among the pages of all targets."""
-    is_ended = entry.is_leaving or entry.is_replaced
-    return is_ended, entry.record.identity
+    return entry.is_ended, entry.record.identity
 
 
 def _is_cold_change(before_s: float, after_s: float) -> bool:
@@ -356,37 +424,7 @@
     )
 
 
-def _with_cold_time(
-    entry: entry_lib.TargetEntry, now: float
-) -> targets.TargetRecord:
-    """Returns the record of a target with the rest of its cold time.
-
-    A cold time that is only presumed here, as after a restart of this instance,
-    is not told: peers may know the target for longer.
-    """
-    cold_s = max(0.0, entry.cold_until - now)
-    is_told = not (cold_s and entry.is_cold_presumed)
-    return msgspec.structs.replace(
-        entry.record, cold_s=cold_s if is_told else 0.0, tells_cold=is_told
-    )
-
-
 def _is_valid_hold(message: messages.TargetHold) -> bool:
     return 0 <= message.hold_s <= MAX_HOLD_S and targets.is_weight_number(
         message.version
     )
-
-
-def _shared_fields(record: targets.TargetRecord) -> tuple:
-    """Returns the fields whose changes peers must learn immediately."""
-    return (
-        record.identity,
-        record.incarnation,
-        record.state,
-        record.address,
-        record.zone,
-        record.service,
-        record.slots,
-        record.weight_version,
-        record.software_version,
-    )
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -215,6 +215,11 @@
   term @2 :Int64;
 }
 
+struct EndedTarget {
+  identity @0 :Text;
+  startedBy @1 :Int64;
+}
+
 struct Entry {
   index @0 :Int64;
   term @1 :Int64;
@@ -613,6 +618,8 @@
 struct TargetNews {
   records @0 :List(TargetRecord);
   refutations @1 :List(Refutation);
+  ended @2 :List(EndedTarget);
+  isRepair @3 :Bool;
 }
 
 struct TargetRecord {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -217,19 +217,37 @@
     sequence: int
 
 
+class EndedTarget(msgspec.Struct, rename="camel", frozen=True):
+    """A target that left while its incarnation was not known.
+
+    Attributes:
+        identity: Identity of the target.
+        started_by: Largest incarnation that it may have.
+    """
+
+    identity: str
+    started_by: int
+
+
 class TargetUpdates(msgspec.Struct, rename="camel", frozen=True):
     """Announcements of targets.
 
+    Older instances send and read the records alone.
+
     Attributes:
         records: The announced records.
-        refutations: What is refuted of these targets' announcements. Older
-            instances neither send nor read it.
+        refutations: What is refuted of these targets' announcements.
+        ended: Targets that left while their incarnation was not known.
+        is_repair: Whether the receiver lacks some of it, or is asked by a
+            digest that differs. Its records may be old.
     """
 
     SCHEMA_NAME: typing.ClassVar[str] = "TargetNews"
 
     records: list[targets.TargetRecord]
     refutations: list[Refutation] = []
+    ended: list[EndedTarget] = []
+    is_repair: bool = False
 
 
 class TargetDigest(msgspec.Struct, rename="camel", frozen=True):
