Take streams up only at targets whose start is sure

Cause: a target that could not be reached was used again as the one that was known as soon as a connection opened. Only its heartbeat tells its start.

Fix: a lost connection makes its start unsure at this instance until a heartbeat made afterwards, for which the control instances are asked. Until then no stream is taken up there, and one that begins there has no known version.

The parameter may_end_cold of TargetTable.announce is is_fresh now, as it decides both; test_cold_reports.py uses the new name.

--- a/packages/chivelb-core/chivelb_core/forwarding/call.py
+++ b/packages/chivelb-core/chivelb_core/forwarding/call.py
@@ -139,8 +139,12 @@
             return self.deadline
         return min(self.deadline, wait_started_at + self.route.patience_s)
 
-    def may_go_to(self, software_version: str) -> bool:
-        """Returns whether a target with a software version may serve it."""
+    def may_go_to(self, software_version: str | None) -> bool:
+        """Returns whether a target with a software version may serve it.
+
+        Args:
+            software_version: The version; None if it is not known for sure.
+        """
         return self.software_version in (None, software_version)
 
     @property
--- a/packages/chivelb-core/chivelb_core/targets/entry.py
+++ b/packages/chivelb-core/chivelb_core/targets/entry.py
@@ -42,6 +42,8 @@
             observed, in seconds; None without one, or after a success.
         is_unreachable: Whether this instance could not open a connection to it
             and has opened none since.
+        is_unconfirmed: Whether a connection to it was lost since its last
+            heartbeat, so that it may have started again.
         no_path_until: Monotonic time until which peers are not asked to send
             requests to it, because none of them reached it either, in seconds.
         is_replaced: Whether another target holds its address; see ``claims``.
@@ -71,6 +73,7 @@
     is_leaving: bool = False
     failed_at: float | None = None
     is_unreachable: bool = False
+    is_unconfirmed: bool = False
     no_path_until: float = -math.inf
     is_replaced: bool = False
     problem: str = ""
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -101,15 +101,16 @@
         record: record_lib.TargetRecord,
         now: float,
         *,
-        may_end_cold: bool = True,
+        is_fresh: bool = True,
     ) -> bool:
         """Applies an announcement.
 
         Args:
             record: The announcement.
             now: Monotonic time in seconds.
-            may_end_cold: Whether it can end a cold time early; an announcement
-                that was kept for some time may be older than what is known.
+            is_fresh: Whether the target has just made it. One that was kept for
+                some time may be older than what is known: it ends no cold time
+                early, and confirms no incarnation.
 
         Returns:
             True if it was new and must be propagated to other instances.
@@ -134,6 +135,7 @@
         )
         if is_known:
             entry.inherit(known, self.refute_after_s)
+            entry.is_unconfirmed = known.is_unconfirmed and not is_fresh
         cold_s = record.cold_s if record.tells_cold else None
         if cold_s is None and not is_known:
             cold_s = self.cold_start_s(record.service)
@@ -145,7 +147,7 @@
         if known is not None and not is_known:
             self.on_restart(known.record)
         if cold_s is not None:
-            if not may_end_cold:
+            if not is_fresh:
                 cold_s = max(cold_s, entry.cold_until - now)
             self.set_cold(record.identity, record.incarnation, cold_s, now)
             entry.is_cold_presumed = not record.tells_cold
@@ -719,6 +721,37 @@
         if self._is_current(identity, incarnation):
             self.entries[identity].failed_at = now
 
+    def record_lost(self, identity: str, incarnation: int) -> None:
+        """Records that a connection to a target was lost.
+
+        It may have started again since, which only its heartbeats tell. A
+        target whose incarnation is not known has a new identity then.
+
+        Args:
+            identity: The target.
+            incarnation: Incarnation that it was opened to.
+        """
+        if incarnation and self._is_current(identity, incarnation):
+            self.entries[identity].is_unconfirmed = True
+
+    def unconfirmed(self) -> Iterator[str]:
+        """Yields the targets that may have started again unnoticed."""
+        for identity, entry in self.entries.items():
+            if entry.is_unconfirmed and not entry.is_ended:
+                yield identity
+
+    def confirmed_version(self, record: record_lib.TargetRecord) -> str | None:
+        """Returns the software version that a target has for sure.
+
+        Returns:
+            The version; None if the target may have started again since it
+            announced one.
+        """
+        entry = self.entries.get(record.identity)
+        if entry is not None and entry.is_unconfirmed:
+            return None
+        return record.software_version
+
     def record_success(self, identity: str) -> None:
         """Clears a recorded failure of a request."""
         if identity in self.entries:
--- a/packages/chivelb-node/chivelb_node/forwarding/admission.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/admission.py
@@ -263,7 +263,7 @@
             now,
             is_usable=lambda record: (
                 record.identity not in call.tried
-                and call.may_go_to(record.software_version)
+                and call.may_go_to(table.confirmed_version(record))
                 and is_allowed(record.zone)
             ),
         )
--- a/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/forwarder.py
@@ -22,6 +22,8 @@
 from chivelb_node.telemetry import logs
 from chivelb_node.telemetry import metrics as metrics_lib
 
+# Of a stream whose target may have another one than it announced.
+UNKNOWN_VERSION = ""
 _log = logs.get_logger("forwarder")
 
 
@@ -275,7 +277,10 @@
         if call.origin_recorded:
             return
         call.origin_recorded = True
-        call.software_version = reservation.record.software_version
+        table = self.context.targets
+        call.software_version = (
+            table.confirmed_version(reservation.record) or UNKNOWN_VERSION
+        )
         origin = stream_origins.StreamOrigin(
             call.service, call.software_version
         )
@@ -338,6 +343,10 @@
             self.context.targets.record_failure(
                 record.identity, now, incarnation=record.incarnation
             )
+        if outcome.target_crashed:
+            self.context.targets.record_lost(
+                record.identity, record.incarnation
+            )
         if outcome.code is codes.TARGET_UNREACHABLE:
             self.check_reachability(record)
         if outcome.code is codes.TARGET_REPLACED:
--- a/packages/chivelb-node/chivelb_node/forwarding/placement.py
+++ b/packages/chivelb-node/chivelb_node/forwarding/placement.py
@@ -104,7 +104,7 @@
             record
             for record in self._without_overdue(call, now)
             if record.identity not in call.tried
-            and call.may_go_to(record.software_version)
+            and call.may_go_to(table.confirmed_version(record))
         ]
         failing = set(table.recent_failures(now, FAILURE_COOLDOWN_S))
         healthy = [r for r in records if r.identity not in failing]
@@ -114,6 +114,10 @@
             healthy = [r for r in records if r.identity not in failed]
         if call.route.resumable and call.software_version is None:
             healthy = self._of_confirmed_versions(healthy) or healthy
+            # What begins at the others can't be taken up.
+            healthy = [r for r in healthy if table.confirmed_version(r)] or (
+                healthy
+            )
         return healthy or records
 
     def _of_confirmed_versions(
@@ -143,7 +147,7 @@
             and table.has_path(record.identity, now)
             and record.identity not in call.tried
             and record.identity not in failed
-            and call.may_go_to(record.software_version)
+            and call.may_go_to(table.confirmed_version(record))
         ]
         return self.context.request_limits.partition(records, now)[0]
 
--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -33,6 +33,9 @@
 # Longest suspension that a message may ask for.
 MAX_HOLD_S = 60.0
 MS_PER_S = 1_000
+# A peer that still needs a heartbeat asks for it again sooner.
+WATCH_S = 2.0
+MAX_WATCHED_TARGETS = 1_000
 _log = logs.get_logger("fleet")
 
 
@@ -61,6 +64,9 @@
         self.hub = hub
         self.gossip = gossip
         self.is_synced = False
+        # Peers that need the next heartbeat of a target, by its identity, and
+        # the monotonic time until which they do, in seconds.
+        self._watchers: dict[str, dict[str, float]] = {}
         self._refusals = refusals.RefusalLog(_log, "target refused")
         hub.register_handler(messages.TargetUpdates, self._on_target_updates)
         hub.register_handler(messages.TargetDigest, self._on_digest)
@@ -81,6 +87,7 @@
         cold_s = table.cold_s(record.identity, now)
         if not self._apply_announcement(record):
             return
+        self._notify_watchers(record, now)
         if previous != self._notable_state(record.identity) or _is_cold_change(
             cold_s, table.cold_s(record.identity, now)
         ):
@@ -92,6 +99,16 @@
                 self._control_peers(), messages.TargetUpdates([record])
             )
 
+    def _notify_watchers(
+        self, record: targets.TargetRecord, now: float
+    ) -> None:
+        """Sends a heartbeat to the peers that asked for it."""
+        watchers = self._watchers.pop(record.identity, {})
+        self.hub.broadcast(
+            [peer for peer, until in watchers.items() if until > now],
+            messages.TargetUpdates([record]),
+        )
+
     async def mark_leaving(self, identity: str) -> None:
         """Marks a target as leaving at its own request, and tells the peers.
 
@@ -179,13 +196,13 @@
     # Messages from peers.
 
     def _apply_announcement(
-        self, record: targets.TargetRecord, *, may_end_cold: bool = True
+        self, record: targets.TargetRecord, *, is_fresh: bool = True
     ) -> bool:
         now = context_lib.monotonic()
         previous = self._notable_state(record.identity)
         table = self.context.targets
         cold_s = table.cold_s(record.identity, now)
-        if not table.announce(record, now, may_end_cold=may_end_cold):
+        if not table.announce(record, now, is_fresh=is_fresh):
             return False
         if _is_cold_change(cold_s, table.cold_s(record.identity, now)):
             self.context.record_cold_change(record.identity, "heartbeat")
@@ -206,7 +223,7 @@
     def _on_target_updates(
         self, peer: str, message: messages.TargetUpdates
     ) -> messages.Confirmation:
-        self._apply_updates(peer, message, may_end_cold=not message.is_repair)
+        self._apply_updates(peer, message, is_fresh=not message.is_repair)
         return messages.Confirmation()
 
     def _apply_updates(
@@ -214,7 +231,7 @@
         peer: str,
         message: messages.TargetUpdates,
         *,
-        may_end_cold: bool = True,
+        is_fresh: bool = True,
     ) -> None:
         # Some are of targets that are known already, in place of which a record
         # names another incarnation; others are of targets that it names first.
@@ -226,7 +243,7 @@
             else:
                 self._apply_announcement(
                     targets.without_invalid_cold_time(record),
-                    may_end_cold=may_end_cold,
+                    is_fresh=is_fresh,
                 )
         self._apply_refutations(message)
         for ended in message.ended[: table_lib.MAX_ENDED_TARGETS]:
@@ -302,6 +319,10 @@
         self, peer: str, message: messages.TargetDigest
     ) -> messages.TargetUpdates:
         """Replies with a page of targets if the sender's digest differs."""
+        until = context_lib.monotonic() + WATCH_S
+        for identity in message.watched[:MAX_WATCHED_TARGETS]:
+            if identity in self.context.targets.entries:
+                self._watchers.setdefault(identity, {})[peer] = until
         if message.offset == 0 and message.digest == self._digest():
             return messages.TargetUpdates([])
         entries = sorted(
@@ -328,11 +349,26 @@
     @mode.Service.task
     async def _repair(self) -> None:
         while not self.should_stop:
+            self._watch_unconfirmed()
             peers = self._repair_peers()
             if peers:
                 await self._repair_from(self.context.rng.choice(peers))
             await asyncio.sleep(REPAIR_PERIOD_S)
 
+    def _watch_unconfirmed(self) -> None:
+        """Asks for the heartbeats of targets that may have started again.
+
+        Any control instance may receive them.
+        """
+        watched = sorted(self.context.targets.unconfirmed())
+        if watched:
+            self.hub.broadcast(
+                self._control_peers(),
+                messages.TargetDigest(
+                    self._digest(), watched=watched[:MAX_WATCHED_TARGETS]
+                ),
+            )
+
     async def _repair_from(self, peer: str) -> None:
         """Learns what a peer knows of targets, and tells it what it lacks."""
         digest = self._digest()
@@ -346,7 +382,7 @@
             if not isinstance(reply, messages.TargetUpdates):
                 return
             # A response may have told of a cold time since.
-            self._apply_updates(peer, reply, may_end_cold=False)
+            self._apply_updates(peer, reply, is_fresh=False)
             theirs.add(reply)
             offset += len(reply.records)
             if len(reply.records) < MAX_RECORDS_PER_MESSAGE:
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -596,6 +596,7 @@
 struct TargetDigest {
   digest @0 :Int64;
   offset @1 :Int64;
+  watched @2 :List(Text);
 }
 
 struct TargetFull {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -258,10 +258,13 @@
     Attributes:
         digest: Digest of the sender's targets.
         offset: Number of targets on the pages before.
+        watched: Targets whose next heartbeat the sender needs at once. Older
+            instances neither send nor read them.
     """
 
     digest: int
     offset: int = 0
+    watched: list[str] = []
 
 
 class TargetHold(msgspec.Struct, rename="camel", frozen=True):
--- a/tests/test_cold_reports.py
+++ b/tests/test_cold_reports.py
@@ -190,7 +190,7 @@
     entry.context.targets.set_cold("t", 1, 9.0, now)
     control.context.targets.announce(heartbeat(2, 0.0), now)
     page = control._on_digest("front-0", messages.TargetDigest(0))
-    entry._apply_updates("core-0", page, may_end_cold=False)
+    entry._apply_updates("core-0", page, is_fresh=False)
     assert entry.context.targets.cold_s("t", now) > 8.0
 
 
