Discard responses to other requests as they come

Seen on, x86-64: test_endless_crowds with responses to other requests took an entry over the 128 MB of its machine in two of eight runs (101 to 145).

Cause: a read brings dozens of responses, each of which takes several times its bytes once it is parsed. They were kept until the task that waits for its own response came to them.

Test: test_responses_to_other_requests_that_come_together_are_not_kept fails before (500 are kept).

--- a/packages/chivelb-node/chivelb_node/links/http_connection.py
+++ b/packages/chivelb-node/chivelb_node/links/http_connection.py
@@ -151,6 +151,8 @@
         self._unanswered: list[bytes] = []
         self._next_head_start = 0
         self._head_waiter: asyncio.Future | None = None
+        # Whether a response belongs to the request; None if none is awaited.
+        self._is_expected: Callable[[Head], bool] | None = None
         self._error: Exception | None = None
         # Whether the target has closed its side.
         self._peer_closed = False
@@ -270,9 +272,19 @@
         is_final = message.code >= 200
         if is_final or self._heads_received:
             self._heads_received += 1
-        if is_final:
-            self._responses.append((_parse_head(message), payload))
-            self._incoming_body = payload
+        if not is_final:
+            return
+        head = _parse_head(message)
+        self._incoming_body = payload
+        if self._is_to_another_request(head) and payload.is_eof():
+            # Not kept until it is read: many may have come together.
+            self._log_surplus("response to another request")
+            return
+        self._responses.append((head, payload))
+
+    def _is_to_another_request(self, head: Head) -> bool:
+        """Returns whether a response is not the one that is waited for."""
+        return self._is_expected is not None and not self._is_expected(head)
 
     def _has_trailer_of_another(self, message) -> bool:
         """Returns whether a head has the trailer of the response before it.
@@ -464,6 +476,7 @@
         self._overhead_bytes = 0
         self._unanswered.clear()
         self._next_head_start = 0
+        self._is_expected = None
         self._body_search = None
         self._reads_bodies = not data.startswith(b"HEAD ")
         self._parser = self._new_parser()
@@ -481,6 +494,7 @@
         Raises:
             IncompleteResponseError: The connection closed before the response.
         """
+        self._is_expected = is_response_to_request
         while True:
             while not self._responses:
                 if self._error is not None:
@@ -491,6 +505,7 @@
             self._body = payload
             if is_response_to_request(head):
                 self._has_response = True
+                self._is_expected = None
                 self._unanswered.clear()
                 self._next_head_start = 0
                 self._buffered.set(payload.total_bytes)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import contextlib
+from unittest import mock
 
 import builders
+from chivelb_core import response_budget
 from chivelb_core import rollout as core_rollout
 from chivelb_core.calls import attempt as attempt_lib
 from chivelb_core.rollout import announced_rollout
@@ -124,6 +126,34 @@
     assert_ended_by_a_limit(scripted.Endless(repeated), start)
 
 
+# Guards against the memory of an entry that fills with parsed responses: each
+# takes several times its bytes, and a read brings many. It was over the 128 MB
+# of its machine in some runs of test_endless_crowds.
+def test_responses_to_other_requests_that_come_together_are_not_kept():
+    other = b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 1\r\n\r\nx"
+    mine = other.replace(b"other", b"mine")
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        connection = http_connection.Connection(
+            "h:1", loop, response_budget.ResponseBudget()
+        )
+        connection.transport = mock.Mock()
+        connection.transport.get_write_buffer_size.return_value = 0
+        connection.in_use = True
+        connection.write(b"GET / HTTP/1.1\r\n\r\n")
+        head = asyncio.create_task(
+            connection.read_head(lambda head: head.get(b"x-id") == b"mine")
+        )
+        await asyncio.sleep(0)
+        connection.data_received(other * 500)
+        kept = len(connection._responses)
+        connection.data_received(mine)
+        return kept, (await head).status, await connection.read()
+
+    assert asyncio.run(run()) == (0, 200, b"x")
+
+
 # Guards against log lines and answers to callers that hold what a target sent
 # instead of an answer.
 @pytest.mark.parametrize(
