--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -11,6 +11,7 @@
 import aiohttp
 from aiohttp import web
 from chivelb_cli import fleet
+import pytest
 
 ROOT = pathlib.Path(__file__).parent.parent
 CONTROL_IP, ENTRY_IP = "127.0.1.11", "127.0.1.12"
@@ -177,6 +178,28 @@
     asyncio.run(scenario())
 
 
+# Guards against a process that ends because its settings changed while it was
+# starting.
+@pytest.mark.parametrize("delay_s", [0.1, 0.2, 0.3, 0.45])
+def test_a_change_of_the_settings_ends_no_process_that_starts(
+    tmp_path, delay_s
+):
+    pair = InstancePair(tmp_path)
+
+    async def scenario():
+        async with pair.running() as (controller, entry):
+            await asyncio.sleep(delay_s)
+            for process in (controller, entry):
+                process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(1.5)
+            for process in (controller, entry):
+                assert process.returncode is None
+                process.send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(process.wait(), 15) == 0
+
+    asyncio.run(scenario())
+
+
 @contextlib.asynccontextmanager
 async def running_target(session, pair, zone):
     """Runs a target that has announced itself; yields its requests."""
