--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -270,6 +270,14 @@
     assert headers.end_to_end(raw) == [(b"X-Other", b"2")]
 
 
+# Guards against answers that nobody can tell apart: a client named the id of
+# its request in Connection, and it was not passed on.
+@pytest.mark.parametrize("name", [b"X-Request-Id", b"X-Response-Seal"])
+def test_what_tells_messages_apart_is_forwarded_in_any_case(name):
+    raw = ((b"Connection", name.lower()), (name, b"1"))
+    assert headers.end_to_end(raw) == [(name, b"1")]
+
+
 @pytest.mark.parametrize(
     ("text", "timeout_s"),
     [("1500", 1.5), (None, None), ("", None), ("nan", None), ("soon", None)],
