--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -278,6 +278,19 @@
     assert headers.end_to_end(raw) == [(name, b"1")]
 
 
+# Guards against a status 500 for an operator's order.
+@pytest.mark.parametrize(
+    "decode",
+    [
+        lambda data: wire_document.decode_replacement(data),
+        wire_document.decode_weights,
+    ],
+)
+def test_an_order_that_is_nested_too_deeply_is_invalid(decode):
+    with pytest.raises(wire_document.DocumentError):
+        decode(b'{"x":' + b"[" * 100_000)
+
+
 @pytest.mark.parametrize(
     ("text", "timeout_s"),
     [("1500", 1.5), (None, None), ("", None), ("nan", None), ("soon", None)],
