--- a/tests/second_answers.py
+++ b/tests/second_answers.py
@@ -64,14 +64,25 @@
     return "\r\n".join([f"HTTP/1.1 {status}", *headers, "", ""]).encode()
 
 
-async def send(client, address, request_id, deadline_s=DEADLINE_S):
-    """Returns what is received for a request, or the kind of its failure."""
+async def send(
+    client, address, request_id, deadline_s=DEADLINE_S, kind="streaming"
+):
+    """Returns what is received for a request, or the kind of its failure.
+
+    Args:
+        client: Client for targets.
+        address: ``host:port`` of the target.
+        request_id: Id of the request.
+        deadline_s: Time for it, in seconds.
+        kind: Kind of its route.
+    """
     now = asyncio.get_running_loop().time()
     call = builders.make_call(
         request_id=request_id,
         prompt=None,
         arrived_at=now,
         deadline=now + deadline_s,
+        route=builders.make_route(kind=kind),
     )
     record = builders.make_record("r1", address=address)
     message = ports.Message("POST", "/x/", [], b"body")
