Remember which incarnations left; bind refutations to the heartbeat period

The index of addresses has a class of its own. On the platform, a silent target is refuted after four heartbeats at least.

--- a/packages/chivelb-core/chivelb_core/targets/claims.py
+++ b/packages/chivelb-core/chivelb_core/targets/claims.py
@@ -25,6 +25,40 @@
 MAX_CLAIMANTS = 32
 
 
+class AddressIndex:
+    """Targets by the address that they announce, and who holds it."""
+
+    __slots__ = ("_by_address",)
+
+    def __init__(self) -> None:
+        """Creates an empty index."""
+        self._by_address: dict[str, dict[str, entry_lib.TargetEntry]] = {}
+
+    def add(self, entry: entry_lib.TargetEntry) -> None:
+        """Adds a target, in place of an earlier state of it."""
+        record = entry.record
+        claimants = self._by_address.setdefault(record.address, {})
+        claimants[record.identity] = entry
+
+    def remove(self, entry: entry_lib.TargetEntry) -> None:
+        """Ends the claim of a target to its address."""
+        record = entry.record
+        claimants = self._by_address.get(record.address, {})
+        claimants.pop(record.identity, None)
+        if not claimants:
+            self._by_address.pop(record.address, None)
+        update_holders(list(claimants.values()))
+
+    def claimants(self, address: str) -> list[entry_lib.TargetEntry]:
+        """Returns the targets that announce an address."""
+        return list(self._by_address.get(address, {}).values())
+
+    def update(self) -> None:
+        """Updates who holds each address."""
+        for claimants in self._by_address.values():
+            update_holders(list(claimants.values()))
+
+
 def update_holders(claimants: Sequence[entry_lib.TargetEntry]) -> None:
     """Records for the targets of one address whether another one holds it."""
     for entry in claimants:
--- a/packages/chivelb-core/chivelb_core/targets/entry.py
+++ b/packages/chivelb-core/chivelb_core/targets/entry.py
@@ -8,6 +8,8 @@
 # Time after a rest in which a target gets no more requests than it has slots:
 # those that waited for the end of the rest would come all at once.
 CAREFUL_AFTER_S = 3.0
+# Incarnations of an identity that are remembered to have left.
+MAX_LEFT_INCARNATIONS = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +55,7 @@
             series, which has no long pauses, in seconds.
         refuted: Incarnation of its identity whose announcements are void, and
             the sequence up to which they are; negative if none are.
+        left: Earlier incarnations of its identity that are known to have left.
         challenge: Announcements of an earlier incarnation since; None without
             any.
         paused_until: Monotonic time until which the target receives no new
@@ -80,6 +83,7 @@
     claim_number: int = 0
     heard_since: float = -math.inf
     refuted: tuple[int, int] = (-1, -1)
+    left: frozenset[int] = frozenset()
     challenge: Challenge | None = None
     paused_until: float = -math.inf
     resting_until: float = -math.inf
@@ -103,6 +107,20 @@
         """Whether it gets no requests, whatever comes of it but a new claim."""
         return self.is_leaving or self.is_replaced
 
+    def succeed(self, known: "TargetEntry") -> None:
+        """Takes over what is known of other incarnations of its identity.
+
+        Args:
+            known: State as of an announcement of any incarnation.
+        """
+        self.refuted = known.refuted
+        left = known.left
+        if known.is_leaving:
+            left |= {known.record.incarnation}
+        self.left = frozenset(sorted(left)[-MAX_LEFT_INCARNATIONS:])
+        if self.record.incarnation in self.left:
+            self.is_leaving = True
+
     def inherit(self, known: "TargetEntry", series_gap_s: float) -> None:
         """Takes over what is known of the same incarnation.
 
--- a/packages/chivelb-core/chivelb_core/targets/table.py
+++ b/packages/chivelb-core/chivelb_core/targets/table.py
@@ -58,7 +58,7 @@
         "find_problem",
         "on_ignored",
         "on_refuted",
-        "_by_address",
+        "_addresses",
         "_claim_count",
         "evacuated_zones",
         "cold_start_s",
@@ -82,7 +82,7 @@
         self.on_refuted: Callable[[entry_lib.TargetEntry], None] = (
             lambda entry: None
         )
-        self._by_address: dict[str, set[str]] = {}
+        self._addresses = claims.AddressIndex()
         self._claim_count = 0
         self.evacuated_zones: frozenset[str] = frozenset()
         self.cold_start_s: Callable[[str], float] = lambda service: 0.0
@@ -140,9 +140,9 @@
         if cold_s is None and not is_known:
             cold_s = self.cold_start_s(record.service)
         if known is not None:
-            entry.refuted = known.refuted
+            entry.succeed(known)
             if known.record.address != record.address:
-                self._release_address(known)
+                self._addresses.remove(known)
         self._add(entry, now)
         if known is not None and not is_known:
             self.on_restart(known.record)
@@ -297,12 +297,12 @@
 
     def _add(self, entry: entry_lib.TargetEntry, now: float) -> None:
         """Adds a target that has just announced itself."""
-        record = entry.record
-        self.entries[record.identity] = entry
-        self._by_address.setdefault(record.address, set()).add(record.identity)
-        for other in claims.surplus(self._claimants(record.address)):
+        address = entry.record.address
+        self.entries[entry.record.identity] = entry
+        self._addresses.add(entry)
+        for other in claims.surplus(self._addresses.claimants(address)):
             self._remove(other)
-        claimants = self._claimants(record.address)
+        claimants = self._addresses.claimants(address)
         if not entry.problem:
             for other in claims.refute_silent(
                 entry, claimants, now, self.refute_after_s
@@ -312,34 +312,17 @@
 
     def _remove(self, entry: entry_lib.TargetEntry) -> None:
         del self.entries[entry.record.identity]
-        self._release_address(entry)
-
-    def _release_address(self, entry: entry_lib.TargetEntry) -> None:
-        """Ends the claim of a target to its address."""
-        address = entry.record.address
-        identities = self._by_address.get(address, set())
-        identities.discard(entry.record.identity)
-        if not identities:
-            self._by_address.pop(address, None)
-        claims.update_holders(self._claimants(address))
+        self._addresses.remove(entry)
 
-    def identities_at(self, address: str) -> set[str]:
-        """Returns the identities of the targets that announce an address."""
-        return self._by_address.get(address, set())
-
-    def _claimants(self, address: str) -> list[entry_lib.TargetEntry]:
+    def claimants(self, address: str) -> list[entry_lib.TargetEntry]:
         """Returns the targets that announce an address."""
-        return [
-            self.entries[identity]
-            for identity in self._by_address.get(address, ())
-        ]
+        return self._addresses.claimants(address)
 
     def refresh(self) -> None:
         """Checks all announcements again, whether they name a target."""
         for entry in self.entries.values():
             entry.problem = self.find_problem(entry.record)
-        for address in self._by_address:
-            claims.update_holders(self._claimants(address))
+        self._addresses.update()
 
     def refute(self, identity: str, incarnation: int, sequence: int) -> None:
         """Records that announcements of a target were refuted by another one.
@@ -354,7 +337,7 @@
             return
         known.refuted = (incarnation, sequence)
         self.on_refuted(known)
-        claims.update_holders(self._claimants(known.record.address))
+        claims.update_holders(self.claimants(known.record.address))
 
     def is_contested(self, identity: str, now: float) -> bool:
         """Returns whether peers need each announcement of a target.
@@ -365,7 +348,7 @@
         entry = self.entries[identity]
         return not entry.problem and claims.is_contested(
             entry,
-            self._claimants(entry.record.address),
+            self.claimants(entry.record.address),
             now,
             2 * self.refute_after_s,
         )
--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -185,7 +185,9 @@
         """
         table = self.context.targets
         identities = {record.identity for record in records}
-        identities.update(table.identities_at(address))
+        identities.update(
+            entry.record.identity for entry in table.claimants(address)
+        )
         refutations = [
             messages.Refutation(identity, *table.entries[identity].refuted)
             for identity in sorted(identities & table.entries.keys())
--- a/tests/test_target_claims.py
+++ b/tests/test_target_claims.py
@@ -5,6 +5,8 @@
 from chivelb_core.targets import claims
 from chivelb_core.targets import table as table_lib
 from chivelb_node import context as context_lib
+from chivelb_node import settings as settings_lib
+from chivelb_platform import shared_services
 import pytest
 import structlog.testing
 import target_groups
@@ -229,3 +231,15 @@
         table.announce(make_target(f"x{number}", incarnation=number + 1), 0.0)
     assert len(table.entries) == claims.MAX_CLAIMANTS
     assert [r.identity for r in table.eligible("web", 1.0)] == [f"x{number}"]
+
+
+# Guards against sound targets that are taken for silent between two heartbeats.
+def test_the_time_to_refute_follows_the_period_of_heartbeats():
+    settings = settings_lib.Settings(
+        instance=settings_lib.Instance(name="i1", zone="z1")
+    )
+    shared = shared_services.SharedServices(settings)
+    shared.set_heartbeat_period(1.2)
+    assert shared.context.targets.refute_after_s == REFUTE_AFTER_S
+    shared.set_heartbeat_period(5.0)
+    assert shared.context.targets.refute_after_s == 20.0
