Agree on who has an address where targets don't tell their start

Found in the read-through: without born, the last announcement has the address, and a new instance applied a repair's ended targets last, so that a crashed one took the address there. Such losses are part of the digest again, and a repair applies those that serve last.

Test: test_an_instance_learns_who_has_an_address_without_known_starts.

--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -238,7 +238,12 @@
         # Some are of targets that are known already, in place of which a record
         # names another incarnation; others are of targets that it names first.
         self._apply_refutations(message)
-        for record in message.records:
+        # Of two targets of unknown start at one address the last one has it; a
+        # repair has those last that get no requests.
+        records = (
+            message.records[::-1] if message.is_repair else message.records
+        )
+        for record in records:
             problems = targets.validate_listed_record(record)
             if problems:
                 self._refusals.record(peer, "; ".join(problems))
@@ -346,7 +351,14 @@
             messages.EndedTarget(identity, started_by)
             for identity, started_by in self.context.targets.ended.items()
         ]
-        return msgspec.structs.replace(updates, ended=ended, is_repair=True)
+        replaced = [
+            entry.record.identity
+            for entry in entries
+            if target_states.loses_address(entry)
+        ]
+        return msgspec.structs.replace(
+            updates, replaced=replaced, ended=ended, is_repair=True
+        )
 
     @mode.Service.task
     async def _repair(self) -> None:
--- a/packages/chivelb-node/chivelb_node/links/target_states.py
+++ b/packages/chivelb-node/chivelb_node/links/target_states.py
@@ -1,8 +1,9 @@
 """What peers must learn of targets; a repair of missed changes compares it.
 
 Two instances have the same states exactly if neither has anything to tell the
-other. Who holds an address follows from the states and is no part of them, nor
-are targets that the document doesn't name.
+other. Who holds an address follows from the states, except among targets whose
+incarnation is not known: the last one that announced itself does. Targets that
+the document doesn't name are no part of them.
 """
 
 from collections.abc import Iterator
@@ -34,11 +35,22 @@
 def state_of(entry: entry_lib.TargetEntry) -> State:
     """Returns the state of a target."""
     state = "leaving" if entry.is_leaving else entry.record.state
-    return _make_state(entry.record, state, entry.refuted)
+    return _make_state(
+        entry.record, state, entry.refuted, is_replaced=loses_address(entry)
+    )
+
+
+def loses_address(entry: entry_lib.TargetEntry) -> bool:
+    """Returns whether a later target of unknown start has its address."""
+    return entry.is_replaced and not entry.record.incarnation
 
 
 def _make_state(
-    record: targets.TargetRecord, state: str, refuted: tuple[int, int]
+    record: targets.TargetRecord,
+    state: str,
+    refuted: tuple[int, int],
+    *,
+    is_replaced: bool,
 ) -> State:
     return (
         record.identity,
@@ -51,6 +63,7 @@
         record.weight_version,
         record.software_version,
         refuted,
+        is_replaced,
     )
 
 
@@ -84,15 +97,17 @@
     Attributes:
         records: Its records, by identity.
         refuted: What it knows to be refuted, by identity.
+        replaced: Targets of unknown start that lost their address.
         ended: Targets that it knows to have left, by identity.
     """
 
-    __slots__ = ("records", "refuted", "ended")
+    __slots__ = ("records", "refuted", "replaced", "ended")
 
     def __init__(self) -> None:
         """Creates the states of a peer that has told nothing."""
         self.records: dict[str, targets.TargetRecord] = {}
         self.refuted: dict[str, tuple[int, int]] = {}
+        self.replaced: set[str] = set()
         self.ended: dict[str, int] = {}
 
     def add(self, updates: messages.TargetUpdates) -> None:
@@ -102,6 +117,7 @@
             (each.identity, (each.incarnation, each.sequence))
             for each in updates.refutations
         )
+        self.replaced.update(updates.replaced)
         self.ended.update(
             (each.identity, each.started_by) for each in updates.ended
         )
@@ -123,4 +139,9 @@
         if record is None:
             return None
         refuted = self.refuted.get(identity, NOTHING_REFUTED)
-        return _make_state(record, record.state, refuted)
+        return _make_state(
+            record,
+            record.state,
+            refuted,
+            is_replaced=identity in self.replaced,
+        )
--- a/packages/chivelb-node/chivelb_node/wire/messages.capnp
+++ b/packages/chivelb-node/chivelb_node/wire/messages.capnp
@@ -619,8 +619,9 @@
 struct TargetNews {
   records @0 :List(TargetRecord);
   refutations @1 :List(Refutation);
-  ended @2 :List(EndedTarget);
-  isRepair @3 :Bool;
+  replaced @2 :List(Text);
+  ended @3 :List(EndedTarget);
+  isRepair @4 :Bool;
 }
 
 struct TargetRecord {
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -237,6 +237,8 @@
     Attributes:
         records: The announced records.
         refutations: What is refuted of these targets' announcements.
+        replaced: Those of these targets whose incarnation is not known and
+            whose address a later one has.
         ended: Targets that left while their incarnation was not known.
         is_repair: Whether the receiver lacks some of it, or is asked by a
             digest that differs. Its records may be old.
@@ -246,6 +248,7 @@
 
     records: list[targets.TargetRecord]
     refutations: list[Refutation] = []
+    replaced: list[str] = []
     ended: list[EndedTarget] = []
     is_repair: bool = False
 
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -177,6 +177,38 @@
     assert tables[0].ended == tables[1].ended
 
 
+# Guards against an instance that takes a crashed target for the one that has
+# its address now, where targets don't tell when they started.
+@pytest.mark.parametrize("missed", [True, False])
+def test_an_instance_learns_who_has_an_address_without_known_starts(
+    monkeypatch, missed
+):
+    group = target_groups.TargetGroup(monkeypatch)
+    unknown = {"incarnation": 0}
+    group.announce("core-0", make_target("z-crashed", **unknown))
+    restore = cut_off(group, "front-0") if missed else lambda: None
+    group.announce("core-0", make_target("a-new", **unknown))
+    restore()
+    if not missed:
+        group.start("front-0")
+    group.repair("front-0", "core-0")
+    assert group.served("front-0") == ["a-new"]
+    assert len(group.digests()) == 1
+    # One that is wrong about it has another digest, and is put right.
+    group.table("front-0").announce(
+        make_target("z-crashed", sequence=2, **unknown), group.now
+    )
+    group.table("core-0").announce(
+        make_target("z-crashed", sequence=2, **unknown), group.now
+    )
+    group.table("core-0").announce(
+        make_target("a-new", sequence=2, **unknown), group.now
+    )
+    assert group.served("front-0") == ["z-crashed"]
+    group.repair("front-0", "core-0")
+    assert group.served("front-0") == ["a-new"]
+
+
 # Guards against an instance that an earlier build of a peer tells nothing: it
 # sends and reads records alone, and takes only those with a later sequence.
 def test_an_earlier_build_learns_who_leaves(monkeypatch):
