Ask for heartbeats without a digest

Each instance with lost connections asked all control instances with a digest, which each of them compared by computing its own. The message for watched targets needs neither; a heartbeat that nobody asked for is not encoded.

--- a/packages/chivelb-node/chivelb_node/links/target_replication.py
+++ b/packages/chivelb-node/chivelb_node/links/target_replication.py
@@ -103,11 +103,12 @@
         self, record: targets.TargetRecord, now: float
     ) -> None:
         """Sends a heartbeat to the peers that asked for it."""
-        watchers = self._watchers.pop(record.identity, {})
-        self.hub.broadcast(
-            [peer for peer, until in watchers.items() if until > now],
-            messages.TargetUpdates([record]),
-        )
+        watchers = self._watchers.pop(record.identity, None)
+        if watchers:
+            self.hub.broadcast(
+                [peer for peer, until in watchers.items() if until > now],
+                messages.TargetUpdates([record]),
+            )
 
     async def mark_leaving(self, identity: str) -> None:
         """Marks a target as leaving at its own request, and tells the peers.
@@ -330,6 +331,9 @@
         for identity in message.watched[:MAX_WATCHED_TARGETS]:
             if identity in self.context.targets.entries:
                 self._watchers.setdefault(identity, {})[peer] = until
+        if message.watched:
+            # Sent beside the digests that repair missed changes.
+            return messages.TargetUpdates([])
         if message.offset == 0 and message.digest == self._digest():
             return messages.TargetUpdates([])
         entries = sorted(
@@ -378,9 +382,7 @@
         if watched:
             self.hub.broadcast(
                 self._control_peers(),
-                messages.TargetDigest(
-                    self._digest(), watched=watched[:MAX_WATCHED_TARGETS]
-                ),
+                messages.TargetDigest(0, watched=watched[:MAX_WATCHED_TARGETS]),
             )
 
     async def _repair_from(self, peer: str) -> None:
--- a/packages/chivelb-node/chivelb_node/wire/messages.py
+++ b/packages/chivelb-node/chivelb_node/wire/messages.py
@@ -261,8 +261,9 @@
     Attributes:
         digest: Digest of the sender's targets.
         offset: Number of targets on the pages before.
-        watched: Targets whose next heartbeat the sender needs at once. Older
-            instances neither send nor read them.
+        watched: Targets whose next heartbeat the sender needs at once; with
+            any, no page is asked for. Older instances neither send nor read
+            them.
     """
 
     digest: int
